--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet capacity and maintenance manager.
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform and of backend servers.
