Define names, records and messages between processes

The types that every process shares, before any of the processes: names as checked shared strings, what a log record may ask for, and the messages on a link.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,6 @@
-//! Fleet capacity and maintenance manager.
+//! Fleet capacity and maintenance manager for sites where a technician comes only on scheduled
+//! visits.
+
+pub mod name;
+pub mod record;
+pub mod wire;
--- /dev/null
+++ b/src/wire/message.rs
@@ -0,0 +1,88 @@
+//! Everything that one process says to another.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::TeamName;
+use crate::wire::Ask;
+use crate::wire::AttemptId;
+use crate::wire::Grant;
+use crate::wire::Hello;
+use crate::wire::Refusal;
+use crate::wire::Running;
+
+/// A message on a link; the encoding is postcard behind a version byte and a length.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// First message of the side that connects, and the answer to it.
+    Hello(Hello),
+    /// Gate to scheduler: wants a slot.
+    Ask(Ask),
+    /// Gate to scheduler: no longer wants the slot it asked for.
+    Cancel(AttemptId),
+    /// Gate to scheduler: the attempt is over and its slot is free.
+    Finished {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the backend server answered as it should.
+        healthy: bool,
+    },
+    /// Gate to scheduler, after connecting: every attempt that it has running there.
+    Report(Vec<Running>),
+    /// Scheduler to gate: run it there.
+    Grant(Grant),
+    /// Scheduler to gate: it does not run.
+    Refuse(Refusal),
+    /// Any process to a fleet process: how recent is your state?
+    Probe {
+        /// Repeated in the answer.
+        nonce: u64,
+        /// Offset that the asker has folded up to.
+        offset: u64,
+    },
+    /// Answer to a probe.
+    Vouch {
+        /// From the probe.
+        nonce: u64,
+        /// Offset that the answerer has folded up to.
+        offset: u64,
+        /// Milliseconds since it asked the log for its head and was told, if ever.
+        age: Option<u32>,
+    },
+    /// Any process to a fleet process: send the records from this offset.
+    Fetch {
+        /// First offset wanted.
+        from: u64,
+    },
+    /// Records in order, each with its offset; the answer to a fetch, and pushed after an append.
+    Records(Vec<(u64, Vec<u8>)>),
+    /// The whole state at an offset, where the records wanted are no longer held.
+    Snapshot {
+        /// Offset of the next record.
+        offset: u64,
+        /// The state in the snapshot's encoding.
+        state: Vec<u8>,
+    },
+    /// Holder to ledger: permits of a team that it holds and could use.
+    Permits {
+        /// The team.
+        team: TeamName,
+        /// Grants of the ledger that are counted in `held`.
+        seen: u64,
+        /// Permits held.
+        held: u32,
+        /// Permits that it could use now.
+        wanted: u32,
+    },
+    /// Ledger to holder: further permits of a team.
+    Permit {
+        /// The team.
+        team: TeamName,
+        /// Number of this message for the pair of ledger and holder.
+        number: u64,
+        /// Permits added to what is held.
+        added: u32,
+        /// Most that the holder should keep; it hands back the rest as they come free.
+        target: u32,
+    },
+}
