Decide in the gate and the scheduler

Pure decisions (events in, actions out) with the tasks that own sockets around them: the gate holds a request and its body, the scheduler of the service queues its descriptor and grants a slot, and the gate sends the body to the backend server.

--- /dev/null
+++ b/src/admit/mod.rs
@@ -0,0 +1,6 @@
+//! Who may use which service.
+
+mod admission;
+
+pub use admission::Admission;
+pub use admission::admit;
--- /dev/null
+++ b/src/bin/mimosa-sched.rs
@@ -0,0 +1,11 @@
+//! Queues requests and grants slots.
+
+use std::process::ExitCode;
+
+use mimosastep::sched::SchedServer;
+use mimosastep::node;
+use mimosastep::settings::SchedSettings;
+
+fn main() -> ExitCode {
+    node::run(SchedSettings::open, SchedServer::spawn, SchedServer::stop)
+}
--- /dev/null
+++ b/src/gate/backend.rs
@@ -0,0 +1,111 @@
+//! Connections to backend servers.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use quick_error::quick_error;
+
+use crate::wire::Verdict;
+
+/// Longest answer of a backend server, in bytes.
+const ANSWER_LIMIT: usize = 64 << 20;
+
+quick_error! {
+    /// An exchange that gave no whole answer.
+    #[derive(Debug)]
+    pub enum BackendError {
+        /// No connection.
+        Connect(err: io::Error) {
+            display("no connection to the backend server: {}", err)
+            source(err)
+        }
+        /// The request was not sent.
+        Unsent {
+            display("the connection closed before the request was sent")
+        }
+        /// Bytes of the request went out, no whole answer came.
+        Broken(reason: String) {
+            display("no whole answer from the backend server: {}", reason)
+        }
+    }
+}
+
+impl BackendError {
+    /// Whether the request may have run.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::Connect(_) | Self::Unsent => Verdict::NotRun,
+            Self::Broken(_) => Verdict::Unknown,
+        }
+    }
+}
+
+/// An open connection to one backend server.
+#[derive(Debug)]
+pub struct Backend {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Backend {
+    /// Connects, and runs the connection in a task of its own.
+    ///
+    /// # Errors
+    /// `BackendError::Connect`.
+    pub async fn open(addr: SocketAddr) -> Result<Self, BackendError> {
+        let stream = TcpStream::connect(addr).await.map_err(BackendError::Connect)?;
+        stream.set_nodelay(true).map_err(BackendError::Connect)?;
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|err| BackendError::Connect(io::Error::other(err)))?;
+        compio::runtime::spawn(async move {
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(Self { addr, sender })
+    }
+
+    /// The backend server's address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Whether the connection can take a request.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// `Unsent` if surely nothing ran, `Broken` otherwise.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, BackendError> {
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut err) if err.take_message().is_some() => return Err(BackendError::Unsent),
+            Err(err) => return Err(BackendError::Broken(err.error().to_string())),
+        };
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT)
+            .collect()
+            .await
+            .map_err(|err| BackendError::Broken(err.to_string()))?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/src/gate/headers.rs
@@ -0,0 +1,116 @@
+//! Headers of callers' requests, and of requests to backend servers.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+
+use crate::gate::FailureCode;
+use crate::record::KeyHash;
+
+/// The caller's identity of a request; echoed in the answer.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Milliseconds that the caller waits.
+pub const DEADLINE_MS: &str = "x-deadline-ms";
+/// `true` if running the request twice does no harm.
+pub const IDEMPOTENT: &str = "x-idempotent";
+/// `true` if the request should start before others.
+pub const URGENT: &str = "x-urgent";
+/// Identity of an attempt at a backend server.
+pub const ATTEMPT_ID: &str = "x-attempt-id";
+/// Team that an attempt counts for.
+pub const TEAM: &str = "x-team";
+/// Milliseconds after which an attempt ends unless its lease is renewed.
+pub const LEASE_MS: &str = "x-lease-ms";
+/// Set on a backend server's answer to a request that it did not run.
+pub const NOT_RUN: &str = "x-not-run";
+
+/// Headers that are not passed on to the backend server: those of the connection, and the key.
+pub const HOP_HEADERS: [&str; 6] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "transfer-encoding",
+];
+
+/// Deadline of a request that names none, in milliseconds.
+const DEADLINE_DEFAULT_MS: u64 = 30_000;
+/// Latest deadline, in milliseconds.
+const DEADLINE_LIMIT_MS: u64 = 3_600_000;
+/// Longest caller's identity of a request, in bytes.
+const REQUEST_ID_LIMIT: usize = 128;
+
+/// What a caller's headers say.
+#[derive(Debug, Clone)]
+pub struct CallerHeaders {
+    /// The caller's identity of the request, if it sent one.
+    pub id: Option<String>,
+    /// Hash of the key, if one was sent.
+    pub key: Option<KeyHash>,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// Whether running the request twice does no harm.
+    pub idempotent: bool,
+    /// Whether the request should start before others.
+    pub urgent: bool,
+}
+
+impl CallerHeaders {
+    /// Checks the headers of a caller's request.
+    ///
+    /// # Errors
+    /// `BadDeadline`, `BadRequest` or `UnknownKey`.
+    pub fn parse(headers: &HeaderMap, now: Instant) -> Result<Self, FailureCode> {
+        let id = text(headers, REQUEST_ID)?;
+        if id.is_some_and(|id| id.is_empty() || id.len() > REQUEST_ID_LIMIT) {
+            return Err(FailureCode::BadRequest);
+        }
+        Ok(Self {
+            id: id.map(String::from),
+            key: key(headers)?,
+            deadline: deadline(headers, now)?,
+            idempotent: flag(headers, IDEMPOTENT)?,
+            urgent: flag(headers, URGENT)?,
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, FailureCode> {
+    headers
+        .get(name)
+        .map(|value| value.to_str().map_err(|_| FailureCode::BadRequest))
+        .transpose()
+}
+
+fn flag(headers: &HeaderMap, name: &str) -> Result<bool, FailureCode> {
+    match text(headers, name)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => Err(FailureCode::BadRequest),
+    }
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<KeyHash>, FailureCode> {
+    let Some(value) = headers.get(AUTHORIZATION) else {
+        return Ok(None);
+    };
+    value
+        .as_bytes()
+        .strip_prefix(b"Bearer ")
+        .map(|key| Some(KeyHash::of(key)))
+        .ok_or(FailureCode::UnknownKey)
+}
+
+fn deadline(headers: &HeaderMap, now: Instant) -> Result<Instant, FailureCode> {
+    let millis = match text(headers, DEADLINE_MS).map_err(|_| FailureCode::BadDeadline)? {
+        None => DEADLINE_DEFAULT_MS,
+        Some(text) => text.parse().map_err(|_| FailureCode::BadDeadline)?,
+    };
+    if millis == 0 || millis > DEADLINE_LIMIT_MS {
+        return Err(FailureCode::BadDeadline);
+    }
+    Ok(now + Duration::from_millis(millis))
+}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,27 @@
+//! The gate: terminates callers' HTTP, holds their requests and sends them to backend servers.
+
+mod action;
+mod attempt;
+mod backend;
+mod budget;
+mod ended;
+mod event;
+mod failure;
+mod gate;
+mod handler;
+mod headers;
+mod pending;
+mod server;
+mod step;
+mod submission;
+mod task;
+
+pub use action::Action;
+pub use budget::RetryBudget;
+pub use ended::Ended;
+pub use event::Event;
+pub use failure::Failure;
+pub use failure::FailureCode;
+pub use gate::Gate;
+pub use server::GateServer;
+pub use submission::Submission;
--- /dev/null
+++ b/src/node/probes.rs
@@ -0,0 +1,32 @@
+//! Health and readiness over HTTP.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use hyper::StatusCode;
+
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::text_reply;
+
+/// A handler for a process that serves nothing else: `/healthz` and `/readyz`.
+#[must_use]
+pub fn probes(ready: Rc<Cell<bool>>) -> Handler {
+    Rc::new(move |request| {
+        let reply = probe(request.uri().path(), ready.get())
+            .unwrap_or_else(|| text_reply(StatusCode::NOT_FOUND, "no such path\n"));
+        async move { reply }.boxed_local()
+    })
+}
+
+/// The reply to a probe, or none if `path` is another one.
+#[must_use]
+pub fn probe(path: &str, ready: bool) -> Option<Reply> {
+    match path {
+        "/healthz" => Some(text_reply(StatusCode::OK, "ok\n")),
+        "/readyz" if ready => Some(text_reply(StatusCode::OK, "ready\n")),
+        "/readyz" => Some(text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/sched/event.rs
@@ -0,0 +1,43 @@
+//! What a scheduler is told.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use crate::net::LinkId;
+use crate::record::State;
+use crate::wire::Ask;
+use crate::wire::AttemptId;
+use crate::wire::Running;
+
+/// An input of [`crate::sched::Scheduler`].
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A newer state.
+    State(Rc<State>),
+    /// The state is known to be recent until then.
+    Fresh(Instant),
+    /// A link to a gate is lost.
+    Down(LinkId),
+    /// A gate wants a slot.
+    Ask(LinkId, Ask),
+    /// A gate no longer wants a slot.
+    Cancel(AttemptId),
+    /// An attempt is over.
+    Finished {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the backend server answered as it should.
+        healthy: bool,
+    },
+    /// Everything that a gate has running, as of an epoch of its state.
+    Report {
+        /// Link to the gate.
+        link: LinkId,
+        /// Epoch of the gate's state.
+        epoch: u64,
+        /// What it has running.
+        running: Vec<Running>,
+    },
+    /// Time has passed.
+    Tick,
+}
--- /dev/null
+++ b/src/sched/mod.rs
@@ -0,0 +1,16 @@
+//! The scheduler: queues requests of the services placed on it and grants slots.
+
+mod action;
+mod dispatcher;
+mod event;
+mod held;
+mod scheduler;
+mod server;
+mod slots;
+mod task;
+
+pub use action::Action;
+pub use dispatcher::Dispatcher;
+pub use event::Event;
+pub use scheduler::Scheduler;
+pub use server::SchedServer;
--- /dev/null
+++ b/src/sched/server.rs
@@ -0,0 +1,41 @@
+//! A running scheduler process.
+
+use crate::http::Handler;
+use crate::http::HttpServer;
+use crate::http::Limits;
+use crate::node::Node;
+use crate::node::NodeError;
+use crate::node::probes;
+use crate::record::Role;
+use crate::sched::Scheduler;
+use crate::sched::task::SchedTask;
+use crate::settings::SchedSettings;
+
+/// Serves gates until it is stopped.
+pub struct SchedServer {
+    node: Node,
+    http: HttpServer,
+}
+
+impl SchedServer {
+    /// Starts a scheduler.
+    ///
+    /// # Errors
+    /// A [`NodeError`] if an address cannot be bound or a certificate cannot be used.
+    pub async fn spawn(settings: SchedSettings) -> Result<Self, NodeError> {
+        let mut node = Node::spawn(&settings.node, Role::Sched).await?;
+        let scheduler = Scheduler::new(node.name().clone(), node.incarnation());
+        SchedTask::spawn(scheduler, node.take_events(), node.subscribe());
+        let handler: Handler = probes(node.readiness());
+        let http = HttpServer::bind(settings.node.http, Limits::default(), handler)?;
+        node.announce();
+        Ok(Self { node, http })
+    }
+
+    /// Hands its services over and stops.
+    pub async fn stop(self) {
+        self.node.leave().await;
+        self.http.stop();
+        self.http.stopped().await;
+    }
+}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -27,8 +27,14 @@
         /// Whether the backend server answered as it should.
         healthy: bool,
     },
-    /// Gate to scheduler, after connecting: every attempt that it has running there.
-    Report(Vec<Running>),
+    /// Gate to scheduler, after connecting and after each change of members: every attempt that
+    /// it has running.
+    Report {
+        /// Epoch of the gate's state.
+        epoch: u64,
+        /// What it has running.
+        running: Vec<Running>,
+    },
     /// Scheduler to gate: run it there.
     Grant(Grant),
     /// Scheduler to gate: it does not run.
