Link processes over QUIC with mutual TLS

Processes need ordered messages, quick notice of a lost peer, and no strangers. A mesh binds one UDP endpoint, keeps the wanted peers connected and hands out link events in two streams, so that state and request traffic have separate readers. Tests drive two meshes and raw QUIC peers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,8 @@
 //! visits.
 
 pub mod name;
+pub mod net;
+pub mod observe;
 pub mod record;
+pub mod settings;
 pub mod wire;
--- /dev/null
+++ b/src/net/dialer.rs
@@ -0,0 +1,50 @@
+//! Keeps a connection to one address.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::sleep;
+use compio_quic::Endpoint;
+use rand::RngExt;
+use slog::debug;
+
+use crate::net::NODE_DOMAIN;
+use crate::net::NetError;
+use crate::net::session;
+use crate::net::session::Station;
+
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LAST_WAIT: Duration = Duration::from_secs(1);
+
+/// Connects to `addr` again and again; runs until cancelled.
+pub(super) async fn keep(endpoint: Endpoint, addr: SocketAddr, station: Rc<Station>) {
+    let mut wait = FIRST_WAIT;
+    loop {
+        let mut stood = false;
+        let err = visit(&endpoint, addr, &station, &mut stood).await;
+        if stood {
+            wait = FIRST_WAIT;
+        }
+        debug!(station.log, "no link"; "addr" => %addr, "why" => %err);
+        sleep(wait.mul_f64(rand::rng().random_range(0.75..1.25))).await;
+        wait = (wait * 2).min(LAST_WAIT);
+    }
+}
+
+async fn visit(
+    endpoint: &Endpoint,
+    addr: SocketAddr,
+    station: &Rc<Station>,
+    stood: &mut bool,
+) -> NetError {
+    let deadline = session::greeting_deadline();
+    let connecting = async {
+        let connecting = endpoint.connect(addr, NODE_DOMAIN, None)?;
+        Ok(connecting.await?)
+    };
+    match session::in_time(connecting, deadline).await {
+        Ok(connection) => session::dialled(connection, Rc::clone(station), deadline, stood).await,
+        Err(err) => err,
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,27 @@
+//! Links between the system's processes: QUIC with mutual TLS.
+
+mod decoder;
+mod dialer;
+mod error;
+mod event;
+mod frame;
+mod identity;
+mod link;
+mod link_id;
+mod mesh;
+mod outlet;
+mod session;
+mod transport;
+
+pub use decoder::Decoder;
+pub use error::NetError;
+pub use event::NetEvent;
+pub use frame::FRAME_LIMIT;
+pub use frame::FrameError;
+pub use frame::encode;
+pub use identity::Identity;
+pub use identity::NODE_DOMAIN;
+pub use link::Link;
+pub use link_id::LinkId;
+pub use mesh::Mesh;
+pub use outlet::Events;
--- /dev/null
+++ b/src/net/session.rs
@@ -0,0 +1,228 @@
+//! The life of one connection.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compio::time::timeout_at;
+use compio_quic::Connection;
+use compio_quic::RecvStream;
+use compio_quic::SendStream;
+use compio_quic::VarInt;
+use futures_channel::mpsc;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
+use futures_util::future::Either;
+use futures_util::future::select;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::net::Decoder;
+use crate::net::Link;
+use crate::net::NetError;
+use crate::net::NetEvent;
+use crate::net::encode;
+use crate::net::outlet::Outlet;
+use crate::wire::Hello;
+use crate::wire::Message;
+
+const CHUNK: usize = 64 << 10;
+const BATCH: usize = 256 << 10;
+const GREETING: Duration = Duration::from_secs(2);
+
+/// What every connection of a process shares.
+#[derive(Debug)]
+pub(super) struct Station {
+    pub(super) hello: Hello,
+    pub(super) outlet: Outlet,
+    pub(super) log: Logger,
+}
+
+/// Closes the connection when dropped, so that a cancelled task leaves none behind.
+struct Closing(Connection);
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.0.close(VarInt::from_u32(0), b"done");
+    }
+}
+
+/// Tells that the link stands, and when dropped that it is gone.
+struct Standing {
+    link: Link,
+    station: Rc<Station>,
+}
+
+impl Standing {
+    fn announce(link: Link, station: Rc<Station>) -> Self {
+        info!(station.log, "link up"; "link" => link.id().0, "peer" => %link.peer().node);
+        station.outlet.emit(NetEvent::Up { link: link.clone() });
+        Self { link, station }
+    }
+}
+
+impl Drop for Standing {
+    fn drop(&mut self) {
+        let link = self.link.id();
+        info!(self.station.log, "link down"; "link" => link.0, "peer" => %self.link.peer().node);
+        self.station.outlet.emit(NetEvent::Down { link });
+    }
+}
+
+/// Latest time by which a connection begun now must have introduced itself.
+pub(super) fn greeting_deadline() -> Instant {
+    Instant::now() + GREETING
+}
+
+/// Runs a connection that was accepted, until it ends.
+pub(super) async fn accepted(
+    connection: Connection,
+    station: Rc<Station>,
+    deadline: Instant,
+) -> NetError {
+    let closing = Closing(connection);
+    let greeting = async {
+        let (mut send, mut recv) = closing.0.accept_bi().await?;
+        let mut decoder = Decoder::new();
+        let peer = hear(&mut recv, &mut decoder, &station.hello).await?;
+        introduce(&mut send, &station.hello).await?;
+        Ok((send, recv, decoder, peer))
+    };
+    match in_time(greeting, deadline).await {
+        Ok((send, recv, decoder, peer)) => run(send, recv, decoder, peer, station).await,
+        Err(err) => err,
+    }
+}
+
+/// Runs a connection that was dialled, until it ends; `stood` becomes true if its link stood.
+pub(super) async fn dialled(
+    connection: Connection,
+    station: Rc<Station>,
+    deadline: Instant,
+    stood: &mut bool,
+) -> NetError {
+    let closing = Closing(connection);
+    let greeting = async {
+        let (mut send, mut recv) = closing.0.open_bi_wait().await?;
+        let mut decoder = Decoder::new();
+        introduce(&mut send, &station.hello).await?;
+        let peer = hear(&mut recv, &mut decoder, &station.hello).await?;
+        Ok((send, recv, decoder, peer))
+    };
+    match in_time(greeting, deadline).await {
+        Ok((send, recv, decoder, peer)) => {
+            *stood = true;
+            run(send, recv, decoder, peer, station).await
+        }
+        Err(err) => err,
+    }
+}
+
+/// What `work` gives, or [`NetError::Late`] at the deadline.
+pub(super) async fn in_time<T>(
+    work: impl Future<Output = Result<T, NetError>>,
+    deadline: Instant,
+) -> Result<T, NetError> {
+    timeout_at(deadline, work)
+        .await
+        .unwrap_or(Err(NetError::Late))
+}
+
+async fn introduce(send: &mut SendStream, own: &Hello) -> Result<(), NetError> {
+    let mut frame = Vec::new();
+    encode(&Message::Hello(own.clone()), &mut frame)?;
+    send.write_all_chunks(&mut [Bytes::from(frame)]).await?;
+    Ok(())
+}
+
+async fn hear(
+    recv: &mut RecvStream,
+    decoder: &mut Decoder,
+    own: &Hello,
+) -> Result<Hello, NetError> {
+    loop {
+        match decoder.take()? {
+            Some(Message::Hello(peer)) if peer.node == own.node => {
+                return Err(NetError::Hello("the peer has this process's name"));
+            }
+            Some(Message::Hello(peer)) => return Ok(peer),
+            Some(_) => return Err(NetError::Hello("the first message is another one")),
+            None => fill(recv, decoder).await?,
+        }
+    }
+}
+
+async fn fill(recv: &mut RecvStream, decoder: &mut Decoder) -> Result<(), NetError> {
+    let chunk = recv.read_chunk(CHUNK, true).await?;
+    decoder.feed(&chunk.ok_or(NetError::Ended)?.bytes);
+    Ok(())
+}
+
+async fn run(
+    send: SendStream,
+    recv: RecvStream,
+    decoder: Decoder,
+    peer: Hello,
+    station: Rc<Station>,
+) -> NetError {
+    let (queue, queued) = mpsc::unbounded();
+    let link = Link::new(station.outlet.next_id(), peer, queue);
+    let _standing = Standing::announce(link.clone(), Rc::clone(&station));
+    let reader = pin!(read(recv, decoder, &link, &station));
+    let writer = pin!(write(send, queued, &station.log));
+    match select(reader, writer).await {
+        Either::Left((err, _)) | Either::Right((err, _)) => err,
+    }
+}
+
+async fn read(
+    mut recv: RecvStream,
+    mut decoder: Decoder,
+    link: &Link,
+    station: &Station,
+) -> NetError {
+    loop {
+        match decoder.take() {
+            Ok(Some(Message::Hello(_))) => return NetError::Hello("a second one"),
+            Ok(Some(message)) => station.outlet.emit(NetEvent::Message {
+                link: link.clone(),
+                message,
+            }),
+            Ok(None) => {
+                if let Err(err) = fill(&mut recv, &mut decoder).await {
+                    return err;
+                }
+            }
+            Err(err) => return err.into(),
+        }
+    }
+}
+
+async fn write(
+    mut send: SendStream,
+    mut queued: UnboundedReceiver<Message>,
+    log: &Logger,
+) -> NetError {
+    while let Some(first) = queued.next().await {
+        let mut batch = Vec::new();
+        append(&first, &mut batch, log);
+        while batch.len() < BATCH
+            && let Ok(message) = queued.try_recv()
+        {
+            append(&message, &mut batch, log);
+        }
+        if let Err(err) = send.write_all_chunks(&mut [Bytes::from(batch)]).await {
+            return err.into();
+        }
+    }
+    NetError::Ended
+}
+
+fn append(message: &Message, batch: &mut Vec<u8>, log: &Logger) {
+    if let Err(err) = encode(message, batch) {
+        warn!(log, "message not sent"; "why" => %err);
+    }
+}
--- /dev/null
+++ b/src/observe/log.rs
@@ -0,0 +1,22 @@
+//! The process's log.
+
+use std::io;
+
+use slog::Drain;
+use slog::Logger;
+use slog::o;
+use slog_async::Async;
+use slog_json::Json;
+
+use crate::name::NodeName;
+use crate::record::Role;
+
+/// A log of JSON lines on stderr, each with the node and its role.
+///
+/// A task of its own writes, so that logging never waits; dropping the last clone writes the rest.
+pub fn open_log(node: &NodeName, role: Role) -> Logger {
+    let lines = Json::default(io::stderr()).ignore_res();
+    let drain = Async::new(lines).build().ignore_res();
+    let role = format!("{role:?}").to_lowercase();
+    Logger::root(drain, o!("node" => node.to_string(), "role" => role))
+}
--- /dev/null
+++ b/src/observe/mod.rs
@@ -0,0 +1,5 @@
+//! Logs and metrics.
+
+mod log;
+
+pub use log::open_log;
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings.
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -86,3 +86,18 @@
         target: u32,
     },
 }
+
+impl Message {
+    /// Whether it is about the state and its freshness, and not about requests or permits.
+    #[must_use]
+    pub const fn is_state(&self) -> bool {
+        matches!(
+            self,
+            Self::Probe { .. }
+                | Self::Vouch { .. }
+                | Self::Fetch { .. }
+                | Self::Records(_)
+                | Self::Snapshot { .. }
+        )
+    }
+}
--- /dev/null
+++ b/tests/net_links.rs
@@ -0,0 +1,330 @@
+//! Links: who gets one, what it carries, and how its end is told.
+
+#[path = "common/certs.rs"]
+mod certs;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use certs::Authority;
+use certs::NodeFiles;
+use compio::net::UdpSocket;
+use compio::time::timeout;
+use compio_quic::ClientConfig;
+use compio_quic::Connection;
+use compio_quic::ConnectionError;
+use compio_quic::Endpoint;
+use compio_quic::EndpointConfig;
+use compio_quic::ServerConfig;
+use compio_quic::crypto::rustls::QuicClientConfig;
+use compio_quic::crypto::rustls::QuicServerConfig;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
+use mimosastep::name::NodeName;
+use mimosastep::net::Events;
+use mimosastep::net::FRAME_LIMIT;
+use mimosastep::net::Link;
+use mimosastep::net::LinkId;
+use mimosastep::net::Mesh;
+use mimosastep::net::NODE_DOMAIN;
+use mimosastep::net::NetEvent;
+use mimosastep::net::encode;
+use mimosastep::record::Role;
+use mimosastep::wire::Hello;
+use mimosastep::wire::Message;
+use rustls::RootCertStore;
+use rustls::crypto::ring;
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::pem::PemObject;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use test_case::test_case;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+type Receiver = UnboundedReceiver<NetEvent>;
+
+fn hello(name: &str) -> Hello {
+    Hello {
+        node: NodeName::new(name).expect("a name"),
+        incarnation: 7,
+        role: Role::Sched,
+    }
+}
+
+async fn bind_at(addr: SocketAddr, authority: &Authority, name: &str) -> (Mesh, Events) {
+    let log = Logger::root(Discard, o!());
+    let mesh = Mesh::bind(addr, authority.identity(name), hello(name), log)
+        .await
+        .expect("a mesh");
+    let events = mesh.take_events().expect("events");
+    assert!(mesh.take_events().is_none());
+    (mesh, events)
+}
+
+async fn bind(authority: &Authority, name: &str) -> (Mesh, Events) {
+    bind_at(loopback(), authority, name).await
+}
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+async fn within<T>(work: impl Future<Output = T>) -> T {
+    timeout(PATIENCE, work).await.expect("in time")
+}
+
+async fn next(events: &mut Receiver) -> NetEvent {
+    within(events.next()).await.expect("an event")
+}
+
+async fn up(events: &mut Receiver) -> Link {
+    match next(events).await {
+        NetEvent::Up { link } => link,
+        other => panic!("not up: {other:?}"),
+    }
+}
+
+async fn down(events: &mut Receiver) -> LinkId {
+    match next(events).await {
+        NetEvent::Down { link } => link,
+        other => panic!("not down: {other:?}"),
+    }
+}
+
+async fn message(events: &mut Receiver) -> Message {
+    match next(events).await {
+        NetEvent::Message { message, .. } => message,
+        other => panic!("not a message: {other:?}"),
+    }
+}
+
+fn probe(nonce: u64) -> Message {
+    Message::Probe { nonce, offset: 3 }
+}
+
+/// TLS of a client that trusts `authority` and shows `own`, if any.
+fn raw_client(authority: &NodeFiles, own: Option<&NodeFiles>) -> ClientConfig {
+    let mut roots = RootCertStore::empty();
+    let ca = CertificateDer::from_pem_file(&authority.ca).expect("a certificate");
+    roots.add(ca).expect("an authority");
+    let builder = rustls::ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .expect("TLS 1.3")
+        .with_root_certificates(roots);
+    let mut tls = match own {
+        None => builder.with_no_client_auth(),
+        Some(own) => {
+            let (chain, key) = pair(own);
+            builder.with_client_auth_cert(chain, key).expect("a pair")
+        }
+    };
+    tls.alpn_protocols = vec![b"mimosa/1".to_vec()];
+    ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls).expect("QUIC")))
+}
+
+fn pair(files: &NodeFiles) -> (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>) {
+    let cert = CertificateDer::from_pem_file(&files.cert).expect("a certificate");
+    let key = PrivateKeyDer::from_pem_file(&files.key).expect("a key");
+    (vec![cert], key)
+}
+
+async fn raw_endpoint(server: Option<ServerConfig>) -> Endpoint {
+    let socket = UdpSocket::bind(loopback()).await.expect("a socket");
+    Endpoint::new(socket, EndpointConfig::default(), server, None).expect("an endpoint")
+}
+
+async fn raw_connect(
+    endpoint: &Endpoint,
+    addr: SocketAddr,
+    config: ClientConfig,
+) -> Result<Connection, ConnectionError> {
+    let connecting = endpoint.connect(addr, NODE_DOMAIN, Some(config));
+    within(connecting.expect("a connection")).await
+}
+
+#[compio::test]
+async fn messages_go_both_ways() {
+    let fleet = Authority::new();
+    let (a, mut a_events) = bind(&fleet, "a").await;
+    let (b, mut b_events) = bind(&fleet, "b").await;
+    a.dial("peers", vec![b.local_addr(), a.local_addr()]);
+    let to_b = up(&mut a_events.core).await;
+    let to_a = up(&mut b_events.core).await;
+    assert_eq!(to_b.peer(), &hello("b"));
+    assert_eq!(to_a.peer(), &hello("a"));
+    assert_eq!(up(&mut a_events.state).await.id(), to_b.id());
+    assert_eq!(up(&mut b_events.state).await.id(), to_a.id());
+    let large = Message::Records(vec![(1, vec![9; FRAME_LIMIT - 64])]);
+    for nonce in 0..500 {
+        to_b.send(probe(nonce));
+    }
+    to_a.send(large.clone());
+    to_b.send(Message::Report(Vec::new()));
+    for nonce in 0..500 {
+        assert_eq!(message(&mut b_events.state).await, probe(nonce));
+    }
+    assert_eq!(message(&mut a_events.state).await, large);
+    assert_eq!(
+        message(&mut b_events.core).await,
+        Message::Report(Vec::new())
+    );
+}
+
+#[compio::test]
+async fn a_message_beyond_the_limit_costs_only_itself() {
+    let fleet = Authority::new();
+    let (a, mut a_events) = bind(&fleet, "a").await;
+    let (b, mut b_events) = bind(&fleet, "b").await;
+    a.dial("peers", vec![b.local_addr()]);
+    let to_b = up(&mut a_events.state).await;
+    up(&mut b_events.state).await;
+    to_b.send(Message::Records(vec![(1, vec![9; FRAME_LIMIT])]));
+    to_b.send(probe(1));
+    assert_eq!(message(&mut b_events.state).await, probe(1));
+}
+
+#[test_case(false; "no certificate")]
+#[test_case(true; "another authority's certificate")]
+#[compio::test]
+async fn a_stranger_gets_no_link(certified: bool) {
+    let fleet = Authority::new();
+    let other = Authority::new();
+    let (mesh, mut events) = bind(&fleet, "a").await;
+    let own = certified.then(|| other.node("stranger"));
+    let config = raw_client(&fleet.node("unused"), own.as_ref());
+    let endpoint = raw_endpoint(None).await;
+    // In TLS 1.3 a client may believe itself connected before its certificate has been judged.
+    let end = match raw_connect(&endpoint, mesh.local_addr(), config).await {
+        Ok(connection) => {
+            let stream = connection.open_bi();
+            if let Ok((mut send, _)) = stream {
+                let mut frame = Vec::new();
+                encode(&Message::Hello(hello("stranger")), &mut frame).expect("a frame");
+                let _ = send.write_all_chunks(&mut [Bytes::from(frame)]).await;
+                within(connection.closed()).await
+            } else {
+                within(connection.closed()).await
+            }
+        }
+        Err(err) => err,
+    };
+    assert!(
+        matches!(end, ConnectionError::ConnectionClosed(_)),
+        "{end:?}"
+    );
+    let (good, _) = bind(&fleet, "good").await;
+    good.dial("peers", vec![mesh.local_addr()]);
+    assert_eq!(up(&mut events.core).await.peer(), &hello("good"));
+}
+
+#[compio::test]
+async fn a_server_without_the_fleets_certificate_is_not_trusted() {
+    let fleet = Authority::new();
+    let other = Authority::new();
+    let (chain, key) = pair(&other.node("stranger"));
+    let mut tls = rustls::ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .expect("TLS 1.3")
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .expect("a pair");
+    tls.alpn_protocols = vec![b"mimosa/1".to_vec()];
+    let crypto = QuicServerConfig::try_from(tls).expect("QUIC");
+    let server = raw_endpoint(Some(ServerConfig::with_crypto(Arc::new(crypto)))).await;
+    let (mesh, mut events) = bind(&fleet, "a").await;
+    mesh.dial("peers", vec![server.local_addr().expect("an address")]);
+    let incoming = within(server.wait_incoming()).await.expect("a try");
+    let end = within(async { incoming.accept().expect("accepted").await }).await;
+    assert!(
+        matches!(end, Err(ConnectionError::ConnectionClosed(_))),
+        "{end:?}"
+    );
+    assert!(events.core.try_recv().is_err());
+}
+
+fn framed(message: &Message) -> Vec<u8> {
+    let mut frame = Vec::new();
+    encode(message, &mut frame).expect("a frame");
+    frame
+}
+
+#[test_case(&[], &[0xff; 40]; "garbage instead of a hello")]
+#[test_case(&[], &framed(&probe(1)); "another message before a hello")]
+#[test_case(&[], &framed(&Message::Hello(hello("a"))); "a hello with the process's own name")]
+#[test_case(&framed(&Message::Hello(hello("c"))), &[1, 0, 0, 0, 9]; "another version after a hello")]
+#[test_case(&framed(&Message::Hello(hello("c"))), &framed(&Message::Hello(hello("c"))); "two hellos")]
+#[compio::test]
+async fn garbage_costs_only_its_link(before: &[u8], garbage: &[u8]) {
+    let fleet = Authority::new();
+    let (a, mut a_events) = bind(&fleet, "a").await;
+    let (b, mut b_events) = bind(&fleet, "b").await;
+    b.dial("peers", vec![a.local_addr()]);
+    let to_a = up(&mut b_events.state).await;
+    let to_b = up(&mut a_events.state).await;
+    let files = fleet.node("c");
+    let endpoint = raw_endpoint(None).await;
+    let raw = raw_connect(&endpoint, a.local_addr(), raw_client(&files, Some(&files)))
+        .await
+        .expect("a connection");
+    let (mut send, _recv) = raw.open_bi().expect("a stream");
+    let bytes = Bytes::from([before, garbage].concat());
+    send.write_all_chunks(&mut [bytes]).await.expect("written");
+    let end = within(raw.closed()).await;
+    assert!(
+        matches!(end, ConnectionError::ApplicationClosed(_)),
+        "{end:?}"
+    );
+    if !before.is_empty() {
+        let link = up(&mut a_events.state).await;
+        assert_eq!(down(&mut a_events.state).await, link.id());
+    }
+    to_a.send(probe(1));
+    assert_eq!(message(&mut a_events.state).await, probe(1));
+    to_b.send(probe(2));
+    assert_eq!(message(&mut b_events.state).await, probe(2));
+}
+
+#[compio::test]
+async fn a_close_is_told_at_once_and_a_restarted_peer_is_found_again() {
+    let fleet = Authority::new();
+    let (a, mut a_events) = bind(&fleet, "a").await;
+    let (b, mut b_events) = bind(&fleet, "b").await;
+    let addr = b.local_addr();
+    a.dial("peers", vec![addr]);
+    let first = up(&mut a_events.core).await;
+    up(&mut b_events.core).await;
+    b.close().await;
+    // Far below the idle timeout: the peer was told.
+    let gone = timeout(Duration::from_millis(500), down(&mut a_events.core)).await;
+    assert_eq!(gone.expect("at once"), first.id());
+    down(&mut b_events.core).await;
+    let (_b, mut b_events) = bind_at(addr, &fleet, "b").await;
+    let second = up(&mut a_events.core).await;
+    assert_ne!(second.id(), first.id());
+    up(&mut b_events.core).await;
+    first.send(Message::Report(Vec::new()));
+    second.send(Message::Report(Vec::new()));
+    message(&mut b_events.core).await;
+}
+
+#[compio::test]
+async fn an_address_is_dialled_while_any_group_wants_it() {
+    let fleet = Authority::new();
+    let (a, mut a_events) = bind(&fleet, "a").await;
+    let (b, mut b_events) = bind(&fleet, "b").await;
+    let (c, _c_events) = bind(&fleet, "c").await;
+    a.dial("one", vec![b.local_addr()]);
+    a.dial("two", vec![b.local_addr()]);
+    let to_b = up(&mut a_events.core).await;
+    up(&mut b_events.core).await;
+    a.dial("one", vec![c.local_addr()]);
+    assert_eq!(up(&mut a_events.core).await.peer(), &hello("c"));
+    a.dial("two", Vec::new());
+    assert_eq!(down(&mut a_events.core).await, to_b.id());
+    down(&mut b_events.core).await;
+}
