--- a/src/record/change.rs
+++ b/src/record/change.rs
@@ -154,3 +154,21 @@
     /// The whole state before this record, in the snapshot's encoding.
     Snapshot(Vec<u8>),
 }
+
+impl Change {
+    /// Whether operators write it, so that it counts in the revision they compare.
+    #[must_use]
+    pub const fn is_operators(&self) -> bool {
+        matches!(
+            self,
+            Self::Table(_)
+                | Self::Pools(_)
+                | Self::Hosts(_)
+                | Self::RemoveHost(_)
+                | Self::GrantKey { .. }
+                | Self::WithdrawKey { .. }
+                | Self::MarkHost { .. }
+                | Self::MarkDc { .. }
+        )
+    }
+}
--- /dev/null
+++ b/src/record/snapshot.rs
@@ -0,0 +1,139 @@
+//! The state as bytes; equal states give equal bytes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::DcName;
+use crate::name::HostName;
+use crate::name::NodeName;
+use crate::name::PoolName;
+use crate::name::TeamName;
+use crate::record::DecodeError;
+use crate::record::Host;
+use crate::record::KeyHash;
+use crate::record::Member;
+use crate::record::Pool;
+use crate::record::Recent;
+use crate::record::State;
+use crate::record::Team;
+use crate::record::codec;
+use crate::record::recent::RECENT_IDS;
+
+/// Version byte of the wire form.
+const VERSION: u8 = 1;
+
+#[derive(Serialize, Deserialize)]
+struct StateWire {
+    teams: BTreeMap<TeamName, Team>,
+    keys: BTreeMap<KeyHash, TeamName>,
+    pools: BTreeMap<PoolName, Pool>,
+    hosts: BTreeMap<HostName, Host>,
+    dcs: BTreeMap<DcName, bool>,
+    members: BTreeMap<NodeName, Member>,
+    incarnations: BTreeMap<NodeName, u64>,
+    suspicions: BTreeMap<NodeName, BTreeSet<NodeName>>,
+    recent: Recent,
+    offset: u64,
+    revision: u64,
+    epoch: u64,
+    snapped: u64,
+}
+
+impl From<State> for StateWire {
+    fn from(state: State) -> Self {
+        Self {
+            teams: state.teams,
+            keys: state.keys,
+            pools: state.pools,
+            hosts: state.hosts,
+            dcs: state.dcs,
+            members: state.members,
+            incarnations: state.incarnations,
+            suspicions: state.suspicions,
+            recent: state.recent,
+            offset: state.offset,
+            revision: state.revision,
+            epoch: state.epoch,
+            snapped: state.snapped,
+        }
+    }
+}
+
+impl TryFrom<StateWire> for State {
+    type Error = DecodeError;
+
+    fn try_from(wire: StateWire) -> Result<Self, DecodeError> {
+        let state = Self {
+            teams: wire.teams,
+            keys: wire.keys,
+            pools: wire.pools,
+            hosts: wire.hosts,
+            dcs: wire.dcs,
+            members: wire.members,
+            incarnations: wire.incarnations,
+            suspicions: wire.suspicions,
+            recent: wire.recent,
+            offset: wire.offset,
+            revision: wire.revision,
+            epoch: wire.epoch,
+            snapped: wire.snapped,
+        };
+        match state.flaw() {
+            Some(what) => Err(DecodeError::Inconsistent(what)),
+            None => Ok(state),
+        }
+    }
+}
+
+impl State {
+    /// The state's bytes.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        codec::encode(VERSION, &StateWire::from(self.clone()))
+    }
+
+    /// Reads back the state whose next record is the one at `offset`.
+    ///
+    /// # Errors
+    /// A [`DecodeError`] if `data` is not a snapshot, contradicts itself or is of another offset.
+    pub fn from_snapshot(offset: u64, data: &[u8]) -> Result<Self, DecodeError> {
+        let state = Self::try_from(codec::decode::<StateWire>(VERSION, data)?)?;
+        if state.offset != offset {
+            return Err(DecodeError::Inconsistent(
+                "the snapshot is of another offset",
+            ));
+        }
+        Ok(state)
+    }
+
+    fn flaw(&self) -> Option<&'static str> {
+        let checks = [
+            (
+                self.keys.values().all(|team| self.teams.contains_key(team)),
+                "a key of an unknown team",
+            ),
+            (
+                self.hosts
+                    .values()
+                    .all(|h| self.pools.contains_key(&h.pool)),
+                "a host of an unknown pool",
+            ),
+            (
+                self.hosts.values().all(|h| self.dcs.contains_key(&h.dc)),
+                "a host of an unknown data centre",
+            ),
+            (
+                self.members
+                    .iter()
+                    .all(|(name, m)| self.incarnations.get(name) == Some(&m.incarnation)),
+                "a member of an unknown incarnation",
+            ),
+            (self.recent.len() <= RECENT_IDS, "too many recent ids"),
+        ];
+        let failed = checks.into_iter().find(|(holds, _)| !holds);
+        failed.map(|(_, what)| what)
+    }
+}
--- /dev/null
+++ b/src/record/state.rs
@@ -0,0 +1,92 @@
+//! The state that the log's records add up to.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::name::DcName;
+use crate::name::HostName;
+use crate::name::NodeName;
+use crate::name::PoolName;
+use crate::name::ServiceName;
+use crate::name::TeamName;
+use crate::record::Host;
+use crate::record::KeyHash;
+use crate::record::Member;
+use crate::record::Pool;
+use crate::record::Recent;
+use crate::record::Role;
+use crate::record::Team;
+
+/// Everything that the processes agree on; equal at equal offsets.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct State {
+    /// The operators' table.
+    pub teams: BTreeMap<TeamName, Team>,
+    /// Keys that act for teams.
+    pub keys: BTreeMap<KeyHash, TeamName>,
+    /// Pools of hosts.
+    pub pools: BTreeMap<PoolName, Pool>,
+    /// Hosts, each in one pool.
+    pub hosts: BTreeMap<HostName, Host>,
+    /// Data centres; true if in service.
+    pub dcs: BTreeMap<DcName, bool>,
+    /// Processes that have joined and have not been ended.
+    pub members: BTreeMap<NodeName, Member>,
+    /// Last incarnation of every name that ever joined.
+    pub incarnations: BTreeMap<NodeName, u64>,
+    /// Fleet members that report a member as silent, by the silent member.
+    pub suspicions: BTreeMap<NodeName, BTreeSet<NodeName>>,
+    /// Records folded lately.
+    pub recent: Recent,
+    /// Offset of the next record to fold.
+    pub offset: u64,
+    /// Accepted records of operators.
+    pub revision: u64,
+    /// Changes of the membership.
+    pub epoch: u64,
+    /// Offset of the last accepted snapshot.
+    pub snapped: u64,
+}
+
+impl State {
+    /// The team that a key acts for; keys are compared in constant time.
+    #[must_use]
+    pub fn team_of(&self, hash: &KeyHash) -> Option<&TeamName> {
+        let (known, team) = self.keys.get_key_value(hash)?;
+        known.matches(hash).then_some(team)
+    }
+
+    /// Hosts in the pools of a service.
+    pub fn hosts_of(&self, service: &ServiceName) -> impl Iterator<Item = (&HostName, &Host)> {
+        self.hosts.iter().filter(move |(_, host)| {
+            let pool = self.pools.get(&host.pool);
+            pool.and_then(|pool| pool.service.as_ref()) == Some(service)
+        })
+    }
+
+    /// Whether the host may be given work.
+    #[must_use]
+    pub fn usable(&self, host: &Host) -> bool {
+        !host.draining && self.in_service(host)
+    }
+
+    /// Whether neither the host nor its data centre has been taken out.
+    #[must_use]
+    pub fn in_service(&self, host: &Host) -> bool {
+        host.active && self.dcs.get(&host.dc).copied().unwrap_or(false)
+    }
+
+    /// Hosts of a pool that are not usable.
+    #[must_use]
+    pub fn hosts_out(&self, pool: &PoolName) -> usize {
+        let of_pool = self.hosts.values().filter(|host| host.pool == *pool);
+        of_pool.filter(|host| !self.usable(host)).count()
+    }
+
+    /// Members of a role, the leaving ones included.
+    pub fn members_of(&self, role: Role) -> impl Iterator<Item = (&NodeName, &Member)> {
+        self.members
+            .iter()
+            .filter(move |(_, member)| member.role == role)
+    }
+}
