--- /dev/null
+++ b/src/fleet/api.rs
@@ -0,0 +1,122 @@
+//! The operators' HTTP interface.
+
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+
+use crate::fleet::Backend;
+use crate::fleet::Submission;
+use crate::http::Fault;
+use crate::http::Handler;
+use crate::http::Limits;
+use crate::http::Reply;
+use crate::http::json_reply;
+use crate::http::read_body;
+use crate::http::text_reply;
+use crate::record::KeyHash;
+use crate::wire::Verdict;
+
+/// The operators' HTTP interface of a fleet process.
+pub struct OperatorsApi {
+    backend: Rc<dyn Backend>,
+    operators: Vec<KeyHash>,
+}
+
+impl OperatorsApi {
+    /// Limits for its listener: a change has room for a whole file of rows as JSON.
+    pub const LIMITS: Limits = Limits {
+        header_bytes: 16 * 1024,
+        body_bytes: 8 * 1024 * 1024,
+        connections: 256,
+    };
+
+    /// The interface to `backend` for holders of the keys with the hashes `operators`.
+    #[must_use]
+    pub fn new(backend: Rc<dyn Backend>, operators: Vec<KeyHash>) -> Self {
+        Self { backend, operators }
+    }
+
+    /// The handler for a server.
+    #[must_use]
+    pub fn into_handler(self) -> Handler {
+        let api = Rc::new(self);
+        Rc::new(move |request| {
+            let api = Rc::clone(&api);
+            async move { api.answer(request).await.unwrap_or_else(Fault::into_reply) }.boxed_local()
+        })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Fault> {
+        let method = match request.uri().path() {
+            "/v1/changes" => Method::POST,
+            "/v1/state" | "/healthz" | "/readyz" => Method::GET,
+            _ => {
+                return Err(refusal(
+                    StatusCode::NOT_FOUND,
+                    "no-such-path",
+                    "no such path",
+                ));
+            }
+        };
+        if *request.method() != method {
+            let message = format!("this path takes only {method}");
+            return Err(refusal(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "bad-method",
+                &message,
+            ));
+        }
+        match request.uri().path() {
+            "/healthz" => return Ok(text_reply(StatusCode::OK, "ok\n")),
+            "/readyz" => return Ok(self.readiness()),
+            _ => self.authorize(&request)?,
+        }
+        if method == Method::GET {
+            return Ok(json_reply(StatusCode::OK, &self.backend.view()));
+        }
+        self.change(request.into_body()).await
+    }
+
+    async fn change(&self, body: Incoming) -> Result<Reply, Fault> {
+        let body = read_body(body, Self::LIMITS.body_bytes).await?;
+        let submission: Submission = serde_json::from_slice(&body)
+            .map_err(|error| refusal(StatusCode::BAD_REQUEST, "bad-change", &error.to_string()))?;
+        let accepted = self.backend.submit(submission).await?;
+        Ok(json_reply(StatusCode::OK, &accepted))
+    }
+
+    fn readiness(&self) -> Reply {
+        if self.backend.ready() {
+            return text_reply(StatusCode::OK, "ready\n");
+        }
+        text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+
+    fn authorize(&self, request: &Request<Incoming>) -> Result<(), Fault> {
+        let header = request.headers().get(AUTHORIZATION);
+        let key = header.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+        let hash = KeyHash::of(key.unwrap_or_default());
+        // Every hash is compared, so that the time doesn't tell which one matches.
+        let known = self
+            .operators
+            .iter()
+            .fold(false, |known, one| known | one.matches(&hash));
+        if known && key.is_some() {
+            return Ok(());
+        }
+        Err(refusal(
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "an operator's key is needed",
+        ))
+    }
+}
+
+fn refusal(status: StatusCode, code: &'static str, message: &str) -> Fault {
+    Fault::new(status, code, message, Verdict::NotRun)
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,18 @@
+//! Fleet processes: the operators' interface.
+
+mod accepted;
+mod api;
+mod backend;
+mod submission;
+mod submit_error;
+mod view;
+
+pub use accepted::Accepted;
+pub use api::OperatorsApi;
+pub use backend::Backend;
+pub use submission::Submission;
+pub use submission::SubmissionError;
+pub use submit_error::SubmitError;
+pub use view::CentreView;
+pub use view::TeamView;
+pub use view::View;
--- /dev/null
+++ b/src/fleet/submit_error.rs
@@ -0,0 +1,52 @@
+//! Why a change was not accepted.
+
+use hyper::StatusCode;
+use quick_error::quick_error;
+
+use crate::http::Fault;
+use crate::wire::Verdict;
+
+const RETRY_MS: u64 = 1000;
+
+quick_error! {
+    /// Why a change was not accepted.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SubmitError {
+        /// The fold has rejected it, for good.
+        Rejected(reason: String) {
+            display("rejected: {}", reason)
+        }
+        /// It surely does not stand in the log.
+        NotAppended(reason: String) {
+            display("not appended: {}", reason)
+        }
+        /// It may stand in the log.
+        Unknown {
+            display("the outcome is unknown; repeat with the same id")
+        }
+    }
+}
+
+impl From<SubmitError> for Fault {
+    fn from(error: SubmitError) -> Self {
+        let (status, code, verdict) = match error {
+            SubmitError::Rejected(_) => (StatusCode::CONFLICT, "rejected", Verdict::NotRun),
+            SubmitError::NotAppended(_) => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "log-unavailable",
+                Verdict::NotRun,
+            ),
+            SubmitError::Unknown => (
+                StatusCode::GATEWAY_TIMEOUT,
+                "outcome-unknown",
+                Verdict::Unknown,
+            ),
+        };
+        let fault = Self::new(status, code, error, verdict);
+        if status == StatusCode::CONFLICT {
+            fault
+        } else {
+            fault.retry_after(RETRY_MS)
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,54 @@
+//! The state as operators see it.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::DcName;
+use crate::name::HostName;
+use crate::name::NodeName;
+use crate::name::PoolName;
+use crate::name::TeamName;
+use crate::record::Host;
+use crate::record::Member;
+use crate::record::Pool;
+use crate::record::Team;
+
+/// A team, with its keys only as a count.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamView {
+    /// The team's row.
+    #[serde(flatten)]
+    pub row: Team,
+    /// Number of keys that act for the team.
+    pub keys: u32,
+}
+
+/// A data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CentreView {
+    /// False while operators have taken the data centre out.
+    pub active: bool,
+}
+
+/// The state as operators see it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// Number of changes accepted so far.
+    pub revision: u64,
+    /// Offset in the log after the last record folded.
+    pub offset: u64,
+    /// Epoch of the membership.
+    pub epoch: u64,
+    /// Teams by name.
+    pub teams: BTreeMap<TeamName, TeamView>,
+    /// Pools by name.
+    pub pools: BTreeMap<PoolName, Pool>,
+    /// Hosts by name.
+    pub hosts: BTreeMap<HostName, Host>,
+    /// Data centres by name.
+    pub centres: BTreeMap<DcName, CentreView>,
+    /// Processes by name.
+    pub members: BTreeMap<NodeName, Member>,
+}
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,52 @@
+//! Reads bodies under a limit.
+
+use std::fmt::Display;
+use std::pin::pin;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+use crate::http::BodyError;
+
+const BODY_WAIT: Duration = Duration::from_secs(10);
+
+/// Reads a whole body of at most `limit` bytes, within 10 s.
+///
+/// # Errors
+/// A [`BodyError`] if the body is too large, too slow or breaks off.
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Display,
+{
+    if body.size_hint().lower() > limit as u64 {
+        return Err(BodyError::TooLarge(limit));
+    }
+    let deadline = Instant::now() + BODY_WAIT;
+    let whole = compio::time::timeout_at(deadline, collect(body, limit)).await;
+    whole.unwrap_or(Err(BodyError::Slow))
+}
+
+async fn collect<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Display,
+{
+    let mut body = pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/src/http/body_error.rs
@@ -0,0 +1,37 @@
+//! Why a body could not be read.
+
+use hyper::StatusCode;
+use quick_error::quick_error;
+
+use crate::http::Fault;
+use crate::wire::Verdict;
+
+quick_error! {
+    /// Why a body could not be read.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum BodyError {
+        /// The body is longer than the limit, in bytes.
+        TooLarge(limit: usize) {
+            display("the body has more than {} bytes", limit)
+        }
+        /// The body did not arrive in time.
+        Slow {
+            display("the body did not arrive in time")
+        }
+        /// The connection broke, or the body is malformed.
+        Broken(cause: String) {
+            display("the body broke off: {}", cause)
+        }
+    }
+}
+
+impl From<BodyError> for Fault {
+    fn from(error: BodyError) -> Self {
+        let (status, code) = match error {
+            BodyError::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
+            BodyError::Slow => (StatusCode::REQUEST_TIMEOUT, "too-slow"),
+            BodyError::Broken(_) => (StatusCode::BAD_REQUEST, "bad-body"),
+        };
+        Self::new(status, code, error, Verdict::NotRun)
+    }
+}
--- /dev/null
+++ b/src/http/error_body.rs
@@ -0,0 +1,22 @@
+//! The body of an error reply.
+
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::wire::Verdict;
+
+/// What stands under `error` in the body of an error reply.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Stable word for programs.
+    pub code: Cow<'static, str>,
+    /// Sentence for people.
+    pub message: String,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// When a repeat makes sense, in milliseconds from now.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/src/http/fault.rs
@@ -0,0 +1,70 @@
+//! An error on its way to a reply.
+
+use std::borrow::Cow;
+use std::fmt::Display;
+
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::header::WWW_AUTHENTICATE;
+use serde::Serialize;
+
+use crate::http::ErrorBody;
+use crate::http::Reply;
+use crate::http::json_reply;
+use crate::wire::Verdict;
+
+/// An error with its HTTP status.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Status of the reply.
+    pub status: StatusCode,
+    /// Body of the reply.
+    pub body: ErrorBody,
+}
+
+#[derive(Serialize)]
+struct Envelope {
+    error: ErrorBody,
+}
+
+impl Fault {
+    /// An error that names no time for a repeat.
+    #[must_use]
+    pub fn new(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Display,
+        verdict: Verdict,
+    ) -> Self {
+        let body = ErrorBody {
+            code: Cow::Borrowed(code),
+            message: message.to_string(),
+            verdict,
+            retry_after_ms: None,
+        };
+        Self { status, body }
+    }
+
+    /// The same error, naming when a repeat makes sense, in milliseconds from now.
+    #[must_use]
+    pub fn retry_after(mut self, millis: u64) -> Self {
+        self.body.retry_after_ms = Some(millis);
+        self
+    }
+
+    /// The error as a reply; `Retry-After` is in whole seconds, rounded up.
+    #[must_use]
+    pub fn into_reply(self) -> Reply {
+        let wait = self.body.retry_after_ms;
+        let mut reply = json_reply(self.status, &Envelope { error: self.body });
+        let headers = reply.headers_mut();
+        if let Some(millis) = wait {
+            headers.insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1000)));
+        }
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/src/http/limits.rs
@@ -0,0 +1,12 @@
+//! Limits of a listener.
+
+/// Limits of one listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Most bytes of a request's line and headers; 431 beyond.
+    pub header_bytes: usize,
+    /// Most bytes that a request may declare as its body; 413 beyond.
+    pub body_bytes: usize,
+    /// Most connections at once; further ones are closed.
+    pub connections: usize,
+}
