--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,19 @@
 //! Fleet capacity and maintenance manager for sites where a technician comes only on scheduled
 //! visits.
 
+pub mod admit;
+pub mod fleet;
+pub mod gate;
+pub mod http;
+pub mod limit;
+pub mod member;
 pub mod name;
 pub mod net;
+pub mod node;
 pub mod observe;
+pub mod queue;
 pub mod record;
+pub mod sched;
 pub mod settings;
+pub mod table;
 pub mod wire;
