--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod accepted;
 mod api;
 mod backend;
+mod server;
 mod submission;
 mod submit_error;
 mod view;
@@ -10,6 +11,7 @@
 pub use accepted::Accepted;
 pub use api::OperatorsApi;
 pub use backend::Backend;
+pub use server::FleetServer;
 pub use submission::Submission;
 pub use submission::SubmissionError;
 pub use submit_error::SubmitError;
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -13,6 +13,7 @@
 use crate::record::Host;
 use crate::record::Member;
 use crate::record::Pool;
+use crate::record::State;
 use crate::record::Team;
 
 /// A team, with its keys only as a count.
@@ -52,3 +53,29 @@
     /// Processes by name.
     pub members: BTreeMap<NodeName, Member>,
 }
+
+impl From<&State> for View {
+    fn from(state: &State) -> Self {
+        let keys = |team: &TeamName| state.keys.values().filter(|of| *of == team).count();
+        let teams = state.teams.iter().map(|(name, row)| {
+            let view = TeamView {
+                row: row.clone(),
+                keys: keys(name) as u32,
+            };
+            (name.clone(), view)
+        });
+        let centres = state.dcs.iter();
+        Self {
+            revision: state.revision,
+            offset: state.offset,
+            epoch: state.epoch,
+            teams: teams.collect(),
+            pools: state.pools.clone(),
+            hosts: state.hosts.clone(),
+            centres: centres
+                .map(|(dc, active)| (dc.clone(), CentreView { active: *active }))
+                .collect(),
+            members: state.members.clone(),
+        }
+    }
+}
--- a/src/gate/backend.rs
+++ b/src/gate/backend.rs
@@ -98,8 +98,12 @@
     ) -> Result<Response<Bytes>, BackendError> {
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
-            Err(mut err) if err.take_message().is_some() => return Err(BackendError::Unsent),
-            Err(err) => return Err(BackendError::Broken(err.error().to_string())),
+            Err(mut err) => {
+                return Err(match err.take_message() {
+                    Some(_) => BackendError::Unsent,
+                    None => BackendError::Broken(err.error().to_string()),
+                });
+            }
         };
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, ANSWER_LIMIT)
--- a/src/gate/failure.rs
+++ b/src/gate/failure.rs
@@ -1,5 +1,8 @@
 //! What a caller gets instead of the backend server's answer.
 
+use hyper::StatusCode;
+
+use crate::http::Fault;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
 use crate::wire::Verdict;
@@ -30,17 +33,17 @@
 impl FailureCode {
     /// The HTTP status that goes with the code.
     #[must_use]
-    pub const fn status(self) -> u16 {
+    pub const fn status(self) -> StatusCode {
         match self {
-            Self::BadRequest | Self::BadDeadline => 400,
-            Self::UnknownKey => 401,
-            Self::TeamNotAllowed => 403,
-            Self::UnknownService => 404,
-            Self::BodyTooLarge => 413,
-            Self::Refused(RefusalCode::Overloaded) => 429,
-            Self::Refused(_) => 503,
-            Self::DeadlinePassed => 504,
-            Self::AttemptFailed => 502,
+            Self::BadRequest | Self::BadDeadline => StatusCode::BAD_REQUEST,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::TeamNotAllowed => StatusCode::FORBIDDEN,
+            Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Refused(RefusalCode::Overloaded) => StatusCode::TOO_MANY_REQUESTS,
+            Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Self::AttemptFailed => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -61,6 +64,28 @@
     }
 }
 
+impl FailureCode {
+    /// A sentence for people.
+    #[must_use]
+    pub const fn message(self) -> &'static str {
+        match self {
+            Self::BadRequest => "a header is missing or malformed",
+            Self::BadDeadline => "x-deadline-ms is a whole number from 1 to 3600000",
+            Self::UnknownKey => "the key is unknown, withdrawn or missing",
+            Self::TeamNotAllowed => "the key's team may not use this service",
+            Self::UnknownService => "no pool runs this service",
+            Self::BodyTooLarge => "the body is over the limit",
+            Self::Refused(RefusalCode::Overloaded) => "more requests wait than can start in time",
+            Self::Refused(RefusalCode::DeadlineTooClose) => "no slot comes free before the deadline",
+            Self::Refused(RefusalCode::NoCapacity) => "no host of the service is in service",
+            Self::Refused(RefusalCode::StateNotFresh) => "this process is cut off; use another one",
+            Self::Refused(RefusalCode::Unavailable) => "the service is changing hands",
+            Self::DeadlinePassed => "the deadline passed before the answer came",
+            Self::AttemptFailed => "the backend server failed and no further attempt is allowed",
+        }
+    }
+}
+
 /// The final answer to a request that got no regular one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failure {
@@ -99,3 +124,14 @@
         Self::refused(refusal.code, refusal.retry_after)
     }
 }
+
+impl From<Failure> for Fault {
+    fn from(failure: Failure) -> Self {
+        let code = failure.code;
+        let fault = Self::new(code.status(), code.as_str(), code.message(), failure.verdict);
+        match failure.retry_after {
+            Some(millis) => fault.retry_after(millis.into()),
+            None => fault,
+        }
+    }
+}
--- a/src/gate/gate.rs
+++ b/src/gate/gate.rs
@@ -344,7 +344,7 @@
     links: &BTreeMap<NodeName, (LinkId, u64)>,
     service: &ServiceName,
 ) -> Option<LinkId> {
-    let node = place(state, Role::Sched, service.as_str())?;
+    let node = place(state, Role::Sched, service.as_str().as_bytes())?;
     let (link, incarnation) = links.get(node)?;
     let current = state.members.get(node)?.incarnation;
     (current == *incarnation).then_some(*link)
--- a/src/gate/handler.rs
+++ b/src/gate/handler.rs
@@ -23,8 +23,8 @@
 use crate::gate::headers::CallerHeaders;
 use crate::gate::step::Input;
 use crate::gate::step::Step;
+use crate::http::Fault;
 use crate::http::read_body;
-use crate::http::reply;
 use crate::name::ServiceName;
 use crate::wire::RefusalCode;
 use crate::wire::RequestId;
@@ -150,7 +150,7 @@
 
 /// The JSON answer for a failure.
 pub fn fail(failure: Failure, id: Option<&str>) -> Response<Full<Bytes>> {
-    let mut response = reply::failure(&failure);
+    let mut response = Fault::from(failure).into_reply();
     if let Some(value) = id.and_then(|id| HeaderValue::from_str(id).ok()) {
         response.headers_mut().insert(headers::REQUEST_ID, value);
     }
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -65,7 +65,11 @@
             pending.clone(),
         );
         let handler = route(inputs.clone(), ready, settings.body_limit);
-        let http = HttpServer::bind(settings.node.http, Limits::default(), handler)?;
+        let limits = Limits {
+            body_bytes: settings.body_limit,
+            ..Limits::default()
+        };
+        let http = HttpServer::bind(settings.node.http, limits, handler)?;
         node.announce();
         Ok(Self {
             node,
--- a/src/http/limits.rs
+++ b/src/http/limits.rs
@@ -10,3 +10,14 @@
     /// Most connections at once; further ones are closed.
     pub connections: usize,
 }
+
+impl Default for Limits {
+    /// Limits of a listener for probes and small requests.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 1 << 20,
+            connections: 4_096,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/node.rs
@@ -0,0 +1,234 @@
+//! The common part of a running process.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::member::Appender;
+use crate::member::Follower;
+use crate::member::StateEvent;
+use crate::name::NodeName;
+use crate::net::Identity;
+use crate::net::Mesh;
+use crate::net::NetEvent;
+use crate::node::NodeError;
+use crate::observe::open_log;
+use crate::observe::unix_millis;
+use crate::record::Change;
+use crate::record::Member;
+use crate::record::Role;
+use crate::record::State;
+use crate::settings::NodeSettings;
+use crate::wire::Hello;
+
+/// Group of links to the fleet processes.
+const FLEET_GROUP: &str = "fleet";
+/// Group of links to the schedulers.
+const SCHED_GROUP: &str = "sched";
+/// Time between two tries to join, in milliseconds.
+const JOIN_MS: u64 = 500;
+/// Longest that a leaving process waits for the log, in milliseconds.
+const LEAVE_MS: u64 = 2_000;
+/// Time for the other processes to act on a leave, in milliseconds.
+const HANDOVER_MS: u64 = 500;
+
+/// Links, state and membership of a process.
+pub struct Node {
+    hello: Hello,
+    member: Member,
+    mesh: Rc<Mesh>,
+    follower: Follower,
+    core: Option<UnboundedReceiver<NetEvent>>,
+    ready: Rc<Cell<bool>>,
+    log: Logger,
+}
+
+impl Node {
+    /// Binds the address for other processes and starts to follow the log.
+    ///
+    /// # Errors
+    /// `NodeError::Net` if the address cannot be bound or the certificate cannot be used.
+    pub async fn spawn(settings: &NodeSettings, role: Role) -> Result<Self, NodeError> {
+        let log = open_log(&settings.node, role);
+        let hello = Hello {
+            node: settings.node.clone(),
+            incarnation: unix_millis(),
+            role,
+        };
+        let tls = &settings.tls;
+        let identity = Identity::open(&tls.ca, &tls.cert, &tls.key)?;
+        let mesh = Mesh::bind(settings.listen, identity, hello.clone(), log.clone()).await?;
+        let events = mesh.take_events().ok_or_else(|| {
+            NodeError::Io(std::io::Error::other("the events of the links were taken"))
+        })?;
+        mesh.dial(FLEET_GROUP, settings.fleet.clone());
+        let follower = Follower::spawn(
+            hello.clone(),
+            settings.log.clone(),
+            events.state,
+            log.clone(),
+        );
+        let member = Member {
+            role,
+            incarnation: hello.incarnation,
+            addr: mesh.local_addr(),
+            dc: settings.dc.clone(),
+            leaving: false,
+        };
+        let mesh = Rc::new(mesh);
+        let ready = Rc::new(Cell::new(false));
+        let watch = Watch {
+            hello: hello.clone(),
+            seeds: settings.fleet.clone(),
+            mesh: mesh.clone(),
+            ready: ready.clone(),
+            joined: false,
+            fresh: None,
+        };
+        compio::runtime::spawn(watch.run(follower.subscribe())).detach();
+        info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
+        Ok(Self {
+            hello,
+            member,
+            mesh,
+            follower,
+            core: Some(events.core),
+            ready,
+            log,
+        })
+    }
+
+    /// Name of the process.
+    #[must_use]
+    pub const fn name(&self) -> &NodeName {
+        &self.hello.node
+    }
+
+    /// Incarnation of the process.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.hello.incarnation
+    }
+
+    /// Log of the process.
+    #[must_use]
+    pub const fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// The events of links that are not about the state; empty after the first call.
+    pub fn take_events(&mut self) -> UnboundedReceiver<NetEvent> {
+        self.core
+            .take()
+            .unwrap_or_else(|| futures_channel::mpsc::unbounded().1)
+    }
+
+    /// The state and its freshness, from now on.
+    #[must_use]
+    pub fn subscribe(&self) -> UnboundedReceiver<StateEvent> {
+        self.follower.subscribe()
+    }
+
+    /// Appends records to the platform's log.
+    #[must_use]
+    pub fn appender(&self) -> Appender {
+        self.follower.appender()
+    }
+
+    /// True while the process is a member and its state is recent.
+    #[must_use]
+    pub fn readiness(&self) -> Rc<Cell<bool>> {
+        self.ready.clone()
+    }
+
+    /// Joins the membership in the background, as often as it takes.
+    pub fn announce(&self) {
+        let appender = self.appender();
+        let change = Change::Join {
+            node: self.hello.node.clone(),
+            member: self.member.clone(),
+        };
+        let log = self.log.clone();
+        compio::runtime::spawn(async move {
+            while let Err(err) = appender.append(None, change.clone()).await {
+                warn!(log, "cannot join yet"; "error" => %err);
+                compio::time::sleep(Duration::from_millis(JOIN_MS)).await;
+            }
+            info!(log, "joined");
+        })
+        .detach();
+    }
+
+    /// Leaves the membership and closes the links.
+    pub async fn leave(self) {
+        let node = self.hello.node.clone();
+        let incarnation = self.hello.incarnation;
+        let leave = Change::Leave {
+            node: node.clone(),
+            incarnation,
+        };
+        self.tell(leave).await;
+        compio::time::sleep(Duration::from_millis(HANDOVER_MS)).await;
+        self.tell(Change::End { node, incarnation }).await;
+        info!(self.log, "stopped");
+        if let Ok(mesh) = Rc::try_unwrap(self.mesh) {
+            mesh.close().await;
+        }
+    }
+
+    async fn tell(&self, change: Change) {
+        let deadline = Instant::now() + Duration::from_millis(LEAVE_MS);
+        let appender = self.appender();
+        let append = appender.append(None, change);
+        match compio::time::timeout_at(deadline, append).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(err)) => warn!(self.log, "cannot say that it leaves"; "error" => %err),
+            Err(_) => warn!(self.log, "cannot say that it leaves in time"),
+        }
+    }
+}
+
+/// Keeps the wanted links and the readiness up to date.
+struct Watch {
+    hello: Hello,
+    seeds: Vec<SocketAddr>,
+    mesh: Rc<Mesh>,
+    ready: Rc<Cell<bool>>,
+    joined: bool,
+    fresh: Option<Instant>,
+}
+
+impl Watch {
+    async fn run(mut self, mut events: UnboundedReceiver<StateEvent>) {
+        while let Some(event) = events.next().await {
+            match event {
+                StateEvent::State(state) => self.update(&state),
+                StateEvent::Fresh(until) => self.fresh = Some(until),
+            }
+            let fresh = self.fresh.is_some_and(|until| Instant::now() < until);
+            self.ready.set(self.joined && fresh);
+        }
+    }
+
+    fn update(&mut self, state: &State) {
+        let me = state.members.get(&self.hello.node);
+        self.joined = me.is_some_and(|m| m.incarnation == self.hello.incarnation && !m.leaving);
+        let fleet = addresses(state, Role::Fleet);
+        self.mesh.dial(FLEET_GROUP, [fleet, self.seeds.clone()].concat());
+        if self.hello.role == Role::Gate {
+            self.mesh.dial(SCHED_GROUP, addresses(state, Role::Sched));
+        }
+    }
+}
+
+fn addresses(state: &State, role: Role) -> Vec<SocketAddr> {
+    state.members_of(role).map(|(_, member)| member.addr).collect()
+}
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -64,6 +64,13 @@
         })
     }
 
+    /// Services that pools run, each once, in the order of their names.
+    #[must_use]
+    pub fn services(&self) -> BTreeSet<ServiceName> {
+        let of_pools = self.pools.values().filter_map(|pool| pool.service.clone());
+        of_pools.collect()
+    }
+
     /// Whether the host may be given work.
     #[must_use]
     pub fn usable(&self, host: &Host) -> bool {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -87,7 +87,7 @@
         self.state = state;
         let mut before = std::mem::take(&mut self.services);
         for service in self.state.services() {
-            if place(&self.state, Role::Sched, service.as_str()) != Some(&self.node) {
+            if place(&self.state, Role::Sched, service.as_str().as_bytes()) != Some(&self.node) {
                 continue;
             }
             let dispatcher = match before.remove(&service) {
