--- /dev/null
+++ b/standins/src/bin/standin-hosts.rs
@@ -0,0 +1,31 @@
+//! The lagging list of live and leaving hosts.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use argh::FromArgs;
+
+use standins::hosts::Hosts;
+use standins::serve::listen;
+use standins::serve::run_until_sigterm;
+use standins::serve::serve;
+
+/// Stands in for the platform's list of hosts.
+#[derive(FromArgs)]
+struct Arguments {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// how old the list shown is, in milliseconds
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+}
+
+fn main() -> io::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    run_until_sigterm(async {
+        let listener = listen(arguments.listen).await?;
+        serve(listener, Rc::new(Hosts::new(arguments.lag_ms))).await
+    })
+}
--- /dev/null
+++ b/standins/src/clock.rs
@@ -0,0 +1,11 @@
+//! The wall clock as the stand-ins write it.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |age| age.as_millis() as u64)
+}
--- /dev/null
+++ b/standins/src/notice.rs
@@ -0,0 +1,41 @@
+//! A wake-up shared by tasks of one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::task::Poll;
+use std::task::Waker;
+
+/// A counter of changes that tasks can wait on.
+#[derive(Default)]
+pub struct Notice {
+    count: Cell<u64>,
+    waiting: RefCell<Vec<Waker>>,
+}
+
+impl Notice {
+    /// Wakes every waiting task.
+    pub fn post(&self) {
+        self.count.set(self.count.get() + 1);
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// The number of changes up to now.
+    pub fn count(&self) -> u64 {
+        self.count.get()
+    }
+
+    /// Waits for a change after the first `seen` ones.
+    pub async fn after(&self, seen: u64) {
+        poll_fn(|context| {
+            if self.count.get() > seen {
+                return Poll::Ready(());
+            }
+            let mut waiting = self.waiting.borrow_mut();
+            waiting.retain(|waker| !waker.will_wake(context.waker()));
+            waiting.push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/standins/src/serve.rs
@@ -0,0 +1,165 @@
+//! HTTP serving and the common shape of the programs.
+
+use std::convert::identity;
+use std::future::Future;
+use std::future::pending;
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use compio::runtime::Runtime;
+use cyper_core::CompioTimer;
+use cyper_core::HyperStream;
+use futures_util::future::Either;
+use futures_util::future::select;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::connections::Connection;
+use crate::connections::Connections;
+use crate::connections::Fate;
+
+const SIGTERM: i32 = 15;
+
+/// An answer whose body is whole.
+pub type Answer = Response<Full<Bytes>>;
+
+/// A server's answers to requests.
+pub trait Handler: 'static {
+    /// Says whether a path is for control, and so spared by the switches.
+    fn is_control(path: &str) -> bool;
+
+    /// The open connections.
+    fn connections(&self) -> &Connections;
+
+    /// Answers one request.
+    ///
+    /// # Errors
+    /// Any error closes the connection without an answer.
+    fn answer(self: Rc<Self>, request: Request<Bytes>) -> impl Future<Output = io::Result<Answer>>;
+}
+
+/// Runs a program until SIGTERM, or until `program` fails.
+///
+/// # Errors
+/// What `program` failed with.
+pub fn run_until_sigterm(program: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    Runtime::new()?.block_on(async {
+        let stop = pin!(compio::signal::unix::signal(SIGTERM));
+        match select(stop, pin!(program)).await {
+            Either::Left((stopped, _)) => stopped.map(drop),
+            Either::Right((ended, _)) => ended,
+        }
+    })
+}
+
+/// Opens a listener and prints its address.
+///
+/// # Errors
+/// The address can't be listened on.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    announce(listener.local_addr()?)?;
+    Ok(listener)
+}
+
+/// Prints the line that says where a program listens.
+///
+/// # Errors
+/// Standard output is closed.
+pub fn announce(address: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "listening {address}")?;
+    out.flush()
+}
+
+/// Serves `handler` on `listener`.
+///
+/// # Errors
+/// The listener can't accept any more.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true).ok();
+        if let Some((connection, fate)) = handler.connections().open() {
+            let handler = handler.clone();
+            compio::runtime::spawn(async move {
+                let talk = pin!(talk(stream, handler.clone(), connection.clone()));
+                if let Either::Right((Ok(Fate::Silent), _talk)) = select(talk, fate).await {
+                    pending::<()>().await;
+                }
+                handler.connections().close(&connection);
+            })
+            .detach();
+        }
+    }
+}
+
+async fn talk<H: Handler>(stream: TcpStream, handler: Rc<H>, connection: Rc<Connection>) {
+    let service = service_fn(|request| {
+        connection.set_control(H::is_control(request.uri().path()));
+        answer(handler.clone(), request)
+    });
+    http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(None)
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await
+        .ok();
+}
+
+async fn answer<H: Handler>(handler: Rc<H>, request: Request<Incoming>) -> io::Result<Answer> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    handler.answer(Request::from_parts(head, body)).await
+}
+
+/// An answer with a plain body.
+pub fn plain(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with a JSON body.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Answer {
+    serde_json::to_vec(body).map_or_else(
+        |error| plain(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        |body| plain(status, body),
+    )
+}
+
+/// Reads a JSON body and answers from it, or with 400.
+pub fn with_json<T: DeserializeOwned>(body: &[u8], answer: impl FnOnce(T) -> Answer) -> Answer {
+    serde_json::from_slice(body)
+        .map(answer)
+        .map_err(|error| plain(StatusCode::BAD_REQUEST, error.to_string()))
+        .unwrap_or_else(identity)
+}
+
+/// The switches in `current`, with those given in `body` replaced.
+///
+/// # Errors
+/// `body` is no JSON object, or has an unknown or ill-typed switch.
+pub fn replace<T: Serialize + DeserializeOwned>(current: &T, body: &[u8]) -> serde_json::Result<T> {
+    let mut switches = serde_json::to_value(current)?;
+    let given: serde_json::Map<String, Value> = serde_json::from_slice(body)?;
+    if let Value::Object(switches) = &mut switches {
+        switches.extend(given);
+    }
+    serde_json::from_value(switches)
+}
