--- /dev/null
+++ b/standins/src/forward.rs
@@ -0,0 +1,102 @@
+//! Control of a forwarder's links.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::connections::Connections;
+use crate::link::Cut;
+use crate::link::Link;
+use crate::serve::Answer;
+use crate::serve::Handler;
+use crate::serve::json;
+use crate::serve::plain;
+use crate::serve::with_json;
+
+/// A link's name: its address as given, or its place among the links.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum LinkName {
+    Index(usize),
+    Name(String),
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Change {
+    link: LinkName,
+    cut: Option<Cut>,
+    #[serde(default)]
+    forget: bool,
+}
+
+/// The control of a forwarder.
+pub struct Forwarder {
+    links: Vec<Rc<Link>>,
+    connections: Connections,
+}
+
+impl Forwarder {
+    /// Controls `links`.
+    pub fn new(links: Vec<Rc<Link>>) -> Self {
+        Self {
+            links,
+            connections: Connections::new(usize::MAX),
+        }
+    }
+
+    fn find(&self, name: &LinkName) -> Option<&Link> {
+        let link = match name {
+            LinkName::Index(index) => self.links.get(*index),
+            LinkName::Name(name) => self
+                .links
+                .iter()
+                .find(|link| link.ends.name == *name)
+                .or_else(|| self.links.get(name.parse::<usize>().ok()?)),
+        };
+        link.map(Rc::as_ref)
+    }
+
+    fn set(&self, change: Change) -> Answer {
+        let Some(link) = self.find(&change.link) else {
+            return plain(StatusCode::NOT_FOUND, "no such link");
+        };
+        if let Some(cut) = change.cut {
+            link.set_cut(cut);
+        }
+        if change.forget {
+            link.forget();
+        }
+        self.get()
+    }
+
+    fn get(&self) -> Answer {
+        let links = self.links.iter();
+        let links = links.map(|link| json!({"link": link.ends.name, "cut": link.cut()}));
+        json(StatusCode::OK, &links.collect::<Vec<_>>())
+    }
+}
+
+impl Handler for Forwarder {
+    fn is_control(_path: &str) -> bool {
+        true
+    }
+
+    fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Bytes>) -> io::Result<Answer> {
+        Ok(match (request.method(), request.uri().path()) {
+            (&Method::GET, "/control") => self.get(),
+            (&Method::PUT, "/control") => with_json(request.body(), |change| self.set(change)),
+            _ => plain(StatusCode::NOT_FOUND, ""),
+        })
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,9 +3,15 @@
 pub mod clock;
 pub mod connections;
 pub mod executor;
+pub mod forward;
 pub mod hosts;
+pub mod link;
+pub mod load;
 pub mod log;
 pub mod notice;
 pub mod query;
 pub mod runs;
 pub mod serve;
+pub mod tally;
+pub mod tcp;
+pub mod udp;
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,265 @@
+//! Callers that load the product, or a backend server itself.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use compio::time::sleep_until;
+use compio::time::timeout_at;
+use cyper_core::HyperStream;
+use futures_util::future::join_all;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use serde_json::Value;
+
+use crate::query::header_number;
+use crate::tally::Outcome;
+use crate::tally::Tally;
+
+/// How long after its deadline an answer is still waited for.
+const GRACE: Duration = Duration::from_secs(1);
+
+type Failure = Box<dyn Error + Send + Sync>;
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Where a request goes, and with which key.
+#[derive(Clone)]
+pub struct Route {
+    /// The path of the request.
+    pub path: String,
+    /// The key, or none for a backend server itself.
+    pub key: Option<String>,
+}
+
+/// What a load is made of.
+pub struct Plan {
+    /// Addresses that callers are spread over.
+    pub targets: Vec<SocketAddr>,
+    /// Routes that requests are spread over.
+    pub routes: Vec<Route>,
+    /// Number of callers.
+    pub callers: u64,
+    /// Number of requests, if limited.
+    pub requests: Option<u64>,
+    /// End of the load, if limited.
+    pub end: Option<Instant>,
+    /// Time for each request, in milliseconds.
+    pub deadline_ms: u64,
+    /// Run time asked for, in milliseconds.
+    pub run_ms: Option<u64>,
+    /// Length of each request's body, in bytes.
+    pub body_bytes: usize,
+    /// Whether requests that weren't run are sent again.
+    pub retry: bool,
+    /// Requests a second, if paced.
+    pub pace: Option<f64>,
+}
+
+/// A load under way.
+pub struct Load {
+    plan: Plan,
+    start: Instant,
+    next: Cell<u64>,
+    tally: RefCell<Tally>,
+}
+
+struct Call<'a> {
+    route: &'a Route,
+    request_id: String,
+    body: Bytes,
+    deadline: Instant,
+    attempts: u64,
+}
+
+#[derive(Default)]
+struct Caller {
+    target: usize,
+    sender: Option<Sender>,
+}
+
+impl Load {
+    /// Makes every request of `plan`, and returns what became of them.
+    pub async fn run(plan: Plan, tally: Tally) -> (Tally, Duration) {
+        let load = Self {
+            plan,
+            start: Instant::now(),
+            next: Cell::new(0),
+            tally: RefCell::new(tally),
+        };
+        join_all((0..load.plan.callers).map(|caller| load.call_on(caller))).await;
+        let time = load.start.elapsed();
+        (load.tally.into_inner(), time)
+    }
+
+    async fn call_on(&self, number: u64) {
+        let mut caller = Caller {
+            target: number as usize,
+            sender: None,
+        };
+        let mut slot = number;
+        loop {
+            let begin = self.begin(slot);
+            if self.plan.end.is_some_and(|end| begin >= end) {
+                return;
+            }
+            let Some(route) = self.next_route() else {
+                return;
+            };
+            sleep_until(begin).await;
+            let outcome = self.call(&mut caller, route, begin).await;
+            self.tally.borrow_mut().count(outcome, begin.elapsed());
+            slot += self.plan.callers;
+        }
+    }
+
+    /// When the request of a slot begins; if late, its time still counts from there.
+    fn begin(&self, slot: u64) -> Instant {
+        self.plan.pace.map_or_else(Instant::now, |pace| {
+            self.start + Duration::from_secs_f64(slot as f64 / pace)
+        })
+    }
+
+    fn next_route(&self) -> Option<&Route> {
+        let number = self.next.get();
+        if self.plan.requests.is_some_and(|limit| number >= limit) {
+            return None;
+        }
+        self.next.set(number + 1);
+        let routes = &self.plan.routes;
+        routes.get(number as usize % routes.len().max(1))
+    }
+
+    async fn call(&self, caller: &mut Caller, route: &Route, begin: Instant) -> Outcome {
+        let request_id = new_request_id();
+        let mut call = Call {
+            route,
+            body: request_id
+                .bytes()
+                .cycle()
+                .take(self.plan.body_bytes)
+                .collect(),
+            request_id,
+            deadline: begin + Duration::from_millis(self.plan.deadline_ms),
+            attempts: 0,
+        };
+        loop {
+            call.attempts += 1;
+            let answer = self.send(caller, &call).await;
+            let answer = match answer {
+                Ok(answer) => answer,
+                Err(failure) => {
+                    caller.target += 1;
+                    return Outcome::Failed(failure.to_string());
+                }
+            };
+            match retry_at(&answer).filter(|at| self.plan.retry && *at < call.deadline) {
+                Some(at) => sleep_until(at).await,
+                None => return call.judge(&answer),
+            }
+            self.tally.borrow_mut().count_retry();
+        }
+    }
+
+    async fn send(&self, caller: &mut Caller, call: &Call<'_>) -> Result<Response<Bytes>, Failure> {
+        let request = self.request(call)?;
+        let address = self.plan.targets[caller.target % self.plan.targets.len()];
+        timeout_at(call.deadline + GRACE, async {
+            let mut sender = match caller.sender.take() {
+                Some(sender) if !sender.is_closed() => sender,
+                _ => connect(address).await?,
+            };
+            sender.ready().await?;
+            let (head, body) = sender.send_request(request).await?.into_parts();
+            let body = body.collect().await?.to_bytes();
+            caller.sender = Some(sender);
+            Ok(Response::from_parts(head, body))
+        })
+        .await?
+    }
+
+    fn request(&self, call: &Call<'_>) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let left_ms = left.as_millis() as u64;
+        let mut request = Request::post(&call.route.path)
+            .header("host", "standin")
+            .header("x-request-id", &call.request_id);
+        request = match &call.route.key {
+            Some(key) => request
+                .header("authorization", format!("Bearer {key}"))
+                .header("x-deadline-ms", left_ms)
+                .header("x-idempotent", "false"),
+            None => request
+                .header(
+                    "x-attempt-id",
+                    format!("{}/{}", call.request_id, call.attempts),
+                )
+                .header("x-team", "load")
+                .header("x-lease-ms", left_ms),
+        };
+        if let Some(run_ms) = self.plan.run_ms {
+            request = request.header("x-run-ms", run_ms);
+        }
+        request.body(Full::new(call.body.clone()))
+    }
+}
+
+impl Call<'_> {
+    fn judge(&self, answer: &Response<Bytes>) -> Outcome {
+        if answer.status() != StatusCode::OK {
+            return Outcome::Refused(answer.status().as_u16());
+        }
+        let body = answer.body();
+        let rest = body.strip_prefix(self.request_id.as_bytes());
+        match rest.and_then(|rest| rest.strip_prefix(b":")) {
+            Some(rest) if rest == self.body => Outcome::Answered,
+            _ => Outcome::Wrong,
+        }
+    }
+}
+
+/// When a request that surely wasn't run may be sent again.
+fn retry_at(answer: &Response<Bytes>) -> Option<Instant> {
+    let refusals = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if !refusals.contains(&answer.status()) {
+        return None;
+    }
+    let seconds = header_number(answer.headers(), "retry-after")?;
+    let body: Value = serde_json::from_slice(answer.body()).ok()?;
+    (body["verdict"] == "not-run").then(|| Instant::now() + Duration::from_secs(seconds))
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, Failure> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await?;
+    compio::runtime::spawn(connection).detach();
+    Ok(sender)
+}
+
+/// A random UUID of version 4.
+fn new_request_id() -> String {
+    let random: u128 = rand::random();
+    let bits = random & !(0xf << 76) & !(0x3 << 62) | 0x4 << 76 | 0x2 << 62;
+    let hex = format!("{bits:032x}");
+    let parts = [
+        &hex[..8],
+        &hex[8..12],
+        &hex[12..16],
+        &hex[16..20],
+        &hex[20..],
+    ];
+    parts.join("-")
+}
--- /dev/null
+++ b/standins/src/tally.rs
@@ -0,0 +1,113 @@
+//! What became of a load's requests.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde_json::Value;
+use serde_json::json;
+
+const US_PER_MS: f64 = 1e3;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// What became of one request.
+#[derive(Debug)]
+pub enum Outcome {
+    /// Its own whole answer came.
+    Answered,
+    /// It was answered with this status.
+    Refused(u16),
+    /// It got an answer that isn't its own.
+    Wrong,
+    /// No answer came, for this reason.
+    Failed(String),
+}
+
+/// Counts of outcomes, and the times of those answered.
+pub struct Tally {
+    answered: u64,
+    refused: BTreeMap<u16, u64>,
+    wrong: u64,
+    failed: u64,
+    last_failure: Option<String>,
+    retries: u64,
+    times_us: Histogram<u64>,
+}
+
+impl Tally {
+    /// Nothing counted.
+    ///
+    /// # Errors
+    /// The histogram's settings are refused.
+    pub fn new() -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Self {
+            answered: 0,
+            refused: BTreeMap::new(),
+            wrong: 0,
+            failed: 0,
+            last_failure: None,
+            retries: 0,
+            times_us: Histogram::new(SIGNIFICANT_DIGITS)?,
+        })
+    }
+
+    /// Counts one request that took `time`.
+    pub fn count(&mut self, outcome: Outcome, time: Duration) {
+        match outcome {
+            Outcome::Answered => {
+                self.answered += 1;
+                self.times_us.saturating_record(time.as_micros() as u64);
+            }
+            Outcome::Refused(status) => *self.refused.entry(status).or_default() += 1,
+            Outcome::Wrong => self.wrong += 1,
+            Outcome::Failed(reason) => {
+                self.failed += 1;
+                self.last_failure = Some(reason);
+            }
+        }
+    }
+
+    /// Counts one retry.
+    pub fn count_retry(&mut self) {
+        self.retries += 1;
+    }
+
+    /// Whether there was a wrong answer.
+    pub fn has_wrong(&self) -> bool {
+        self.wrong > 0
+    }
+
+    /// The report of a load that took `time`.
+    pub fn report(&self, time: Duration) -> Report {
+        let ms = |us: u64| us as f64 / US_PER_MS;
+        let at = |share: f64| ms(self.times_us.value_at_quantile(share));
+        Report(json!({
+            "answered": self.answered,
+            "refused": self.refused,
+            "wrong": self.wrong,
+            "failed": self.failed,
+            "last_failure": self.last_failure,
+            "retries": self.retries,
+            "seconds": time.as_secs_f64(),
+            "rate": self.answered as f64 / time.as_secs_f64(),
+            "p50_ms": at(0.5),
+            "p90_ms": at(0.9),
+            "p99_ms": at(0.99),
+            "max_ms": ms(self.times_us.max()),
+        }))
+    }
+}
+
+/// A load's report; it shows as text, one line a value.
+pub struct Report(pub Value);
+
+impl fmt::Display for Report {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let values = self.0.as_object().into_iter().flatten();
+        for (name, value) in values {
+            writeln!(out, "{name:<13} {value}")?;
+        }
+        Ok(())
+    }
+}
