--- /dev/null
+++ b/scenarios/src/authority.rs
@@ -0,0 +1,57 @@
+//! Certificates of a site.
+
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use rcgen::BasicConstraints;
+use rcgen::CertificateParams;
+use rcgen::CertifiedIssuer;
+use rcgen::IsCa;
+use rcgen::KeyPair;
+
+/// Name that every process's certificate carries.
+const NODE_DOMAIN: &str = "mimosa.node";
+
+/// A certificate authority that lives as long as the site.
+pub struct Authority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+    dir: PathBuf,
+}
+
+impl Authority {
+    /// Creates an authority and writes its certificate to `dir`.
+    ///
+    /// # Errors
+    /// If no key can be made or the file cannot be written.
+    pub fn open(dir: &Path) -> Result<Self, Box<dyn Error>> {
+        let mut params = CertificateParams::default();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
+        fs::write(dir.join("ca.pem"), issuer.pem())?;
+        Ok(Self {
+            issuer,
+            dir: dir.to_owned(),
+        })
+    }
+
+    /// Issues a certificate and returns the settings that name its files.
+    ///
+    /// # Errors
+    /// If no key can be made or the files cannot be written.
+    pub fn issue(&self, node: &str) -> Result<String, Box<dyn Error>> {
+        let params = CertificateParams::new([NODE_DOMAIN.to_owned()])?;
+        let key = KeyPair::generate()?;
+        let cert = params.signed_by(&key, &self.issuer)?;
+        let path = |ending: &str| self.dir.join(format!("{node}.{ending}"));
+        fs::write(path("pem"), cert.pem())?;
+        fs::write(path("key"), key.serialize_pem())?;
+        Ok(format!(
+            "tls:\n  ca: {}\n  cert: {}\n  key: {}\n",
+            self.dir.join("ca.pem").display(),
+            path("pem").display(),
+            path("key").display(),
+        ))
+    }
+}
--- /dev/null
+++ b/scenarios/src/bin/demo.rs
@@ -0,0 +1,117 @@
+//! Starts a site of today's size, loads it while a data centre leaves and returns, and counts.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::process::ExitCode;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use scenarios::http;
+use scenarios::layout::Layout;
+use scenarios::process::beside;
+use scenarios::site::Site;
+
+/// Requests of the demo.
+const REQUESTS: u64 = 6_000;
+/// Requests a second.
+const PACE: u64 = 1_000;
+/// Callers.
+const CALLERS: u64 = 90;
+/// When the data centre leaves and how long it stays away, in milliseconds.
+const AWAY_MS: u64 = 1_500;
+/// Exit status after an interruption.
+const INTERRUPTED: i32 = 130;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("demo: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<bool, Box<dyn Error>> {
+    println!("starting a site of today's size");
+    let site = Site::spawn(Layout::today())?;
+    end_on_signal(site.ids())?;
+    println!("{} processes run; sending {REQUESTS} requests", site.ids().len());
+    let load = Command::new(beside("standin-load")?)
+        .args(load_args(&site))
+        .stdout(Stdio::piped())
+        .spawn()?;
+    thread::sleep(Duration::from_millis(AWAY_MS));
+    print!("{}", site.must(&["dc", "out", "swansea"])?);
+    thread::sleep(Duration::from_millis(AWAY_MS));
+    print!("{}", site.must(&["dc", "in", "swansea"])?);
+    let output = load.wait_with_output()?;
+    let report: Value = serde_json::from_slice(&output.stdout)?;
+    let twice = run_twice(&site.backends)?;
+    let number = |name: &str| report[name].as_f64().unwrap_or(f64::NAN);
+    let answered = report["answered"].as_u64().unwrap_or(0);
+    if answered != REQUESTS {
+        println!("{report}");
+    }
+    println!(
+        "answered {answered} of {REQUESTS}, run twice {twice}, p50 {:.2} ms, p99 {:.2} ms",
+        number("p50_ms"),
+        number("p99_ms"),
+    );
+    Ok(answered == REQUESTS && twice == 0)
+}
+
+fn load_args(site: &Site) -> Vec<String> {
+    let mut args: Vec<String> = ["--json", "--retry", "--requests"].map(String::from).to_vec();
+    args.push(REQUESTS.to_string());
+    args.extend(["--callers".to_owned(), CALLERS.to_string()]);
+    args.extend(["--pace".to_owned(), PACE.to_string()]);
+    for gate in site.gates() {
+        args.extend(["--target".to_owned(), gate.to_string()]);
+    }
+    for service in &site.layout.services {
+        for (team, ..) in &site.layout.teams {
+            args.extend(["--path".to_owned(), format!("/v1/services/{service}/requests")]);
+            args.extend(["--key".to_owned(), Site::key(team)]);
+        }
+    }
+    args
+}
+
+/// Requests that a backend server started more than once, or that several started.
+fn run_twice(backends: &[SocketAddr]) -> Result<usize, Box<dyn Error>> {
+    let mut counts = std::collections::HashMap::<String, u64>::new();
+    for addr in backends {
+        let runs = http::send(*addr, "GET", "/runs", &[], "")?.json();
+        let by_request = runs["by_request"].as_object().cloned().unwrap_or_default();
+        for (request, count) in by_request {
+            *counts.entry(request).or_default() += count.as_u64().unwrap_or(0);
+        }
+    }
+    Ok(counts.values().filter(|count| **count > 1).count())
+}
+
+/// Ends all processes of the site, by id, when the demo is interrupted.
+fn end_on_signal(ids: Vec<u32>) -> Result<(), Box<dyn Error>> {
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            for id in ids {
+                let _ = kill(Pid::from_raw(id.cast_signed()), Signal::SIGKILL);
+            }
+            std::process::exit(INTERRUPTED);
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/scenarios/src/http.rs
@@ -0,0 +1,65 @@
+//! Small blocking HTTP exchanges with stand-ins and probes.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// Longest wait for an answer, in milliseconds.
+const ANSWER_MS: u64 = 5_000;
+
+/// Status and body of an answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is none.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+/// Sends one request on a connection of its own.
+///
+/// # Errors
+/// If there is no connection or no whole answer in time.
+pub fn send(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> io::Result<Answer> {
+    let limit = Duration::from_millis(ANSWER_MS);
+    let mut stream = TcpStream::connect_timeout(&addr, limit)?;
+    stream.set_read_timeout(Some(limit))?;
+    stream.set_nodelay(true)?;
+    let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        request += &format!("{name}: {value}\r\n");
+    }
+    request += &format!("content-length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(request.as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    parse(&answer).ok_or_else(|| io::Error::other("no whole answer"))
+}
+
+fn parse(answer: &str) -> Option<Answer> {
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer {
+        status,
+        body: body.to_owned(),
+    })
+}
--- /dev/null
+++ b/scenarios/src/ports.rs
@@ -0,0 +1,23 @@
+//! Free loopback addresses.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+
+/// Finds addresses whose ports are free for both TCP and UDP. All are held until the last one is
+/// found, so that they differ.
+///
+/// # Errors
+/// If no port is free.
+pub fn free(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let mut held = Vec::new();
+    while held.len() < count {
+        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        if let Ok(udp) = UdpSocket::bind(tcp.local_addr()?) {
+            held.push((tcp, udp));
+        }
+    }
+    held.iter().map(|(tcp, _)| tcp.local_addr()).collect()
+}
--- /dev/null
+++ b/scenarios/src/process.rs
@@ -0,0 +1,103 @@
+//! A process that was started here.
+
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+/// Time between two looks at a process that should end, in milliseconds.
+const LOOK_MS: u64 = 10;
+
+/// A child process, known by its id; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program `program` that lies beside the running one.
+    ///
+    /// # Errors
+    /// If the program is missing or cannot be started.
+    pub fn spawn(name: &str, program: &str, args: &[String], log: &Path) -> io::Result<Self> {
+        let log = File::create(log)?;
+        let child = Command::new(beside(program)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Name of the process in the site.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// If the process is gone.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = Pid::from_raw(self.child.id().cast_signed());
+        kill(pid, signal).map_err(io::Error::from)
+    }
+
+    /// Waits for the end of the process; none if `deadline` passes first.
+    ///
+    /// # Errors
+    /// If the process cannot be waited for.
+    pub fn wait(&mut self, deadline: Instant) -> io::Result<Option<i32>> {
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(Some(status.code().unwrap_or(-1)));
+            }
+            if Instant::now() >= deadline {
+                return Ok(None);
+            }
+            std::thread::sleep(Duration::from_millis(LOOK_MS));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Path of a program that lies beside the running one, or beside its directory for test programs.
+///
+/// # Errors
+/// If there is no such program.
+pub fn beside(program: &str) -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    own.ancestors()
+        .skip(1)
+        .take(2)
+        .map(|dir| dir.join(program))
+        .find(|path| path.is_file())
+        .ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, format!("{program} is not built")))
+}
--- /dev/null
+++ b/scenarios/src/site.rs
@@ -0,0 +1,266 @@
+//! A running site.
+
+use std::error::Error;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::time::Duration;
+use std::time::Instant;
+
+use tempfile::TempDir;
+
+use crate::authority::Authority;
+use crate::http;
+use crate::layout::Layout;
+use crate::ports;
+use crate::process::Process;
+use crate::process::beside;
+
+/// The roles that run on each entry host.
+pub const ROLES: [&str; 3] = ["fleet", "sched", "gate"];
+/// The operator's key of a site.
+const OPERATOR_KEY: &str = "operator-key-of-a-test-site";
+/// Longest wait for the site to be ready, in milliseconds.
+const READY_MS: u64 = 30_000;
+/// Time between two looks, in milliseconds.
+const LOOK_MS: u64 = 20;
+
+type Fallible<T> = Result<T, Box<dyn Error>>;
+
+/// Addresses of a process of the system.
+#[derive(Debug, Clone, Copy)]
+pub struct Address {
+    /// For the other processes.
+    pub quic: SocketAddr,
+    /// For callers, operators or probes.
+    pub http: SocketAddr,
+}
+
+/// Stand-ins and the system's processes, all started here.
+pub struct Site {
+    /// What it consists of.
+    pub layout: Layout,
+    /// Address of the log.
+    pub log: SocketAddr,
+    /// Addresses of the backend servers.
+    pub backends: Vec<SocketAddr>,
+    /// Addresses of the system's processes, by role and entry host.
+    pub addresses: Vec<[Address; 3]>,
+    hosts: SocketAddr,
+    operator: String,
+    processes: Vec<Process>,
+    authority: Authority,
+    dir: TempDir,
+}
+
+impl Site {
+    /// Starts everything, hands the operators' files in and waits until all gates are ready.
+    ///
+    /// # Errors
+    /// If a program is missing, or the site is not ready in time.
+    pub fn spawn(layout: Layout) -> Fallible<Self> {
+        let dir = tempfile::tempdir()?;
+        let ports = ports::free(2 + layout.host_count() + layout.entries * 6)?;
+        let backends = ports[2..2 + layout.host_count()].to_vec();
+        let addresses = ports[2 + layout.host_count()..].chunks(6).map(|p| {
+            let pair = |i: usize| Address {
+                quic: p[2 * i],
+                http: p[2 * i + 1],
+            };
+            [pair(0), pair(1), pair(2)]
+        });
+        let mut site = Self {
+            log: ports[0],
+            addresses: addresses.collect(),
+            backends,
+            hosts: ports[1],
+            operator: blake3::hash(OPERATOR_KEY.as_bytes()).to_hex().to_string(),
+            processes: Vec::new(),
+            authority: Authority::open(dir.path())?,
+            dir,
+            layout,
+        };
+        fs::write(site.path("operator.key"), OPERATOR_KEY)?;
+        site.start_platform()?;
+        for entry in 0..site.layout.entries {
+            for role in ROLES {
+                site.start(entry, role)?;
+            }
+        }
+        site.set_up()?;
+        Ok(site)
+    }
+
+    /// Starts a process of the system, such as after it was killed.
+    ///
+    /// # Errors
+    /// If the program is missing or a file cannot be written.
+    pub fn start(&mut self, entry: usize, role: &str) -> Fallible<()> {
+        let name = node(entry, role);
+        let path = self.path(&format!("{name}.yaml"));
+        fs::write(&path, self.settings(entry, role)?)?;
+        let args = ["--settings".to_owned(), path.display().to_string()];
+        let log = self.path(&format!("{name}.out"));
+        let process = Process::spawn(&name, &format!("mimosa-{role}"), &args, &log)?;
+        self.processes.retain(|old| old.name() != name);
+        self.processes.push(process);
+        Ok(())
+    }
+
+    /// The running process of that name.
+    ///
+    /// # Errors
+    /// If there is none.
+    pub fn process(&mut self, name: &str) -> io::Result<&mut Process> {
+        self.processes
+            .iter_mut()
+            .find(|process| process.name() == name)
+            .ok_or_else(|| io::Error::other(format!("no process {name}")))
+    }
+
+    /// Ids of all processes.
+    #[must_use]
+    pub fn ids(&self) -> Vec<u32> {
+        self.processes.iter().map(Process::id).collect()
+    }
+
+    /// Addresses of the gates for callers.
+    #[must_use]
+    pub fn gates(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().map(|[_, _, gate]| gate.http).collect()
+    }
+
+    /// Runs the operators' command line.
+    ///
+    /// # Errors
+    /// If the program is missing.
+    pub fn ctl(&self, args: &[&str]) -> io::Result<Output> {
+        let mut command = Command::new(beside("mimosactl")?);
+        for [fleet, _, _] in &self.addresses {
+            command.arg("--fleet").arg(fleet.http.to_string());
+        }
+        command.arg("--key-file").arg(self.path("operator.key"));
+        command.args(args).output()
+    }
+
+    /// Runs the operators' command line and insists on success.
+    ///
+    /// # Errors
+    /// If the command fails.
+    pub fn must(&self, args: &[&str]) -> Fallible<String> {
+        let output = self.ctl(args)?;
+        if !output.status.success() {
+            let reason = String::from_utf8_lossy(&output.stderr).into_owned();
+            return Err(format!("mimosactl {}: {reason}", args.join(" ")).into());
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Key of a team.
+    #[must_use]
+    pub fn key(team: &str) -> String {
+        format!("key-of-{team}")
+    }
+
+    /// Directory with the site's files.
+    #[must_use]
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// A path in the site's directory.
+    #[must_use]
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    /// Waits until `check` holds.
+    ///
+    /// # Errors
+    /// If it does not within `millis`.
+    pub fn wait(what: &str, millis: u64, mut check: impl FnMut() -> bool) -> Fallible<()> {
+        let deadline = Instant::now() + Duration::from_millis(millis);
+        while !check() {
+            if Instant::now() >= deadline {
+                return Err(format!("not within {millis} ms: {what}").into());
+            }
+            std::thread::sleep(Duration::from_millis(LOOK_MS));
+        }
+        Ok(())
+    }
+
+    fn start_platform(&mut self) -> Fallible<()> {
+        let listen = |addr: SocketAddr| ["--listen".to_owned(), addr.to_string()];
+        self.add("log", "standin-log", &listen(self.log))?;
+        self.add("hosts", "standin-hosts", &listen(self.hosts))?;
+        for (index, dc) in self.layout.dcs.clone().iter().enumerate() {
+            let own = self.backends.iter().skip(index).step_by(self.layout.dcs.len());
+            let mut args: Vec<String> = own.flat_map(|addr| listen(*addr)).collect();
+            args.extend(["--run-ms".to_owned(), self.layout.run_ms.to_string()]);
+            self.add(&format!("backends-{dc}"), "standin-executor", &args)?;
+        }
+        Ok(())
+    }
+
+    fn add(&mut self, name: &str, program: &str, args: &[String]) -> Fallible<()> {
+        let log = self.path(&format!("{name}.out"));
+        self.processes.push(Process::spawn(name, program, args, &log)?);
+        Ok(())
+    }
+
+    fn settings(&self, entry: usize, role: &str) -> Fallible<String> {
+        let place = ROLES.iter().position(|name| *name == role).unwrap_or_default();
+        let address = self.addresses[entry][place];
+        let fleet: Vec<String> = self
+            .addresses
+            .iter()
+            .map(|[fleet, _, _]| fleet.quic.to_string())
+            .collect();
+        let name = node(entry, role);
+        let mut text = format!(
+            "node: {name}\ndc: {}\nlisten: {}\nhttp: {}\nlog: http://{}\nfleet: [{}]\n",
+            self.layout.dc(entry),
+            address.quic,
+            address.http,
+            self.log,
+            fleet.join(", "),
+        );
+        text += &self.authority.issue(&name)?;
+        if role == "fleet" {
+            text += &format!("operators: [{}]\nhosts: http://{}\n", self.operator, self.hosts);
+        }
+        Ok(text)
+    }
+
+    fn set_up(&self) -> Fallible<()> {
+        fs::write(self.path("table.csv"), self.layout.table())?;
+        fs::write(self.path("pools.csv"), self.layout.pools())?;
+        fs::write(self.path("hosts.csv"), self.layout.hosts(&self.backends))?;
+        Self::wait("a fleet process answers operators", READY_MS, || {
+            self.ctl(&["status"]).is_ok_and(|output| output.status.success())
+        })?;
+        for (command, file) in [("apply", "table.csv"), ("pools", "pools.csv"), ("hosts", "hosts.csv")] {
+            self.must(&[command, &self.path(file).display().to_string()])?;
+        }
+        for (team, ..) in &self.layout.teams {
+            let file = self.path(&format!("{team}.key"));
+            fs::write(&file, Self::key(team))?;
+            self.must(&["key", "grant", team, "--key-file", &file.display().to_string()])?;
+        }
+        Self::wait("all gates are ready", READY_MS, || {
+            self.gates().iter().all(|gate| {
+                http::send(*gate, "GET", "/readyz", &[], "").is_ok_and(|answer| answer.status == 200)
+            })
+        })
+    }
+}
+
+/// Name of a process of the system.
+#[must_use]
+pub fn node(entry: usize, role: &str) -> String {
+    format!("entry-{entry}-{role}")
+}
