Test the stand-ins, and let silence win over a request in flight

A request that came together with the switch to silence was still served, as the connection was looked at before its fate. The fate is now looked at first, for TCP, HTTP and datagrams. The load client also takes up a new connection when the kept one was closed by an answer, instead of counting a failure.

--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -174,11 +174,10 @@
         let request = self.request(call)?;
         let address = self.plan.targets[caller.target % self.plan.targets.len()];
         timeout_at(call.deadline + GRACE, async {
-            let mut sender = match caller.sender.take() {
-                Some(sender) if !sender.is_closed() => sender,
-                _ => connect(address).await?,
+            let mut sender = match caller.take_ready().await {
+                Some(sender) => sender,
+                None => connect(address).await?,
             };
-            sender.ready().await?;
             let (head, body) = sender.send_request(request).await?.into_parts();
             let body = body.collect().await?.to_bytes();
             caller.sender = Some(sender);
@@ -213,6 +212,14 @@
     }
 }
 
+impl Caller {
+    /// The kept connection, if it still takes requests.
+    async fn take_ready(&mut self) -> Option<Sender> {
+        let mut sender = self.sender.take()?;
+        sender.ready().await.is_ok().then_some(sender)
+    }
+}
+
 impl Call<'_> {
     fn judge(&self, answer: &Response<Bytes>) -> Outcome {
         if answer.status() != StatusCode::OK {
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -99,7 +99,7 @@
             let handler = handler.clone();
             compio::runtime::spawn(async move {
                 let talk = pin!(talk(stream, handler.clone(), connection.clone()));
-                if let Either::Right((Ok(Fate::Silent), _talk)) = select(talk, fate).await {
+                if let Either::Left((Ok(Fate::Silent), _talk)) = select(fate, talk).await {
                     pending::<()>().await;
                 }
                 handler.connections().close(&connection);
--- a/standins/src/tcp.rs
+++ b/standins/src/tcp.rs
@@ -37,7 +37,7 @@
         return;
     };
     let relay = pin!(relay(&client, &link));
-    if let Either::Right((Ok(Fate::Silent), _relay)) = select(relay, fate).await {
+    if let Either::Left((Ok(Fate::Silent), _relay)) = select(fate, relay).await {
         pending::<()>().await;
     }
     link.connections.close(&connection);
--- a/standins/src/udp.rs
+++ b/standins/src/udp.rs
@@ -1,6 +1,6 @@
 //! Forwarding of datagrams.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::Ipv4Addr;
@@ -10,8 +10,9 @@
 
 use compio::buf::BufResult;
 use compio::net::UdpSocket;
-use futures_util::future::join;
+use futures_channel::oneshot;
 
+use crate::connections::Fate;
 use crate::link::Direction;
 use crate::link::Link;
 
@@ -20,20 +21,27 @@
 /// One client's way to the target, under a socket of its own.
 struct Flow {
     socket: UdpSocket,
-    silent: Cell<bool>,
+    fate: RefCell<oneshot::Receiver<Fate>>,
 }
 
 impl Flow {
-    async fn open(target: SocketAddr) -> io::Result<Self> {
+    async fn open(link: &Link) -> io::Result<Self> {
+        let target = link.ends.target;
         let socket = match target {
             SocketAddr::V4(_) => UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0)).await?,
             SocketAddr::V6(_) => UdpSocket::bind((Ipv6Addr::UNSPECIFIED, 0)).await?,
         };
         socket.connect(target).await?;
-        Ok(Self {
-            socket,
-            silent: Cell::new(false),
-        })
+        let (_, fate) = link
+            .connections
+            .open()
+            .ok_or(io::ErrorKind::QuotaExceeded)?;
+        let fate = RefCell::new(fate);
+        Ok(Self { socket, fate })
+    }
+
+    fn is_silent(&self) -> bool {
+        !matches!(self.fate.borrow_mut().try_recv(), Ok(None))
     }
 }
 
@@ -57,40 +65,27 @@
         let flow = match flows.get(&client) {
             Some(flow) => flow.clone(),
             None => {
-                let flow = Rc::new(Flow::open(link.ends.target).await?);
+                let flow = Rc::new(Flow::open(&link).await?);
                 flows.insert(client, flow.clone());
-                spawn_answers(client, socket.clone(), flow.clone(), link.clone());
+                let answers = answer(client, socket.clone(), flow.clone(), link.clone());
+                compio::runtime::spawn(answers).detach();
                 flow
             }
         };
-        if !flow.silent.get() && !link.stops(Direction::ToTarget) {
+        if !flow.is_silent() && !link.stops(Direction::ToTarget) {
             let BufResult(_, sent) = flow.socket.send(buffer).await;
             buffer = sent;
         }
     }
 }
 
-fn spawn_answers(client: SocketAddr, socket: Rc<UdpSocket>, flow: Rc<Flow>, link: Rc<Link>) {
-    compio::runtime::spawn(async move {
-        let Some((_, fate)) = link.connections.open() else {
-            return;
-        };
-        join(answers(client, &socket, &flow, &link), async {
-            fate.await.ok();
-            flow.silent.set(true);
-        })
-        .await;
-    })
-    .detach();
-}
-
-async fn answers(client: SocketAddr, socket: &UdpSocket, flow: &Flow, link: &Link) {
+async fn answer(client: SocketAddr, socket: Rc<UdpSocket>, flow: Rc<Flow>, link: Rc<Link>) {
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
-    while !flow.silent.get() {
+    while !flow.is_silent() {
         buffer.clear();
         let BufResult(received, filled) = flow.socket.recv(buffer).await;
         buffer = filled;
-        if received.is_ok() && !flow.silent.get() && !link.stops(Direction::ToClient) {
+        if received.is_ok() && !flow.is_silent() && !link.stops(Direction::ToClient) {
             let BufResult(_, sent) = socket.send_to(buffer, client).await;
             buffer = sent;
         }
--- /dev/null
+++ b/standins/tests/standins/support.rs
@@ -0,0 +1,130 @@
+//! Programs under test, and a plain HTTP client.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Result;
+use std::io::Write;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::ChildStdout;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+
+/// How long anything may take before a test fails.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A program that ends with the test.
+pub struct Program {
+    child: Child,
+    out: BufReader<ChildStdout>,
+}
+
+impl Program {
+    pub fn start(path: &str, arguments: &[&str]) -> Self {
+        let mut command = Command::new(path);
+        command.args(arguments).stdout(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let out = BufReader::new(child.stdout.take().unwrap());
+        Self { child, out }
+    }
+
+    /// The next address that the program prints.
+    pub fn address(&mut self) -> String {
+        let mut line = String::new();
+        self.out.read_line(&mut line).unwrap();
+        line.trim().strip_prefix("listening ").unwrap().to_owned()
+    }
+
+    /// Ends the program by SIGTERM, and says whether it ended cleanly.
+    pub fn stop(mut self) -> bool {
+        let id = self.child.id().to_string();
+        Command::new("kill").arg(id).status().unwrap();
+        self.child.wait().unwrap().success()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+pub fn connect(address: &str) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// Whether nothing has come on an open connection.
+pub fn is_still(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let error = stream.peek(&mut [0]).err().map(|error| error.kind());
+    error == Some(std::io::ErrorKind::WouldBlock)
+}
+
+/// A kept HTTP connection.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn new(address: &str) -> Self {
+        Self(BufReader::new(connect(address)))
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        self.0.get_ref()
+    }
+
+    /// Sends `head` (method and path, then header lines) with `body`.
+    pub fn send(&mut self, head: &str, body: &str) -> Result<()> {
+        let (line, headers) = head.split_once('\n').unwrap_or((head, ""));
+        let length = body.len();
+        let text = format!("{line} HTTP/1.1\nhost: x\ncontent-length: {length}\n{headers}\n");
+        let text = format!(
+            "{}\r\n{body}",
+            text.trim_end().replace('\n', "\r\n") + "\r\n"
+        );
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+
+    /// The status, the headers as text, and the body of the next answer.
+    pub fn receive(&mut self) -> Result<(u16, String, String)> {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if self.0.read_line(&mut head)? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let mut lines = head.lines();
+        let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+        let mut body = vec![0; length.unwrap().parse().unwrap()];
+        self.0.read_exact(&mut body)?;
+        let status = head[9..12].parse().unwrap();
+        Ok((status, head, String::from_utf8(body).unwrap()))
+    }
+
+    /// The answer to a request.
+    pub fn call(&mut self, head: &str, body: &str) -> Result<(u16, String, String)> {
+        self.send(head, body)?;
+        self.receive()
+    }
+
+    /// The JSON answer to a request.
+    pub fn json(&mut self, head: &str, body: &str) -> Value {
+        serde_json::from_str(&self.call(head, body).unwrap().2).unwrap()
+    }
+
+    /// Asks until the JSON answer has `value` at `name`.
+    pub fn until(&mut self, head: &str, name: &str, value: u64) {
+        let deadline = Instant::now() + PATIENCE;
+        while self.json(head, "")[name] != value {
+            assert!(Instant::now() < deadline, "no {name} {value}");
+        }
+    }
+}
