Report a load that is ended early, and test its retries

A load ended by SIGTERM lost its counts, and a target that was down made callers spin. The load now reports what it has, and rests a little after a failure. Tests cover the headers sent to the product, retries, and the switches that fail or refuse runs.

--- a/standins/src/bin/standin-load.rs
+++ b/standins/src/bin/standin-load.rs
@@ -8,11 +8,12 @@
 use std::time::Instant;
 
 use argh::FromArgs;
-use compio::runtime::Runtime;
+use futures_util::future::FutureExt;
 
 use standins::load::Load;
 use standins::load::Plan;
 use standins::load::Route;
+use standins::serve::run_until_sigterm;
 use standins::tally::Tally;
 
 /// Loads the product, and checks that each answer belongs to its request.
@@ -108,13 +109,13 @@
     let arguments: Arguments = argh::from_env();
     arguments.check()?;
     let as_json = arguments.json;
-    let load = Load::run(arguments.plan(), Tally::new()?);
-    let (tally, time) = Runtime::new()?.block_on(load);
-    let report = tally.report(time);
+    let load = Load::new(arguments.plan(), Tally::new()?);
+    run_until_sigterm(load.run().map(Ok))?;
+    let report = load.report();
     if as_json {
         println!("{}", report.0);
     } else {
         print!("{report}");
     }
-    Ok(ExitCode::from(u8::from(tally.has_wrong())))
+    Ok(ExitCode::from(u8::from(load.has_wrong())))
 }
--- a/standins/src/executor.rs
+++ b/standins/src/executor.rs
@@ -36,7 +36,7 @@
 
 const CLIENT_CLOSED_REQUEST: u16 = 499;
 
-/// The switches for faults.
+/// The switches for faults; `silent` acts once and reads as false.
 #[derive(Clone, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 struct Switches {
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
+use compio::time::sleep;
 use compio::time::sleep_until;
 use compio::time::timeout_at;
 use cyper_core::HyperStream;
@@ -24,11 +25,15 @@
 
 use crate::query::header_number;
 use crate::tally::Outcome;
+use crate::tally::Report;
 use crate::tally::Tally;
 
 /// How long after its deadline an answer is still waited for.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// How long a caller rests after a failure, lest it spin on a target that's down.
+const PAUSE: Duration = Duration::from_millis(10);
+
 type Failure = Box<dyn Error + Send + Sync>;
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -88,17 +93,29 @@
 }
 
 impl Load {
-    /// Makes every request of `plan`, and returns what became of them.
-    pub async fn run(plan: Plan, tally: Tally) -> (Tally, Duration) {
-        let load = Self {
+    /// Prepares a load that counts into `tally`.
+    pub fn new(plan: Plan, tally: Tally) -> Self {
+        Self {
             plan,
             start: Instant::now(),
             next: Cell::new(0),
             tally: RefCell::new(tally),
-        };
-        join_all((0..load.plan.callers).map(|caller| load.call_on(caller))).await;
-        let time = load.start.elapsed();
-        (load.tally.into_inner(), time)
+        }
+    }
+
+    /// Makes every request of the plan.
+    pub async fn run(&self) {
+        join_all((0..self.plan.callers).map(|caller| self.call_on(caller))).await;
+    }
+
+    /// What became of the requests up to now.
+    pub fn report(&self) -> Report {
+        self.tally.borrow().report(self.start.elapsed())
+    }
+
+    /// Whether there was a wrong answer.
+    pub fn has_wrong(&self) -> bool {
+        self.tally.borrow().has_wrong()
     }
 
     async fn call_on(&self, number: u64) {
@@ -159,6 +176,7 @@
                 Ok(answer) => answer,
                 Err(failure) => {
                     caller.target += 1;
+                    sleep(PAUSE).await;
                     return Outcome::Failed(failure.to_string());
                 }
             };
--- a/standins/src/log.rs
+++ b/standins/src/log.rs
@@ -33,7 +33,7 @@
 const MAX_WAIT_MS: u64 = 30_000;
 const DEFAULT_MAX_RECORDS: u64 = 1_000;
 
-/// The switches for faults.
+/// The switches for faults; `truncate_to` acts once and reads as null.
 #[derive(Clone, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 struct Switches {
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -53,7 +53,7 @@
     fn answer(self: Rc<Self>, request: Request<Bytes>) -> impl Future<Output = io::Result<Answer>>;
 }
 
-/// Runs a program until SIGTERM, or until `program` fails.
+/// Runs a program until SIGTERM, or until `program` ends.
 ///
 /// # Errors
 /// What `program` failed with.
--- a/standins/tests/standins/executor.rs
+++ b/standins/tests/standins/executor.rs
@@ -105,3 +105,15 @@
     drop(clients.pop());
     clients[0].json(SUMMARY, "");
 }
+
+#[test_case::test_case("fail_all", 500, &["start", "failed"]; "failing")]
+#[test_case::test_case("refuse", 503, &[]; "refusing")]
+fn a_switch_acts_on_runs_until_it_is_off(switch: &str, status: u16, seen: &[&str]) {
+    let (_program, address) = start();
+    let mut client = Client::new(&address);
+    client.json("PUT /control", &format!("{{\"{switch}\":true}}"));
+    assert_eq!(client.call(&run("a", 0, 600_000), "x").unwrap().0, status);
+    assert_eq!(kinds(&mut client), seen);
+    client.json("PUT /control", &format!("{{\"{switch}\":false}}"));
+    assert_eq!(client.call(&run("b", 0, 600_000), "x").unwrap().0, 200);
+}
--- a/standins/tests/standins/load.rs
+++ b/standins/tests/standins/load.rs
@@ -1,7 +1,11 @@
 //! The load client counts what came, and fails on a wrong answer.
 
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
 use std::io::Write;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::process::Command;
 use std::thread;
 
@@ -9,10 +13,12 @@
 
 use crate::support::Program;
 
-fn load(target: &str, callers: &str) -> (bool, Value) {
+const PRODUCT: [&str; 5] = ["--path", "/v1/services/s/requests", "--key", "k", "--retry"];
+
+fn load(target: &str, arguments: &[&str]) -> (bool, Value) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_standin-load"));
-    command.args(["--direct", "--json", "--requests", "40", "--run-ms", "0"]);
-    command.args(["--callers", callers, "--target", target]);
+    command.args(["--json", "--requests", "40", "--run-ms", "0"]);
+    command.args(["--target", target]).args(arguments);
     let output = command.output().unwrap();
     let report = serde_json::from_slice(&output.stdout).unwrap();
     (output.status.success(), report)
@@ -22,7 +28,7 @@
 fn each_request_is_counted_once() {
     let path = env!("CARGO_BIN_EXE_standin-executor");
     let mut program = Program::start(path, &["--listen", "127.0.0.1:0"]);
-    let (success, report) = load(&program.address(), "4");
+    let (success, report) = load(&program.address(), &["--direct", "--callers", "4"]);
     assert!(success);
     assert_eq!(report["answered"], 40);
 }
@@ -35,11 +41,54 @@
         for mut stream in listener.incoming().flatten() {
             let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\nx";
             let mut seen = [0; 1024];
-            std::io::Read::read(&mut stream, &mut seen).unwrap();
+            assert!(stream.read(&mut seen).unwrap() > 0);
             stream.write_all(answer).unwrap();
         }
     });
-    let (success, report) = load(&address, "1");
+    let (success, report) = load(&address, &["--direct"]);
     assert!(!success);
     assert_eq!(report["wrong"], 40);
 }
+
+/// Turns away every first try, and answers the second with the request's id and body.
+fn turn_away_once(stream: TcpStream) {
+    let mut stream = BufReader::new(stream);
+    for count in 0..80 {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_until(b'\n', &mut head).unwrap();
+        }
+        let head = String::from_utf8(head).unwrap();
+        let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        assert!(head.starts_with("POST /v1/services/s/requests HTTP/1.1\r\n"));
+        assert_eq!(header("authorization: "), Some("Bearer k"));
+        assert_eq!(header("x-idempotent: "), Some("false"));
+        assert_eq!(header("x-run-ms: "), Some("0"));
+        assert!(header("x-deadline-ms: ").unwrap().parse::<u64>().unwrap() <= 10_000);
+        let mut body = [0; 64];
+        stream.read_exact(&mut body).unwrap();
+        let body = String::from_utf8_lossy(&body);
+        let whole = format!("{}:{body}", header("x-request-id: ").unwrap());
+        let (status, whole) = match count % 2 {
+            0 => ("503 x\r\nretry-after: 0", r#"{"verdict":"not-run"}"#),
+            _ => ("200 x", whole.as_str()),
+        };
+        let length = whole.len();
+        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{whole}");
+        stream.get_mut().write_all(answer.as_bytes()).unwrap();
+    }
+}
+
+#[test]
+fn a_request_that_was_not_run_is_sent_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let target = thread::spawn(move || turn_away_once(listener.accept().unwrap().0));
+    let (success, report) = load(&address, &PRODUCT);
+    target.join().unwrap();
+    assert!(success);
+    assert_eq!(
+        (&report["answered"], &report["retries"]),
+        (&40.into(), &40.into())
+    );
+}
