Record times beyond 2 ms in the load client

A histogram without a bound saturates instead of growing, so that every time was cut down to its first range. It now has a bound of one hour, and a test compares the times with the run time asked for.

--- a/standins/src/tally.rs
+++ b/standins/src/tally.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 const US_PER_MS: f64 = 1e3;
+const MAX_TIME_US: u64 = 3_600_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
 
 /// What became of one request.
@@ -48,7 +49,7 @@
             failed: 0,
             last_failure: None,
             retries: 0,
-            times_us: Histogram::new(SIGNIFICANT_DIGITS)?,
+            times_us: Histogram::new_with_max(MAX_TIME_US, SIGNIFICANT_DIGITS)?,
         })
     }
 
--- a/standins/tests/standins/load.rs
+++ b/standins/tests/standins/load.rs
@@ -17,7 +17,7 @@
 
 fn load(target: &str, arguments: &[&str]) -> (bool, Value) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_standin-load"));
-    command.args(["--json", "--requests", "40", "--run-ms", "0"]);
+    command.args(["--json", "--requests", "40", "--run-ms", "5"]);
     command.args(["--target", target]).args(arguments);
     let output = command.output().unwrap();
     let report = serde_json::from_slice(&output.stdout).unwrap();
@@ -25,12 +25,15 @@
 }
 
 #[test]
-fn each_request_is_counted_once() {
+fn each_request_is_counted_and_timed_once() {
     let path = env!("CARGO_BIN_EXE_standin-executor");
     let mut program = Program::start(path, &["--listen", "127.0.0.1:0"]);
     let (success, report) = load(&program.address(), &["--direct", "--callers", "4"]);
     assert!(success);
     assert_eq!(report["answered"], 40);
+    let [p50_ms, max_ms] = ["p50_ms", "max_ms"].map(|name| report[name].as_f64().unwrap());
+    let seconds = report["seconds"].as_f64().unwrap();
+    assert!(5.0 <= p50_ms && p50_ms <= max_ms && max_ms <= seconds * 1e3);
 }
 
 #[test]
@@ -63,7 +66,7 @@
         assert!(head.starts_with("POST /v1/services/s/requests HTTP/1.1\r\n"));
         assert_eq!(header("authorization: "), Some("Bearer k"));
         assert_eq!(header("x-idempotent: "), Some("false"));
-        assert_eq!(header("x-run-ms: "), Some("0"));
+        assert_eq!(header("x-run-ms: "), Some("5"));
         assert!(header("x-deadline-ms: ").unwrap().parse::<u64>().unwrap() <= 10_000);
         let mut body = [0; 64];
         stream.read_exact(&mut body).unwrap();
