--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -53,7 +53,7 @@
     fn answer(self: Rc<Self>, request: Request<Bytes>) -> impl Future<Output = io::Result<Answer>>;
 }
 
-/// Runs a program until SIGTERM, or until `program` fails.
+/// Runs a program until SIGTERM, or until `program` ends.
 ///
 /// # Errors
 /// What `program` failed with.
@@ -99,7 +99,7 @@
             let handler = handler.clone();
             compio::runtime::spawn(async move {
                 let talk = pin!(talk(stream, handler.clone(), connection.clone()));
-                if let Either::Right((Ok(Fate::Silent), _talk)) = select(talk, fate).await {
+                if let Either::Left((Ok(Fate::Silent), _talk)) = select(fate, talk).await {
                     pending::<()>().await;
                 }
                 handler.connections().close(&connection);
