Add mimosactl, the operators' command line

Cause: operators need to apply tables, pools, hosts and keys by script, and must know from the exit code whether a repeat is safe.

--- /dev/null
+++ b/src/ctl/args.rs
@@ -0,0 +1,227 @@
+//! Arguments of the operators' command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::name::DcName;
+use crate::name::HostName;
+use crate::name::TeamName;
+
+/// Manage the fleet: teams, pools, hosts and keys.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// address of a fleet process (repeatable; the next is tried when one can't be reached)
+    #[argh(option, arg_name = "addr")]
+    pub fleet: Vec<String>,
+    /// file with the operator's key
+    #[argh(option, arg_name = "path")]
+    pub key_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Replace the table of teams.
+    Apply(ApplyArgs),
+    /// Add or alter pools.
+    Pools(PoolsArgs),
+    /// Add or alter hosts.
+    Hosts(HostsArgs),
+    /// Compare a table with the state.
+    Diff(DiffArgs),
+    /// Check files.
+    Check(CheckArgs),
+    /// Manage teams' keys.
+    Key(KeyArgs),
+    /// Take a host out of service or bring it back.
+    Host(HostArgs),
+    /// Take a data centre out of service or bring it back.
+    Dc(DcArgs),
+    /// Show a part of the state.
+    Show(ShowArgs),
+    /// Show how the fleet stands.
+    Status(StatusArgs),
+}
+
+/// Replace the table of teams by a file, if nobody was faster.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyArgs {
+    /// file with the rows `team,weight,limit,urgent`
+    #[argh(positional)]
+    pub table: PathBuf,
+    /// revision that the change builds on (default: the current one)
+    #[argh(option)]
+    pub base: Option<u64>,
+}
+
+/// Add pools or alter known ones by a file.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "pools")]
+pub struct PoolsArgs {
+    /// file with the rows `pool,service,open,teams,budget`
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Add hosts or alter known ones by a file.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hosts")]
+pub struct HostsArgs {
+    /// file with the rows `host,dc,rack,addr,slots,pool`
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Print what a table would change.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// file with the rows `team,weight,limit,urgent`
+    #[argh(positional)]
+    pub table: PathBuf,
+}
+
+/// Check files without any connection.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// file of teams
+    #[argh(option)]
+    pub table: Option<PathBuf>,
+    /// file of pools
+    #[argh(option)]
+    pub pools: Option<PathBuf>,
+    /// file of hosts
+    #[argh(option)]
+    pub hosts: Option<PathBuf>,
+}
+
+/// Manage teams' keys; a key is hashed here and never leaves the machine.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+pub struct KeyArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: KeyCommand,
+}
+
+/// What to do with a key.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum KeyCommand {
+    /// Let a key act for a team.
+    Grant(GrantArgs),
+    /// Take a key back.
+    Withdraw(WithdrawArgs),
+    /// Print a new random key.
+    New(NewArgs),
+}
+
+/// Let a key act for a team.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "grant")]
+pub struct GrantArgs {
+    /// the team
+    #[argh(positional)]
+    pub team: TeamName,
+    /// file with the team's key
+    #[argh(option)]
+    pub key_file: PathBuf,
+}
+
+/// Take a key back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+pub struct WithdrawArgs {
+    /// file with the team's key
+    #[argh(option)]
+    pub key_file: PathBuf,
+}
+
+/// Print a new random key.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "new")]
+pub struct NewArgs {}
+
+/// Take a host out of service or bring it back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "host")]
+pub struct HostArgs {
+    /// which way, `out` or `in`
+    #[argh(positional, from_str_fn(read_direction))]
+    pub active: bool,
+    /// the host
+    #[argh(positional)]
+    pub name: HostName,
+}
+
+/// Take a data centre out of service or bring it back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dc")]
+pub struct DcArgs {
+    /// which way, `out` or `in`
+    #[argh(positional, from_str_fn(read_direction))]
+    pub active: bool,
+    /// the data centre
+    #[argh(positional)]
+    pub name: DcName,
+}
+
+/// Show a part of the state.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowArgs {
+    /// part to show: `teams`, `pools`, `hosts`, `members` or `dcs`
+    #[argh(positional, from_str_fn(read_part))]
+    pub part: Part,
+}
+
+/// Show how the fleet stands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {}
+
+/// A part of the state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// Teams.
+    Teams,
+    /// Pools.
+    Pools,
+    /// Hosts.
+    Hosts,
+    /// Processes.
+    Members,
+    /// Data centres.
+    Dcs,
+}
+
+fn read_direction(text: &str) -> Result<bool, String> {
+    match text {
+        "in" => Ok(true),
+        "out" => Ok(false),
+        _ => Err(format!("`in` or `out`, not {text:?}")),
+    }
+}
+
+fn read_part(text: &str) -> Result<Part, String> {
+    match text {
+        "teams" => Ok(Part::Teams),
+        "pools" => Ok(Part::Pools),
+        "hosts" => Ok(Part::Hosts),
+        "members" => Ok(Part::Members),
+        "dcs" => Ok(Part::Dcs),
+        _ => Err(format!(
+            "`teams`, `pools`, `hosts`, `members` or `dcs`, not {text:?}"
+        )),
+    }
+}
--- a/src/table/fields.rs
+++ b/src/table/fields.rs
@@ -71,7 +71,6 @@
     }
 
     /// A field that has a text form of its own, or is empty.
-    #[expect(clippy::option_option, reason = "the outer one means a wrong field")]
     pub fn optional<T: FromStr<Err: Display>>(&mut self, field: &'static str) -> Option<Option<T>> {
         if self.text(field)?.is_empty() {
             return Some(None);
