--- /dev/null
+++ b/tests/support/fake.rs
@@ -0,0 +1,81 @@
+//! A fake backend behind the operators' interface.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use mimosastep::fleet::Accepted;
+use mimosastep::fleet::Backend;
+use mimosastep::fleet::OperatorsApi;
+use mimosastep::fleet::Submission;
+use mimosastep::fleet::SubmitError;
+use mimosastep::fleet::View;
+use mimosastep::http::HttpServer;
+use mimosastep::record::KeyHash;
+
+pub const KEY: &str = "operators-key";
+pub const ACCEPTED: Accepted = Accepted {
+    revision: 8,
+    in_force: true,
+};
+
+/// Answers from a script, and remembers what it got.
+#[derive(Default)]
+pub struct Fake {
+    pub answers: RefCell<VecDeque<Result<Accepted, SubmitError>>>,
+    pub got: RefCell<Vec<Submission>>,
+    pub view: RefCell<View>,
+    pub ready: Cell<bool>,
+    /// Holds back the next answer until it is dropped or sent.
+    pub gate: RefCell<Option<oneshot::Receiver<()>>>,
+}
+
+impl Backend for Fake {
+    fn submit(
+        &self,
+        submission: Submission,
+    ) -> LocalBoxFuture<'static, Result<Accepted, SubmitError>> {
+        self.got.borrow_mut().push(submission);
+        let answer = self
+            .answers
+            .borrow_mut()
+            .pop_front()
+            .unwrap_or(Ok(ACCEPTED));
+        let gate = self.gate.take();
+        async move {
+            if let Some(gate) = gate {
+                let _ = gate.await;
+            }
+            answer
+        }
+        .boxed_local()
+    }
+
+    fn view(&self) -> View {
+        self.view.borrow().clone()
+    }
+
+    fn ready(&self) -> bool {
+        self.ready.get()
+    }
+}
+
+/// A server over a fake with the scripted answers.
+pub fn serve(answers: Vec<Result<Accepted, SubmitError>>) -> (Rc<Fake>, HttpServer) {
+    let fake = Rc::new(Fake {
+        answers: RefCell::new(answers.into()),
+        ..Fake::default()
+    });
+    let backend: Rc<dyn Backend> = fake.clone();
+    let operators = vec![KeyHash::of(b"another"), KeyHash::of(KEY.as_bytes())];
+    let handler = OperatorsApi::new(backend, operators).into_handler();
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(addr, OperatorsApi::LIMITS, handler).expect("bind");
+    (fake, server)
+}
