Pass over silent fleet processes before submitting a change

Cause: a dead machine answers no connection at all, so a change sent to it ended in doubt after 15 s although nothing had been sent. Change: mimosactl probes /healthz, for at most 2 s, before it sends anything; tests for that and for files of pools and hosts.

--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -19,6 +19,7 @@
 
 const ROUNDS: usize = 3;
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
+const PROBE_WAIT: Duration = Duration::from_secs(2);
 const ANSWER_WAIT: Duration = Duration::from_secs(15);
 
 /// Talks to the fleet processes, in order, until one answers.
@@ -86,7 +87,7 @@
     pub async fn readiness(&self) -> Vec<(String, &'static str)> {
         let mut all = Vec::new();
         for addr in &self.addrs {
-            let state = match self.fetch(addr, Method::GET, "/readyz", Vec::new()).await {
+            let state = match self.probe(addr, "/readyz").await {
                 Ok((StatusCode::OK, _)) => "ready",
                 Ok(_) => "not ready",
                 Err(_) => "unreachable",
@@ -134,10 +135,15 @@
         path: &str,
         body: Vec<u8>,
     ) -> Attempt<T> {
-        let (status, body) = match self.fetch(addr, method, path, body).await {
+        // A silent process is passed over before it is sent anything that could be in doubt.
+        if let Err(error) = self.probe(addr, "/healthz").await {
+            return Attempt::Unreached(format!("can't be reached: {error}"));
+        }
+        let deadline = Instant::now() + ANSWER_WAIT;
+        let (status, body) = match self.fetch(addr, method, path, body, deadline).await {
             Ok(answer) => answer,
             Err(cyper::Error::HyperClient(error)) if error.is_connect() => {
-                return Attempt::Unreached("can't be reached".to_owned());
+                return Attempt::Unreached(format!("can't be reached: {error}"));
             }
             Err(error) => return Attempt::Lost(format!("no answer: {error}")),
         };
@@ -153,14 +159,20 @@
         }
     }
 
+    async fn probe(&self, addr: &str, path: &str) -> cyper::Result<(StatusCode, Vec<u8>)> {
+        let deadline = Instant::now() + PROBE_WAIT;
+        self.fetch(addr, Method::GET, path, Vec::new(), deadline)
+            .await
+    }
+
     async fn fetch(
         &self,
         addr: &str,
         method: Method,
         path: &str,
         body: Vec<u8>,
+        deadline: Instant,
     ) -> cyper::Result<(StatusCode, Vec<u8>)> {
-        let deadline = Instant::now() + ANSWER_WAIT;
         let request = self
             .http
             .request(method, format!("http://{addr}{path}"))?
--- a/src/fleet/backend.rs
+++ b/src/fleet/backend.rs
@@ -10,6 +10,9 @@
 /// The log and the state folded from it.
 pub trait Backend {
     /// Appends a change; a repeated id gets the outcome of the first time.
+    ///
+    /// The future is dropped when the operator's connection breaks: an append under way must go
+    /// on without it.
     fn submit(
         &self,
         submission: Submission,
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -14,7 +14,9 @@
 use std::sync::atomic::Ordering;
 
 use compio::io::AsyncRead;
+use compio::io::AsyncWriteExt;
 use compio::net::TcpListener;
+use compio::net::TcpStream;
 use test_case::test_case;
 
 use mimosastep::fleet::Accepted;
@@ -116,21 +118,18 @@
     assert_eq!(bases, [Some(7), Some(3)]);
 }
 
-/// The first process takes the whole change and closes without an answer.
+/// The first process answers the probe, takes the whole change and closes without an answer.
 #[compio::test]
 async fn a_lost_answer_is_repeated_with_the_same_id() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let first = listener.local_addr().expect("addr");
     let (fake, server) = serve(Vec::new());
     let taken = compio::runtime::spawn(async move {
-        let mut taken = String::new();
         let (mut stream, _) = listener.accept().await.expect("accept");
-        while !taken.ends_with("}}}") {
-            let (read, buffer) = stream.read(Vec::with_capacity(4096)).await.into();
-            assert_ne!(read.expect("read"), 0);
-            taken.push_str(&String::from_utf8_lossy(&buffer));
-        }
-        taken
+        read_until(&mut stream, "\r\n\r\n").await;
+        let healthy = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(healthy).await.0.expect("write");
+        read_until(&mut stream, "}}}").await
     });
     let output = ctl(&[first, server.local_addr()], &["host", "out", "h1"]).await;
     assert_eq!(output.status.code(), Some(0), "{output:?}");
@@ -138,6 +137,53 @@
     assert!(taken.await.expect("joined").contains(&id));
 }
 
+async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut taken = String::new();
+    while !taken.ends_with(end) {
+        let (read, buffer) = stream.read(Vec::with_capacity(4096)).await.into();
+        assert_ne!(read.expect("read"), 0);
+        taken.push_str(&String::from_utf8_lossy(&buffer));
+    }
+    taken
+}
+
+#[compio::test]
+async fn a_silent_process_is_passed_over() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let (fake, server) = serve(Vec::new());
+    let fleet = [silent.local_addr().expect("addr"), server.local_addr()];
+    assert_eq!(
+        ctl(&fleet, &["host", "in", "h1"]).await.status.code(),
+        Some(0)
+    );
+    assert_eq!(fake.got.borrow().len(), 1);
+}
+
+#[test_case(
+    "pools",
+    "pool,service,open,teams,budget\np,s,yes,a b,1\n",
+    r#"{"pools":[{"pool":"p","service":"s","open":true,"teams":["a","b"],"budget":1}]}"#
+)]
+#[test_case(
+    "hosts",
+    "host,dc,rack,addr,slots,pool\nh,d,r,10.0.0.1:80,4,p\n",
+    r#"{"hosts":[{"host":"h","dc":"d","rack":"r","addr":"10.0.0.1:80","slots":4,"pool":"p"}]}"#
+)]
+fn files_of_rows_are_submitted(command: &str, text: &str, wanted: &str) {
+    compio::runtime::Runtime::new()
+        .expect("runtime")
+        .block_on(async {
+            let (fake, server) = serve(Vec::new());
+            let rows = file("rows.csv", text);
+            let words = ["--json", command, rows.to_str().expect("path")];
+            let output = ctl(&[server.local_addr()], &words).await;
+            let printed = r#"{"outcome":"accepted","revision":8,"in_force":true}"#;
+            assert_eq!(lines(&output.stdout), [printed]);
+            let change = serde_json::to_string(&fake.got.borrow()[0].change).expect("JSON");
+            assert_eq!(change, wanted);
+        });
+}
+
 #[compio::test]
 async fn the_next_process_is_tried_when_one_cannot_be_reached() {
     let closed = TcpListener::bind("127.0.0.1:0").await.expect("bind");
