--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! visits.
 
 pub mod admit;
+pub mod ctl;
 pub mod fleet;
 pub mod gate;
 pub mod http;
