--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -1,12 +1,9 @@
 //! A running fleet process.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::rc::Rc;
 
-use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::FutureExt;
-use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 
 use crate::fleet::Accepted;
@@ -16,21 +13,16 @@
 use crate::fleet::SubmitError;
 use crate::fleet::View;
 use crate::http::HttpServer;
-use crate::http::Limits;
-use crate::member::Appender;
+use crate::member::Applied;
 use crate::member::ChangeError;
-use crate::member::StateEvent;
+use crate::member::Follower;
 use crate::node::Node;
 use crate::node::NodeError;
 use crate::record::Author;
-use crate::record::Outcome;
 use crate::record::Record;
 use crate::record::Role;
-use crate::record::State;
 use crate::settings::FleetSettings;
 
-/// Most bytes of an operator's request.
-const BODY_LIMIT: usize = 8 << 20;
 /// Author of records that come through the operators' interface.
 const OPERATOR: &str = "operator";
 
@@ -46,20 +38,14 @@
     /// # Errors
     /// A [`NodeError`] if an address cannot be bound or a certificate cannot be used.
     pub async fn spawn(settings: FleetSettings) -> Result<Self, NodeError> {
-        let node = Node::spawn(&settings.node, Role::Fleet).await?;
-        let state = Rc::new(RefCell::new(Rc::default()));
-        compio::runtime::spawn(keep_state(node.subscribe(), state.clone())).detach();
+        let node = Node::spawn(&settings.common, Role::Fleet).await?;
         let operators = Operators {
-            appender: node.appender(),
-            state,
+            follower: node.follower(),
             ready: node.readiness(),
         };
         let api = OperatorsApi::new(Rc::new(operators), settings.operators);
-        let limits = Limits {
-            body_bytes: BODY_LIMIT,
-            ..Limits::default()
-        };
-        let http = HttpServer::bind(settings.node.http, limits, api.into_handler())?;
+        let http =
+            HttpServer::bind(settings.common.http, OperatorsApi::LIMITS, api.into_handler())?;
         node.announce();
         Ok(Self { node, http })
     }
@@ -72,17 +58,8 @@
     }
 }
 
-async fn keep_state(mut events: UnboundedReceiver<StateEvent>, state: Rc<RefCell<Rc<State>>>) {
-    while let Some(event) = events.next().await {
-        if let StateEvent::State(newer) = event {
-            state.replace(newer);
-        }
-    }
-}
-
 struct Operators {
-    appender: Appender,
-    state: Rc<RefCell<Rc<State>>>,
+    follower: Follower,
     ready: Rc<Cell<bool>>,
 }
 
@@ -91,7 +68,7 @@
         &self,
         submission: Submission,
     ) -> LocalBoxFuture<'static, Result<Accepted, SubmitError>> {
-        let appender = self.appender.clone();
+        let follower = self.follower.clone();
         let record = Record {
             id: submission.id,
             base: submission.base,
@@ -99,11 +76,13 @@
             at: crate::observe::unix_millis(),
             change: submission.change,
         };
-        async move { judge(appender.append_record(record).await) }.boxed_local()
+        // The append goes on when the operator's connection breaks.
+        let append = compio::runtime::spawn(async move { follower.append_record(record).await });
+        async move { append.await.map_or(Err(SubmitError::Unknown), judge) }.boxed_local()
     }
 
     fn view(&self) -> View {
-        View::from(&**self.state.borrow())
+        View::from(&*self.follower.state())
     }
 
     fn ready(&self) -> bool {
@@ -111,10 +90,13 @@
     }
 }
 
-fn judge(result: Result<(Outcome, bool), ChangeError>) -> Result<Accepted, SubmitError> {
+fn judge(result: Result<Applied, ChangeError>) -> Result<Accepted, SubmitError> {
     match result {
-        Ok((outcome, in_force)) => match outcome.settled() {
-            Ok(revision) => Ok(Accepted { revision, in_force }),
+        Ok(applied) => match applied.outcome.settled() {
+            Ok(revision) => Ok(Accepted {
+                revision,
+                in_force: applied.in_force,
+            }),
             Err(reject) => Err(SubmitError::Rejected(reject.to_string())),
         },
         Err(ChangeError::NotAppended(reason)) => Err(SubmitError::NotAppended(reason)),
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -53,7 +53,7 @@
     /// # Errors
     /// A [`NodeError`] if an address cannot be bound or a certificate cannot be used.
     pub async fn spawn(settings: GateSettings) -> Result<Self, NodeError> {
-        let mut node = Node::spawn(&settings.node, Role::Gate).await?;
+        let mut node = Node::spawn(&settings.common, Role::Gate).await?;
         let (inputs, received) = unbounded();
         let ready = Rc::new(Cell::new(false));
         let pending = Rc::new(Cell::new(0));
@@ -69,7 +69,7 @@
             body_bytes: settings.body_limit,
             ..Limits::default()
         };
-        let http = HttpServer::bind(settings.node.http, limits, handler)?;
+        let http = HttpServer::bind(settings.common.http, limits, handler)?;
         node.announce();
         Ok(Self {
             node,
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -12,11 +12,10 @@
 use slog::info;
 use slog::warn;
 
-use crate::member::Appender;
+use crate::log::LogClient;
 use crate::member::Follower;
 use crate::member::StateEvent;
 use crate::name::NodeName;
-use crate::net::Identity;
 use crate::net::Mesh;
 use crate::net::NetEvent;
 use crate::node::NodeError;
@@ -63,8 +62,7 @@
             incarnation: unix_millis(),
             role,
         };
-        let tls = &settings.tls;
-        let identity = Identity::open(&tls.ca, &tls.cert, &tls.key)?;
+        let identity = settings.tls.identity()?;
         let mesh = Mesh::bind(settings.listen, identity, hello.clone(), log.clone()).await?;
         let events = mesh.take_events().ok_or_else(|| {
             NodeError::Io(std::io::Error::other("the events of the links were taken"))
@@ -72,7 +70,7 @@
         mesh.dial(FLEET_GROUP, settings.fleet.clone());
         let follower = Follower::spawn(
             hello.clone(),
-            settings.log.clone(),
+            LogClient::new(&settings.log.to_string()).map_err(std::io::Error::other)?,
             events.state,
             log.clone(),
         );
@@ -137,10 +135,10 @@
         self.follower.subscribe()
     }
 
-    /// Appends records to the platform's log.
+    /// The state, and the way to append records to the platform's log.
     #[must_use]
-    pub fn appender(&self) -> Appender {
-        self.follower.appender()
+    pub fn follower(&self) -> Follower {
+        self.follower.clone()
     }
 
     /// True while the process is a member and its state is recent.
@@ -151,14 +149,14 @@
 
     /// Joins the membership in the background, as often as it takes.
     pub fn announce(&self) {
-        let appender = self.appender();
+        let follower = self.follower();
         let change = Change::Join {
             node: self.hello.node.clone(),
             member: self.member.clone(),
         };
         let log = self.log.clone();
         compio::runtime::spawn(async move {
-            while let Err(err) = appender.append(None, change.clone()).await {
+            while let Err(err) = follower.append(None, change.clone()).await {
                 warn!(log, "cannot join yet"; "error" => %err);
                 compio::time::sleep(Duration::from_millis(JOIN_MS)).await;
             }
@@ -186,8 +184,8 @@
 
     async fn tell(&self, change: Change) {
         let deadline = Instant::now() + Duration::from_millis(LEAVE_MS);
-        let appender = self.appender();
-        let append = appender.append(None, change);
+        let follower = self.follower();
+        let append = follower.append(None, change);
         match compio::time::timeout_at(deadline, append).await {
             Ok(Ok(_)) => {}
             Ok(Err(err)) => warn!(self.log, "cannot say that it leaves"; "error" => %err),
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -23,11 +23,11 @@
     /// # Errors
     /// A [`NodeError`] if an address cannot be bound or a certificate cannot be used.
     pub async fn spawn(settings: SchedSettings) -> Result<Self, NodeError> {
-        let mut node = Node::spawn(&settings.node, Role::Sched).await?;
+        let mut node = Node::spawn(&settings.common, Role::Sched).await?;
         let scheduler = Scheduler::new(node.name().clone(), node.incarnation());
         SchedTask::spawn(scheduler, node.take_events(), node.subscribe());
         let handler: Handler = probes(node.readiness());
-        let http = HttpServer::bind(settings.node.http, Limits::default(), handler)?;
+        let http = HttpServer::bind(settings.common.http, Limits::default(), handler)?;
         node.announce();
         Ok(Self { node, http })
     }
