--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Fleet capacity and maintenance manager for sites where a technician comes only on scheduled
 //! visits.
 
+pub mod member;
 pub mod name;
 pub mod record;
 pub mod wire;
