Follow the log and settle lost answers

A process needs a recent state with the log slow, down or losing answers. An append whose answer was lost is looked for by its id and never sent blindly again; its result says whether a majority has folded it. A voter is one incarnation, so that a process that was replaced has no say.

--- /dev/null
+++ b/src/member/core.rs
@@ -0,0 +1,174 @@
+//! What a follower's tasks share.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_channel::mpsc;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::mpsc::UnboundedSender;
+use futures_channel::oneshot;
+
+use crate::member::FRESH_FOR;
+use crate::member::Replica;
+use crate::member::StateEvent;
+use crate::net::Link;
+use crate::net::LinkId;
+use crate::record::RecordId;
+use crate::record::Role;
+use crate::record::Settled;
+use crate::wire::Hello;
+use crate::wire::Message;
+
+/// The replica with its links and those that wait for it.
+pub(super) struct Core {
+    pub(super) replica: Replica,
+    pub(super) links: BTreeMap<LinkId, Link>,
+    /// Probes sent lately, by nonce.
+    probes: VecDeque<(u64, Instant)>,
+    nonce: u64,
+    subscribers: Vec<UnboundedSender<StateEvent>>,
+    waiters: Vec<oneshot::Sender<()>>,
+    /// Offset and freshness that the subscribers know.
+    published: (u64, Option<Instant>),
+    /// Whether a snapshot is being appended.
+    pub(super) snapping: bool,
+}
+
+impl Core {
+    pub(super) fn new(replica: Replica) -> Self {
+        Self {
+            replica,
+            links: BTreeMap::new(),
+            probes: VecDeque::new(),
+            nonce: 0,
+            subscribers: Vec::new(),
+            waiters: Vec::new(),
+            published: (0, None),
+            snapping: false,
+        }
+    }
+
+    pub(super) fn subscribe(&mut self) -> UnboundedReceiver<StateEvent> {
+        let (sender, receiver) = mpsc::unbounded();
+        let state = Rc::clone(self.replica.state());
+        let _ = sender.unbounded_send(StateEvent::State(state));
+        if let Some(until) = self.replica.until() {
+            let _ = sender.unbounded_send(StateEvent::Fresh(until));
+        }
+        self.subscribers.push(sender);
+        receiver
+    }
+
+    /// Tells subscribers what has changed, and wakes those that wait for a change.
+    pub(super) fn publish(&mut self) {
+        let (offset, until) = self.published;
+        let state = self.replica.state();
+        let mut news = Vec::new();
+        if state.offset != offset {
+            news.push(StateEvent::State(Rc::clone(state)));
+        }
+        if let Some(fresh) = self.replica.until().filter(|fresh| Some(*fresh) != until) {
+            news.push(StateEvent::Fresh(fresh));
+        }
+        self.published = (state.offset, self.replica.until());
+        let tell = |sender: &UnboundedSender<StateEvent>| {
+            news.iter()
+                .all(|event| sender.unbounded_send(event.clone()).is_ok())
+        };
+        self.subscribers.retain(tell);
+        self.waiters
+            .drain(..)
+            .for_each(|waiter| waiter.send(()).unwrap_or(()));
+    }
+
+    pub(super) fn wait(&mut self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.push(sender);
+        receiver
+    }
+
+    pub(super) fn find(&self, id: RecordId) -> Option<Settled> {
+        self.replica.state().recent.find(id).cloned()
+    }
+
+    pub(super) fn up(&mut self, link: Link) {
+        let fleet = link.peer().role == Role::Fleet;
+        self.links.insert(link.id(), link);
+        if fleet {
+            self.probe();
+        }
+    }
+
+    fn fleet(&self) -> impl Iterator<Item = &Link> {
+        let links = self.links.values();
+        links.filter(|link| link.peer().role == Role::Fleet)
+    }
+
+    pub(super) fn probe(&mut self) {
+        let now = Instant::now();
+        self.probes.retain(|(_, asked)| now < *asked + FRESH_FOR);
+        self.nonce += 1;
+        self.probes.push_back((self.nonce, now));
+        let probe = Message::Probe {
+            nonce: self.nonce,
+            offset: self.replica.state().offset,
+        };
+        self.fleet().for_each(|link| link.send(probe.clone()));
+    }
+
+    pub(super) fn start_snapshot(&mut self) -> Option<Vec<u8>> {
+        if self.snapping || !self.replica.snapshot_due(Instant::now()) {
+            return None;
+        }
+        self.snapping = true;
+        Some(self.replica.state().snapshot())
+    }
+
+    /// Folds a record that the log has taken, hands it to the fleet and asks who has it.
+    pub(super) fn push(&mut self, offset: u64, data: Vec<u8>) {
+        let records = Message::Records(vec![(offset, data.clone())]);
+        self.fleet().for_each(|link| link.send(records.clone()));
+        self.replica.fold(Instant::now(), [(offset, data)]);
+        self.probe();
+        self.publish();
+    }
+
+    pub(super) fn receive(&mut self, link: &Link, message: Message, me: &Hello) {
+        let now = Instant::now();
+        let (of_fleet, from_fleet) = (me.role == Role::Fleet, link.peer().role == Role::Fleet);
+        match message {
+            Message::Probe { nonce, offset } if of_fleet => {
+                self.replica.note(link.peer(), offset);
+                link.send(self.replica.vouch(now, nonce));
+            }
+            Message::Vouch { nonce, offset, age } if from_fleet => {
+                let probe = self.probes.iter().find(|(sent, _)| *sent == nonce);
+                if let Some((_, asked)) = probe.copied() {
+                    self.replica.vouched(now, link.peer(), asked, offset, age);
+                }
+                self.fetch(link);
+            }
+            Message::Fetch { from } if of_fleet => link.send(self.replica.records(from)),
+            Message::Records(records) => {
+                let before = self.replica.state().offset;
+                self.replica.fold(now, records);
+                if self.replica.state().offset > before {
+                    self.fetch(link);
+                }
+            }
+            Message::Snapshot { offset, state } if from_fleet => {
+                let _ = self.replica.adopt(now, offset, &state);
+            }
+            _ => {}
+        }
+    }
+
+    fn fetch(&self, link: &Link) {
+        if link.peer().role == Role::Fleet && self.replica.is_behind(link.peer()) {
+            let from = self.replica.state().offset;
+            link.send(Message::Fetch { from });
+        }
+    }
+}
--- a/src/member/freshness.rs
+++ b/src/member/freshness.rs
@@ -5,42 +5,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::name::NodeName;
+use crate::member::FreshnessEvent;
+use crate::member::Voter;
 
 /// How long a state stays fresh after the instant for which it is known to be complete.
 pub const FRESH_FOR: Duration = Duration::from_secs(2);
 
-/// What a process learns about how recent its state is.
-#[derive(Debug, Clone)]
-pub enum FreshnessEvent {
-    /// The log told its head, and everything before the head is folded.
-    Head {
-        /// When the log was asked.
-        asked: Instant,
-    },
-    /// The state has been folded up to an offset.
-    Folded {
-        /// Offset of the next record.
-        offset: u64,
-        /// Current fleet members.
-        voters: BTreeSet<NodeName>,
-    },
-    /// A fleet process answered a probe.
-    Vouched {
-        /// The process.
-        by: NodeName,
-        /// When the probe was sent.
-        asked: Instant,
-        /// Offset that it had folded up to.
-        offset: u64,
-        /// Time since it asked the log and was told the head, as of its answer.
-        age: Option<Duration>,
-    },
-}
-
 #[derive(Debug, Clone)]
 struct Vouch {
-    by: NodeName,
+    by: Voter,
     asked: Instant,
     offset: u64,
     age: Option<Duration>,
@@ -59,13 +32,13 @@
 /// process that was frozen wakes with a deadline that has passed.
 #[derive(Debug, Clone)]
 pub struct Freshness {
-    me: NodeName,
+    me: Voter,
     offset: u64,
-    voters: BTreeSet<NodeName>,
+    voters: BTreeSet<Voter>,
     /// Latest instant for which the log, or a voter that asked it, showed the state complete.
     known: Option<Instant>,
     /// By voter, the latest instant as of which all it had folded is folded here.
-    counted: BTreeMap<NodeName, Instant>,
+    counted: BTreeMap<Voter, Instant>,
     /// Answers of processes that have folded further.
     ahead: Vec<Vouch>,
     /// When this process last observed anything.
@@ -75,7 +48,7 @@
 impl Freshness {
     /// A process that knows nothing yet.
     #[must_use]
-    pub fn new(me: NodeName) -> Self {
+    pub fn new(me: Voter) -> Self {
         Self {
             me,
             offset: 0,
@@ -146,7 +119,7 @@
         instants.get(self.voters.len() / 2).copied()
     }
 
-    fn as_of(&self, voter: &NodeName) -> Option<Instant> {
+    fn as_of(&self, voter: &Voter) -> Option<Instant> {
         if *voter == self.me {
             return self.observed;
         }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,9 +1,26 @@
-//! Membership: how recent a process's state is, and which process has which role.
+//! Membership: the state as each process follows it, how recent it is, and who has which role.
 
+mod applied;
+mod change_error;
+mod core;
+mod follower;
 mod freshness;
+mod freshness_event;
 mod placement;
+mod replica;
+mod state_event;
+mod tasks;
+mod voter;
 
+pub use applied::Applied;
+pub use change_error::ChangeError;
+pub use follower::Follower;
 pub use freshness::FRESH_FOR;
 pub use freshness::Freshness;
-pub use freshness::FreshnessEvent;
+pub use freshness_event::FreshnessEvent;
 pub use placement::place;
+pub use replica::KEPT_RECORDS;
+pub use replica::Replica;
+pub use replica::SNAPSHOT_EVERY;
+pub use state_event::StateEvent;
+pub use voter::Voter;
--- /dev/null
+++ b/src/member/tasks.rs
@@ -0,0 +1,269 @@
+//! The tasks of a follower.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use compio::runtime::spawn;
+use compio::time::sleep;
+use compio::time::timeout_at;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+
+use crate::log::AppendError;
+use crate::log::Entry;
+use crate::log::LogClient;
+use crate::log::Page;
+use crate::log::ReadError;
+use crate::member::Applied;
+use crate::member::ChangeError;
+use crate::member::core::Core;
+use crate::net::NetEvent;
+use crate::record::Author;
+use crate::record::Change;
+use crate::record::Outcome;
+use crate::record::Record;
+use crate::record::RecordId;
+use crate::record::Settled;
+use crate::wire::Hello;
+
+/// How long the log may hold a read open.
+const POLL_WAIT: Duration = Duration::from_millis(500);
+
+/// How long a request to the log may take.
+const REQUEST_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Most records in one answer of the log.
+const POLL_MAX: usize = 500;
+
+/// Shortest and longest pause after a failed request.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
+
+/// Time between probes.
+const PROBE_EVERY: Duration = Duration::from_millis(300);
+
+/// How long an append whose answer was lost is looked for.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long an append waits for a majority of the fleet members to know it.
+const FORCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// The tasks' common part.
+pub(super) struct Tasks {
+    pub(super) me: Hello,
+    pub(super) log: LogClient,
+    pub(super) logger: Logger,
+    pub(super) core: RefCell<Core>,
+}
+
+impl Tasks {
+    pub(super) async fn poll(self: Rc<Self>) {
+        let mut pause = BACKOFF[0];
+        loop {
+            match self.poll_once().await {
+                Ok(()) => pause = BACKOFF[0],
+                Err(err) => {
+                    debug!(self.logger, "log not read"; "error" => %err);
+                    sleep(pause).await;
+                    pause = (pause * 2).min(BACKOFF[1]);
+                }
+            }
+        }
+    }
+
+    async fn poll_once(&self) -> Result<(), ReadError> {
+        let asked = Instant::now();
+        let from = self.core.borrow().replica.state().offset;
+        let page = match self.read(from, POLL_WAIT).await {
+            Ok(page) => page,
+            Err(ReadError::Gone(first, head)) => return self.restart(first, head).await,
+            Err(err) => return Err(err),
+        };
+        let mut core = self.core.borrow_mut();
+        let now = Instant::now();
+        core.replica.fold(now, page.entries.into_iter().map(raw));
+        core.replica.head(now, asked, page.head);
+        core.publish();
+        Ok(())
+    }
+
+    async fn read(&self, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        let deadline = Instant::now() + REQUEST_LIMIT;
+        self.log.read(from, POLL_MAX, wait, deadline).await
+    }
+
+    /// Starts from the first usable snapshot that the log still holds.
+    async fn restart(&self, first: u64, head: u64) -> Result<(), ReadError> {
+        info!(self.logger, "records expired, looking for a snapshot"; "first" => first, "head" => head);
+        let mut from = first;
+        while from < head {
+            let page = self.read(from, Duration::ZERO).await?;
+            let Some(last) = page.entries.last() else {
+                break;
+            };
+            from = last.offset + 1;
+            if self.start_in(page.entries) {
+                return Ok(());
+            }
+        }
+        warn!(self.logger, "no snapshot in the log"; "first" => first, "head" => head);
+        Err(ReadError::Gone(first, head))
+    }
+
+    fn start_in(&self, entries: Vec<Entry>) -> bool {
+        let mut core = self.core.borrow_mut();
+        let now = Instant::now();
+        let mut entries = entries.into_iter().skip_while(|entry| {
+            let Some(Change::Snapshot(bytes)) = change_of(&entry.data) else {
+                return true;
+            };
+            core.replica.adopt(now, entry.offset, &bytes).is_err()
+        });
+        let rest: Vec<Entry> = entries.by_ref().collect();
+        let found = !rest.is_empty();
+        core.replica.fold(now, rest.into_iter().map(raw));
+        core.publish();
+        found
+    }
+
+    pub(super) async fn listen(self: Rc<Self>, mut events: UnboundedReceiver<NetEvent>) {
+        while let Some(event) = events.next().await {
+            let mut core = self.core.borrow_mut();
+            match event {
+                NetEvent::Up { link } => core.up(link),
+                NetEvent::Down { link } => drop(core.links.remove(&link)),
+                NetEvent::Message { link, message } => core.receive(&link, message, &self.me),
+            }
+            core.publish();
+        }
+    }
+
+    pub(super) async fn tick(self: Rc<Self>) {
+        loop {
+            let due = {
+                let mut core = self.core.borrow_mut();
+                core.probe();
+                core.start_snapshot()
+            };
+            if let Some(bytes) = due {
+                let tasks = Rc::clone(&self);
+                spawn(async move { tasks.snap(bytes).await }).detach();
+            }
+            sleep(PROBE_EVERY).await;
+        }
+    }
+
+    async fn snap(&self, bytes: Vec<u8>) {
+        let applied = self.append(None, Change::Snapshot(bytes)).await;
+        debug!(self.logger, "snapshot appended"; "result" => ?applied);
+        self.core.borrow_mut().snapping = false;
+    }
+
+    pub(super) async fn append(
+        &self,
+        base: Option<u64>,
+        change: Change,
+    ) -> Result<Applied, ChangeError> {
+        let record = Record {
+            id: RecordId::random(),
+            base,
+            author: Author::Node(self.me.node.clone()),
+            at: unix_ms(),
+            change,
+        };
+        self.append_record(record).await
+    }
+
+    pub(super) async fn append_record(&self, record: Record) -> Result<Applied, ChangeError> {
+        let (id, data) = (record.id, record.encode());
+        if let Some(known) = self.core.borrow().find(id) {
+            return Ok(self.repeated(known));
+        }
+        let deadline = Instant::now() + SETTLE_LIMIT;
+        let answer = self
+            .log
+            .append(data.clone(), Instant::now() + REQUEST_LIMIT);
+        let offset = match answer.await {
+            Ok(offset) => Some(offset),
+            Err(AppendError::NotAppended(why)) => return Err(ChangeError::NotAppended(why)),
+            Err(AppendError::Unknown(why)) => {
+                info!(self.logger, "append unsettled"; "id" => %id, "why" => why);
+                None
+            }
+        };
+        if let Some(offset) = offset {
+            self.core.borrow_mut().push(offset, data.clone());
+        }
+        let settled = self.wait_for(deadline, |core| core.find(id)).await;
+        let settled = settled.ok_or(ChangeError::Unknown(id))?;
+        if offset.is_none() && settled.result.is_ok() {
+            self.core.borrow_mut().push(settled.offset, data);
+        }
+        Ok(self.enforce(settled).await)
+    }
+
+    fn repeated(&self, known: Settled) -> Applied {
+        let in_force = known.result.is_ok() && self.in_force(known.offset);
+        let outcome = Outcome::Repeated {
+            offset: known.offset,
+            first: known.result,
+        };
+        Applied { outcome, in_force }
+    }
+
+    async fn enforce(&self, settled: Settled) -> Applied {
+        let Settled { offset, result, .. } = settled;
+        let accepted = result.is_ok();
+        let outcome = Outcome::from(result);
+        if accepted {
+            let bound = Instant::now() + FORCE_LIMIT;
+            let reached = |core: &Core| core.replica.in_force(offset).then_some(());
+            self.wait_for(bound, reached).await;
+        }
+        Applied {
+            in_force: accepted && self.in_force(offset),
+            outcome,
+        }
+    }
+
+    fn in_force(&self, offset: u64) -> bool {
+        self.core.borrow().replica.in_force(offset)
+    }
+
+    async fn wait_for<T>(
+        &self,
+        deadline: Instant,
+        found: impl Fn(&Core) -> Option<T>,
+    ) -> Option<T> {
+        loop {
+            let changed = {
+                let mut core = self.core.borrow_mut();
+                if let Some(value) = found(&core) {
+                    return Some(value);
+                }
+                core.wait()
+            };
+            timeout_at(deadline, changed).await.ok()?.ok()?;
+        }
+    }
+}
+
+fn raw(entry: Entry) -> (u64, Vec<u8>) {
+    (entry.offset, entry.data)
+}
+
+fn change_of(data: &[u8]) -> Option<Change> {
+    Record::decode(data).ok().map(|record| record.change)
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis().try_into().unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/tests/follower.rs
@@ -0,0 +1,337 @@
+//! Processes follow the log and each other, and settle appends whose answers were lost.
+
+mod tiny_log;
+
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::spawn;
+use compio::time::sleep;
+use futures_channel::mpsc;
+use futures_channel::mpsc::UnboundedSender;
+use futures_util::StreamExt;
+use mimosastep::log::AppendError;
+use mimosastep::log::LogClient;
+use mimosastep::log::ReadError;
+use mimosastep::member::Applied;
+use mimosastep::member::ChangeError;
+use mimosastep::member::Follower;
+use mimosastep::member::StateEvent;
+use mimosastep::net::Link;
+use mimosastep::net::LinkId;
+use mimosastep::net::NetEvent;
+use mimosastep::record::Author;
+use mimosastep::record::Change;
+use mimosastep::record::Member;
+use mimosastep::record::Outcome;
+use mimosastep::record::Record;
+use mimosastep::record::RecordId;
+use mimosastep::record::Reject;
+use mimosastep::record::Role;
+use mimosastep::record::State;
+use mimosastep::record::TeamRow;
+use mimosastep::wire::Hello;
+use mimosastep::wire::Message;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use test_case::test_case;
+use tiny_log::Mode;
+use tiny_log::TinyLog;
+
+struct Process {
+    hello: Hello,
+    follower: Follower,
+    events: UnboundedSender<NetEvent>,
+}
+
+fn process(log: &str, node: &str, role: Role) -> Process {
+    let hello = Hello {
+        node: node.parse().expect("a name"),
+        incarnation: 1,
+        role,
+    };
+    let (events, receiver) = mpsc::unbounded();
+    let client = LogClient::new(log).expect("a client");
+    let logger = Logger::root(Discard, o!());
+    let follower = Follower::spawn(hello.clone(), client, receiver, logger);
+    Process {
+        hello,
+        follower,
+        events,
+    }
+}
+
+/// Links two processes without a network.
+fn connect(one: &Process, other: &Process, id: u64) {
+    one_way(one, other, id);
+    one_way(other, one, id);
+}
+
+fn one_way(to: &Process, peer: &Process, id: u64) {
+    let (outbox, mut sent) = mpsc::unbounded::<Message>();
+    let link = Link::new(LinkId(id), peer.hello.clone(), outbox);
+    let there = peer.events.clone();
+    let home = to.events.clone();
+    let reply = Link::new(LinkId(id), to.hello.clone(), relay(home, link.clone()));
+    spawn(async move {
+        while let Some(message) = sent.next().await {
+            let link = reply.clone();
+            let _ = there.unbounded_send(NetEvent::Message { link, message });
+        }
+    })
+    .detach();
+    let _ = to.events.unbounded_send(NetEvent::Up { link });
+}
+
+/// Carries answers back over the link that the question came by.
+fn relay(home: UnboundedSender<NetEvent>, link: Link) -> UnboundedSender<Message> {
+    let (sender, mut receiver) = mpsc::unbounded();
+    spawn(async move {
+        while let Some(message) = receiver.next().await {
+            let link = link.clone();
+            let _ = home.unbounded_send(NetEvent::Message { link, message });
+        }
+    })
+    .detach();
+    sender
+}
+
+fn table(weight: u32) -> Change {
+    Change::Table(vec![TeamRow {
+        team: "x".parse().expect("a name"),
+        weight,
+        limit: 1,
+        urgent: false,
+    }])
+}
+
+fn record(id: u128, change: Change) -> Record {
+    Record {
+        id: RecordId(id),
+        base: None,
+        author: Author::Operator("test".to_owned()),
+        at: 0,
+        change,
+    }
+}
+
+fn join(node: &str, role: Role) -> Change {
+    Change::Join {
+        node: node.parse().expect("a name"),
+        member: Member {
+            role,
+            incarnation: 1,
+            addr: ([127, 0, 0, 1], 1).into(),
+            dc: "a".parse().expect("a name"),
+            leaving: false,
+        },
+    }
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(8);
+    while !holds() {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn fresh(process: &Process) -> bool {
+    process.follower.until() > Some(Instant::now())
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(400)
+}
+
+/// Fleet processes f1 to f3, linked and joined, with offset 3.
+async fn fleet(log: &TinyLog) -> [Process; 3] {
+    for (id, node) in (1..).zip(["f1", "f2", "f3"]) {
+        log.put(record(id, join(node, Role::Fleet)).encode());
+    }
+    let fleet = ["f1", "f2", "f3"].map(|node| process(&log.url(), node, Role::Fleet));
+    connect(&fleet[0], &fleet[1], 1);
+    connect(&fleet[1], &fleet[2], 2);
+    connect(&fleet[0], &fleet[2], 3);
+    until("joined", || {
+        fleet.iter().all(|f| f.follower.state().offset == 3)
+    })
+    .await;
+    fleet
+}
+
+#[compio::test]
+async fn an_append_is_told_apart_by_what_it_may_have_done() {
+    let log = TinyLog::start();
+    let client = LogClient::new(&log.url()).unwrap();
+    assert_eq!(client.append(b"a".to_vec(), soon()).await, Ok(0));
+    for (mode, unknown) in [
+        (Mode::Down, false),
+        (Mode::LoseAnswer, true),
+        (Mode::LoseAppend, true),
+        (Mode::Hang, true),
+    ] {
+        log.set(mode);
+        let err = client.append(b"b".to_vec(), soon()).await.unwrap_err();
+        assert_eq!(matches!(err, AppendError::Unknown(_)), unknown, "{mode:?}");
+    }
+    let closed = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let client = LogClient::new(&format!("http://{closed}")).unwrap();
+    let err = client.append(b"b".to_vec(), soon()).await.unwrap_err();
+    assert!(matches!(err, AppendError::NotAppended(_)), "{err}");
+}
+
+#[compio::test]
+async fn a_read_gives_records_or_says_where_they_start() {
+    let log = TinyLog::start();
+    for byte in 0..5 {
+        log.put(vec![byte]);
+    }
+    let client = LogClient::new(&log.url()).unwrap();
+    let page = client.read(2, 2, Duration::ZERO, soon()).await.unwrap();
+    let offsets: Vec<_> = page.entries.iter().map(|entry| entry.offset).collect();
+    assert_eq!((page.first, page.head, offsets), (0, 5, vec![2, 3]));
+    assert_eq!(page.entries[1].data, [3]);
+    log.expire(4);
+    let gone = client.read(2, 2, Duration::ZERO, soon()).await;
+    assert_eq!(gone, Err(ReadError::Gone(4, 5)));
+    log.set(Mode::Down);
+    let down = client.read(4, 2, Duration::ZERO, soon()).await;
+    assert!(matches!(down, Err(ReadError::Unavailable(_))));
+}
+
+#[test_case(Mode::Up; "answered")]
+#[test_case(Mode::LoseAnswer; "answer lost")]
+#[test_case(Mode::Hang; "answer hangs")]
+fn an_append_that_took_effect_is_found(mode: Mode) {
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let log = TinyLog::start();
+        let fleet = fleet(&log).await;
+        log.set(mode);
+        let applied = fleet[0].follower.append(Some(0), table(7)).await.unwrap();
+        let outcome = Outcome::Accepted { revision: 1 };
+        let in_force = true;
+        assert_eq!(applied, Applied { outcome, in_force });
+        assert_eq!(log.appends(), 1, "never appended blindly again");
+        until("folded", || {
+            fleet.iter().all(|f| f.follower.state().revision == 1)
+        })
+        .await;
+    });
+}
+
+#[compio::test]
+async fn an_append_that_took_no_effect_is_unknown_or_refused() {
+    let log = TinyLog::start();
+    let gate = process(&log.url(), "g1", Role::Gate);
+    until("fresh", || fresh(&gate)).await;
+    log.set(Mode::LoseAppend);
+    let lost = record(9, table(1));
+    let result = gate.follower.append_record(lost.clone()).await;
+    assert_eq!(result, Err(ChangeError::Unknown(RecordId(9))));
+    log.set(Mode::Down);
+    let result = gate.follower.append_record(lost.clone()).await;
+    assert!(matches!(result, Err(ChangeError::NotAppended(_))));
+    log.set(Mode::Up);
+    let applied = gate.follower.append_record(lost.clone()).await.unwrap();
+    assert_eq!(applied.outcome, Outcome::Accepted { revision: 1 });
+    assert!(!applied.in_force, "there is no fleet to enforce it");
+    let again = gate.follower.append_record(lost).await.unwrap();
+    let (offset, first) = (0, Ok(1));
+    assert_eq!(again.outcome, Outcome::Repeated { offset, first });
+    assert_eq!(log.appends(), 2);
+}
+
+#[compio::test]
+async fn a_rejected_change_says_why() {
+    let log = TinyLog::start();
+    let gate = process(&log.url(), "g1", Role::Gate);
+    let applied = gate.follower.append(Some(5), table(1)).await.unwrap();
+    let outcome = Outcome::Rejected(Reject::StaleBase(0));
+    let in_force = false;
+    assert_eq!(applied, Applied { outcome, in_force });
+}
+
+#[compio::test]
+async fn with_the_log_down_a_majority_keeps_processes_fresh() {
+    let log = TinyLog::start();
+    let fleet = fleet(&log).await;
+    let gate = process(&log.url(), "g1", Role::Gate);
+    let loner = process(&log.url(), "g2", Role::Gate);
+    connect(&gate, &fleet[0], 11);
+    connect(&gate, &fleet[1], 12);
+    connect(&loner, &fleet[2], 13);
+    until("fresh", || fresh(&gate) && fresh(&loner)).await;
+    log.set(Mode::Down);
+    sleep(Duration::from_millis(4500)).await;
+    assert!(fresh(&gate), "two of three vouch");
+    assert!(fleet.iter().all(fresh));
+    assert!(!fresh(&loner), "one of three vouches");
+}
+
+#[compio::test]
+async fn a_process_without_the_log_gets_the_state_from_its_peers() {
+    let log = TinyLog::start();
+    let fleet = fleet(&log).await;
+    let gate = process("http://127.0.0.1:1", "g1", Role::Gate);
+    let mut news = gate.follower.subscribe();
+    connect(&gate, &fleet[0], 11);
+    until("caught up", || gate.follower.state().offset == 3).await;
+    until("fresh", || fresh(&gate)).await;
+    fleet[0].follower.append(None, table(3)).await.unwrap();
+    until("follows", || gate.follower.state().revision == 1).await;
+    let (mut states, mut deadlines) = (0, 0);
+    while let Ok(event) = news.try_recv() {
+        match event {
+            StateEvent::State(_) => states += 1,
+            StateEvent::Fresh(_) => deadlines += 1,
+        }
+    }
+    assert!(states >= 3 && deadlines >= 1, "{states} {deadlines}");
+}
+
+#[compio::test]
+async fn a_fresh_process_starts_at_a_snapshot() {
+    let log = TinyLog::start();
+    let mut state = State::default();
+    for (offset, weight) in (0..700).zip(1..) {
+        let snapshot = offset == 650;
+        let change = if snapshot {
+            Change::Snapshot(state.snapshot())
+        } else {
+            table(weight)
+        };
+        let data = record(offset.into(), change).encode();
+        let _ = state.apply(offset, &data);
+        log.put(data);
+    }
+    log.expire(100);
+    let gate = process(&log.url(), "g1", Role::Gate);
+    until("fresh", || fresh(&gate)).await;
+    assert_eq!(*gate.follower.state(), state);
+}
+
+#[compio::test]
+async fn the_first_fleet_member_appends_snapshots() {
+    let log = TinyLog::start();
+    let fleet = fleet(&log).await;
+    for id in 100..2200 {
+        log.put(record(id, table(1)).encode());
+    }
+    until("snapshot", || {
+        fleet.iter().all(|f| f.follower.state().snapped > 2000)
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(log.appends(), 1);
+    log.expire(2050);
+    let late = process(&log.url(), "g1", Role::Gate);
+    until("fresh", || fresh(&late)).await;
+    assert_eq!(*late.follower.state(), *fleet[1].follower.state());
+}
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -7,20 +7,22 @@
 use mimosastep::member::FRESH_FOR;
 use mimosastep::member::Freshness;
 use mimosastep::member::FreshnessEvent;
-use mimosastep::name::NodeName;
+use mimosastep::member::Voter;
 use test_case::test_case;
 
 const STEP: u64 = 100;
 
-fn name(text: &str) -> NodeName {
-    text.parse().expect("a name")
+fn name(text: &str) -> Voter {
+    let node = text.parse().expect("a name");
+    let incarnation = 1;
+    Voter { node, incarnation }
 }
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn voters(count: usize) -> BTreeSet<NodeName> {
+fn voters(count: usize) -> BTreeSet<Voter> {
     (1..=count)
         .map(|number| name(&format!("f{number}")))
         .collect()
@@ -116,6 +118,22 @@
     assert_eq!(gate.until(), None);
 }
 
+#[test]
+fn a_voters_successor_is_another_voter() {
+    let start = Instant::now();
+    let mut gate = process("g", start);
+    gate.observe(start, vouched(1, start, 10, None));
+    gate.observe(start, vouched(2, start, 10, None));
+    let incarnation = 2;
+    let voters = voters(3).into_iter().map(|voter| Voter {
+        incarnation,
+        ..voter
+    });
+    let (offset, voters) = (11, voters.collect());
+    gate.observe(start, FreshnessEvent::Folded { offset, voters });
+    assert_eq!(gate.until(), None);
+}
+
 #[test]
 fn a_frozen_process_wakes_stale() {
     let start = Instant::now();
