--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gate;
 pub mod http;
 pub mod limit;
+pub mod log;
 pub mod member;
 pub mod name;
 pub mod net;
