--- a/src/net/dialer.rs
+++ b/src/net/dialer.rs
@@ -7,7 +7,6 @@
 use compio::time::sleep;
 use compio_quic::Endpoint;
 use rand::RngExt;
-use slog::debug;
 
 use crate::net::NODE_DOMAIN;
 use crate::net::NetError;
@@ -26,7 +25,7 @@
         if stood {
             wait = FIRST_WAIT;
         }
-        debug!(station.log, "no link"; "addr" => %addr, "why" => %err);
+        session::log_end(&station.log, addr, &err);
         sleep(wait.mul_f64(rand::rng().random_range(0.75..1.25))).await;
         wait = (wait * 2).min(LAST_WAIT);
     }
--- a/src/net/error.rs
+++ b/src/net/error.rs
@@ -73,3 +73,14 @@
         }
     }
 }
+
+impl NetError {
+    /// Whether the peer does not keep to the protocol, as opposed to being gone.
+    #[must_use]
+    pub const fn is_fault(&self) -> bool {
+        matches!(
+            self,
+            Self::Frame(_) | Self::Hello(_) | Self::Connection(ConnectionError::TransportError(_))
+        )
+    }
+}
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -159,5 +159,5 @@
         Ok(connection) => session::accepted(connection, station, deadline).await,
         Err(err) => err,
     };
-    warn!(log, "accepted connection ended"; "addr" => %addr, "why" => %err);
+    session::log_end(&log, addr, &err);
 }
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -1,5 +1,6 @@
 //! The life of one connection.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 use slog::Logger;
+use slog::debug;
 use slog::info;
 use slog::warn;
 
@@ -131,6 +133,15 @@
         .unwrap_or(Err(NetError::Late))
 }
 
+/// Logs the end of a connection, as a warning where the peer is at fault.
+pub(super) fn log_end(log: &Logger, addr: SocketAddr, err: &NetError) {
+    if err.is_fault() {
+        warn!(log, "bad peer"; "addr" => %addr, "why" => %err);
+    } else {
+        debug!(log, "connection ended"; "addr" => %addr, "why" => %err);
+    }
+}
+
 async fn introduce(send: &mut SendStream, own: &Hello) -> Result<(), NetError> {
     let mut frame = Vec::new();
     encode(&Message::Hello(own.clone()), &mut frame)?;
--- /dev/null
+++ b/src/settings/gate.rs
@@ -0,0 +1,60 @@
+//! Settings of a gate.
+
+use std::path::Path;
+
+use serde_saphyr::Spanned;
+
+use crate::settings::Fault;
+use crate::settings::NodeSettings;
+use crate::settings::SettingsError;
+use crate::settings::read;
+use crate::settings::wire::GateWire;
+
+const DEFAULT_BODY: usize = 1 << 20;
+const LARGEST_BODY: usize = 64 << 20;
+
+/// Settings of a gate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GateSettings {
+    /// What all programs have.
+    pub common: NodeSettings,
+    /// Largest body of a request, in bytes.
+    pub body_limit: usize,
+}
+
+impl GateSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// A [`SettingsError`] that names the file and, inside it, line and field.
+    pub fn open(path: &Path) -> Result<Self, SettingsError> {
+        read::open::<GateWire, Self>(path)
+    }
+}
+
+impl TryFrom<GateWire> for GateSettings {
+    type Error = Fault;
+
+    fn try_from(wire: GateWire) -> Result<Self, Fault> {
+        let (common, (body_limit,)) = wire.part();
+        Ok(Self {
+            common: common.try_into()?,
+            body_limit: body_limit.map_or(Ok(DEFAULT_BODY), |value| limit(&value))?,
+        })
+    }
+}
+
+fn limit(value: &Spanned<String>) -> Result<usize, Fault> {
+    match value.value.parse() {
+        Ok(limit @ 1..=LARGEST_BODY) => Ok(limit),
+        _ => {
+            let allowed = format!("1 to {LARGEST_BODY} bytes");
+            Err(Fault::of(
+                "body_limit",
+                value,
+                "not a size of a body",
+                &allowed,
+            ))
+        }
+    }
+}
--- a/tests/net_links.rs
+++ b/tests/net_links.rs
@@ -3,7 +3,9 @@
 #[path = "common/certs.rs"]
 mod certs;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +13,8 @@
 use certs::Authority;
 use certs::NodeFiles;
 use compio::net::UdpSocket;
+use compio::runtime::JoinHandle;
+use compio::runtime::spawn;
 use compio::time::timeout;
 use compio_quic::ClientConfig;
 use compio_quic::Connection;
@@ -328,3 +332,97 @@
     assert_eq!(down(&mut a_events.core).await, to_b.id());
     down(&mut b_events.core).await;
 }
+
+/// Carries datagrams between whoever dials its address and `far`, until dropped.
+struct Relay {
+    addr: SocketAddr,
+    _tasks: [JoinHandle<()>; 2],
+}
+
+impl Relay {
+    async fn open(far: SocketAddr) -> Self {
+        let front = UdpSocket::bind(loopback()).await.expect("a socket");
+        let back = UdpSocket::bind(loopback()).await.expect("a socket");
+        let addr = front.local_addr().expect("an address");
+        let near = Rc::new(Cell::new(loopback()));
+        let far = Rc::new(Cell::new(far));
+        let out = carry(
+            front.clone(),
+            back.clone(),
+            Rc::clone(&near),
+            Rc::clone(&far),
+        );
+        let home = carry(back, front, far, near);
+        Self {
+            addr,
+            _tasks: [spawn(out), spawn(home)],
+        }
+    }
+}
+
+async fn carry(
+    from: UdpSocket,
+    to: UdpSocket,
+    sender: Rc<Cell<SocketAddr>>,
+    receiver: Rc<Cell<SocketAddr>>,
+) {
+    let mut buffer = Vec::with_capacity(1 << 16);
+    loop {
+        buffer.clear();
+        let received = from.recv_from(buffer).await;
+        let (_, addr) = received.0.expect("a datagram");
+        sender.set(addr);
+        let sent = to.send_to(received.1, receiver.get()).await;
+        sent.0.expect("sent");
+        buffer = sent.1;
+    }
+}
+
+#[compio::test]
+async fn a_silent_peer_is_gone_after_the_idle_timeout() {
+    let fleet = Authority::new();
+    let (a, mut a_events) = bind(&fleet, "a").await;
+    let (b, mut b_events) = bind(&fleet, "b").await;
+    let relay = Relay::open(b.local_addr()).await;
+    a.dial("peers", vec![relay.addr]);
+    let to_b = up(&mut a_events.core).await;
+    let to_a = up(&mut b_events.core).await;
+    // Nothing is said for longer than the idle timeout: keep-alives hold the link.
+    let quiet = timeout(Duration::from_millis(2_500), a_events.core.next()).await;
+    assert!(quiet.is_err(), "{quiet:?}");
+    drop(relay);
+    // Idle timeout of 2 s, counted from the first keep-alive (500 ms) without an answer.
+    let gone = timeout(Duration::from_secs(3), async {
+        let a_gone = down(&mut a_events.core).await;
+        (a_gone, down(&mut b_events.core).await)
+    });
+    assert_eq!(gone.await.expect("in time"), (to_b.id(), to_a.id()));
+}
+
+#[compio::test]
+async fn connections_beyond_the_limit_are_refused() {
+    let fleet = Authority::new();
+    let (mesh, mut events) = bind(&fleet, "a").await;
+    let files = fleet.node("c");
+    let endpoint = raw_endpoint(None).await;
+    let config = raw_client(&files, Some(&files));
+    let mut seated = Vec::new();
+    for _ in 0..1_024 {
+        let raw = raw_connect(&endpoint, mesh.local_addr(), config.clone());
+        let raw = raw.await.expect("a connection");
+        let (mut send, recv) = raw.open_bi().expect("a stream");
+        let bytes = Bytes::from(framed(&Message::Hello(hello("c"))));
+        send.write_all_chunks(&mut [bytes]).await.expect("written");
+        up(&mut events.core).await;
+        seated.push((raw, send, recv));
+    }
+    let refused = raw_connect(&endpoint, mesh.local_addr(), config.clone()).await;
+    assert!(
+        matches!(refused, Err(ConnectionError::ConnectionClosed(_))),
+        "{refused:?}"
+    );
+    seated.pop();
+    down(&mut events.core).await;
+    let taken = raw_connect(&endpoint, mesh.local_addr(), config).await;
+    taken.expect("the seat that came free");
+}
