--- a/scenarios/src/bin/demo.rs
+++ b/scenarios/src/bin/demo.rs
@@ -47,7 +47,10 @@
     println!("starting a site of today's size");
     let site = Site::spawn(Layout::today())?;
     end_on_signal(site.ids())?;
-    println!("{} processes run; sending {REQUESTS} requests", site.ids().len());
+    println!(
+        "{} processes run; sending {REQUESTS} requests",
+        site.ids().len()
+    );
     let load = Command::new(beside("standin-load")?)
         .args(load_args(&site))
         .stdout(Stdio::piped())
@@ -73,7 +76,9 @@
 }
 
 fn load_args(site: &Site) -> Vec<String> {
-    let mut args: Vec<String> = ["--json", "--retry", "--requests"].map(String::from).to_vec();
+    let mut args: Vec<String> = ["--json", "--retry", "--requests"]
+        .map(String::from)
+        .to_vec();
     args.push(REQUESTS.to_string());
     args.extend(["--callers".to_owned(), CALLERS.to_string()]);
     args.extend(["--pace".to_owned(), PACE.to_string()]);
@@ -82,7 +87,10 @@
     }
     for service in &site.layout.services {
         for (team, ..) in &site.layout.teams {
-            args.extend(["--path".to_owned(), format!("/v1/services/{service}/requests")]);
+            args.extend([
+                "--path".to_owned(),
+                format!("/v1/services/{service}/requests"),
+            ]);
             args.extend(["--key".to_owned(), Site::key(team)]);
         }
     }
--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -131,7 +131,10 @@
     /// Addresses of the gates for callers.
     #[must_use]
     pub fn gates(&self) -> Vec<SocketAddr> {
-        self.addresses.iter().map(|[_, _, gate]| gate.http).collect()
+        self.addresses
+            .iter()
+            .map(|[_, _, gate]| gate.http)
+            .collect()
     }
 
     /// Runs the operators' command line.
@@ -198,7 +201,11 @@
         self.add("log", "standin-log", &listen(self.log))?;
         self.add("hosts", "standin-hosts", &listen(self.hosts))?;
         for (index, dc) in self.layout.dcs.clone().iter().enumerate() {
-            let own = self.backends.iter().skip(index).step_by(self.layout.dcs.len());
+            let own = self
+                .backends
+                .iter()
+                .skip(index)
+                .step_by(self.layout.dcs.len());
             let mut args: Vec<String> = own.flat_map(|addr| listen(*addr)).collect();
             args.extend(["--run-ms".to_owned(), self.layout.run_ms.to_string()]);
             self.add(&format!("backends-{dc}"), "standin-executor", &args)?;
@@ -208,12 +215,16 @@
 
     fn add(&mut self, name: &str, program: &str, args: &[String]) -> Fallible<()> {
         let log = self.path(&format!("{name}.out"));
-        self.processes.push(Process::spawn(name, program, args, &log)?);
+        self.processes
+            .push(Process::spawn(name, program, args, &log)?);
         Ok(())
     }
 
     fn settings(&self, entry: usize, role: &str) -> Fallible<String> {
-        let place = ROLES.iter().position(|name| *name == role).unwrap_or_default();
+        let place = ROLES
+            .iter()
+            .position(|name| *name == role)
+            .unwrap_or_default();
         let address = self.addresses[entry][place];
         let fleet: Vec<String> = self
             .addresses
@@ -231,7 +242,10 @@
         );
         text += &self.authority.issue(&name)?;
         if role == "fleet" {
-            text += &format!("operators: [{}]\nhosts: http://{}\n", self.operator, self.hosts);
+            text += &format!(
+                "operators: [{}]\nhosts: http://{}\n",
+                self.operator, self.hosts
+            );
         }
         Ok(text)
     }
@@ -241,19 +255,31 @@
         fs::write(self.path("pools.csv"), self.layout.pools())?;
         fs::write(self.path("hosts.csv"), self.layout.hosts(&self.backends))?;
         Self::wait("a fleet process answers operators", READY_MS, || {
-            self.ctl(&["status"]).is_ok_and(|output| output.status.success())
+            self.ctl(&["status"])
+                .is_ok_and(|output| output.status.success())
         })?;
-        for (command, file) in [("apply", "table.csv"), ("pools", "pools.csv"), ("hosts", "hosts.csv")] {
+        for (command, file) in [
+            ("apply", "table.csv"),
+            ("pools", "pools.csv"),
+            ("hosts", "hosts.csv"),
+        ] {
             self.must(&[command, &self.path(file).display().to_string()])?;
         }
         for (team, ..) in &self.layout.teams {
             let file = self.path(&format!("{team}.key"));
             fs::write(&file, Self::key(team))?;
-            self.must(&["key", "grant", team, "--key-file", &file.display().to_string()])?;
+            self.must(&[
+                "key",
+                "grant",
+                team,
+                "--key-file",
+                &file.display().to_string(),
+            ])?;
         }
         Self::wait("all gates are ready", READY_MS, || {
             self.gates().iter().all(|gate| {
-                http::send(*gate, "GET", "/readyz", &[], "").is_ok_and(|answer| answer.status == 200)
+                http::send(*gate, "GET", "/readyz", &[], "")
+                    .is_ok_and(|answer| answer.status == 200)
             })
         })
     }
--- a/src/admit/admission.rs
+++ b/src/admit/admission.rs
@@ -44,7 +44,11 @@
     });
     if !allowed {
         let keyless = key.is_none();
-        let code = if keyless { FailureCode::UnknownKey } else { FailureCode::TeamNotAllowed };
+        let code = if keyless {
+            FailureCode::UnknownKey
+        } else {
+            FailureCode::TeamNotAllowed
+        };
         return Err(code);
     }
     let row = state.teams.get(&team).ok_or(FailureCode::UnknownKey)?;
--- a/src/bin/mimosa-sched.rs
+++ b/src/bin/mimosa-sched.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use mimosastep::sched::SchedServer;
 use mimosastep::node;
+use mimosastep::sched::SchedServer;
 use mimosastep::settings::SchedSettings;
 
 fn main() -> ExitCode {
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -44,8 +44,11 @@
             ready: node.readiness(),
         };
         let api = OperatorsApi::new(Rc::new(operators), settings.operators);
-        let http =
-            HttpServer::bind(settings.common.http, OperatorsApi::LIMITS, api.into_handler())?;
+        let http = HttpServer::bind(
+            settings.common.http,
+            OperatorsApi::LIMITS,
+            api.into_handler(),
+        )?;
         node.announce();
         Ok(Self { node, http })
     }
--- a/src/gate/backend.rs
+++ b/src/gate/backend.rs
@@ -15,8 +15,6 @@
 use hyper::client::conn::http1::SendRequest;
 use quick_error::quick_error;
 
-use crate::wire::Verdict;
-
 /// Longest answer of a backend server, in bytes.
 const ANSWER_LIMIT: usize = 64 << 20;
 
@@ -40,17 +38,6 @@
     }
 }
 
-impl BackendError {
-    /// Whether the request may have run.
-    #[must_use]
-    pub const fn verdict(&self) -> Verdict {
-        match self {
-            Self::Connect(_) | Self::Unsent => Verdict::NotRun,
-            Self::Broken(_) => Verdict::Unknown,
-        }
-    }
-}
-
 /// An open connection to one backend server.
 #[derive(Debug)]
 pub struct Backend {
@@ -64,7 +51,9 @@
     /// # Errors
     /// `BackendError::Connect`.
     pub async fn open(addr: SocketAddr) -> Result<Self, BackendError> {
-        let stream = TcpStream::connect(addr).await.map_err(BackendError::Connect)?;
+        let stream = TcpStream::connect(addr)
+            .await
+            .map_err(BackendError::Connect)?;
         stream.set_nodelay(true).map_err(BackendError::Connect)?;
         let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
             .await
--- a/src/gate/gate.rs
+++ b/src/gate/core.rs
@@ -332,7 +332,11 @@
     fn report(&self, link: LinkId) -> Action {
         let message = Message::Report {
             epoch: self.state.epoch,
-            running: self.requests.values().filter_map(Pending::running).collect(),
+            running: self
+                .requests
+                .values()
+                .filter_map(Pending::running)
+                .collect(),
         };
         Action::Send(link, message)
     }
--- a/src/gate/failure.rs
+++ b/src/gate/failure.rs
@@ -76,7 +76,9 @@
             Self::UnknownService => "no pool runs this service",
             Self::BodyTooLarge => "the body is over the limit",
             Self::Refused(RefusalCode::Overloaded) => "more requests wait than can start in time",
-            Self::Refused(RefusalCode::DeadlineTooClose) => "no slot comes free before the deadline",
+            Self::Refused(RefusalCode::DeadlineTooClose) => {
+                "no slot comes free before the deadline"
+            }
             Self::Refused(RefusalCode::NoCapacity) => "no host of the service is in service",
             Self::Refused(RefusalCode::StateNotFresh) => "this process is cut off; use another one",
             Self::Refused(RefusalCode::Unavailable) => "the service is changing hands",
@@ -128,7 +130,12 @@
 impl From<Failure> for Fault {
     fn from(failure: Failure) -> Self {
         let code = failure.code;
-        let fault = Self::new(code.status(), code.as_str(), code.message(), failure.verdict);
+        let fault = Self::new(
+            code.status(),
+            code.as_str(),
+            code.message(),
+            failure.verdict,
+        );
         match failure.retry_after {
             Some(millis) => fault.retry_after(millis.into()),
             None => fault,
--- a/src/gate/task.rs
+++ b/src/gate/task.rs
@@ -92,10 +92,7 @@
         compio::runtime::spawn(task.run(sources)).detach();
     }
 
-    async fn run(
-        mut self,
-        mut sources: impl futures_util::Stream<Item = Source> + Unpin,
-    ) {
+    async fn run(mut self, mut sources: impl futures_util::Stream<Item = Source> + Unpin) {
         let mut actions = Vec::new();
         while let Some(first) = sources.next().await {
             let now = Instant::now();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,13 +2,13 @@
 
 mod args;
 mod error;
-mod node;
 mod probes;
+mod process;
 mod run;
 
 pub use args::Args;
 pub use error::NodeError;
-pub use node::Node;
 pub use probes::probe;
 pub use probes::probes;
+pub use process::Node;
 pub use run::run;
--- a/src/node/node.rs
+++ b/src/node/process.rs
@@ -117,7 +117,6 @@
     }
 
     /// Log of the process.
-    #[must_use]
     pub const fn log(&self) -> &Logger {
         &self.log
     }
@@ -220,7 +219,8 @@
         let me = state.members.get(&self.hello.node);
         self.joined = me.is_some_and(|m| m.incarnation == self.hello.incarnation && !m.leaving);
         let fleet = addresses(state, Role::Fleet);
-        self.mesh.dial(FLEET_GROUP, [fleet, self.seeds.clone()].concat());
+        self.mesh
+            .dial(FLEET_GROUP, [fleet, self.seeds.clone()].concat());
         if self.hello.role == Role::Gate {
             self.mesh.dial(SCHED_GROUP, addresses(state, Role::Sched));
         }
@@ -228,5 +228,8 @@
 }
 
 fn addresses(state: &State, role: Role) -> Vec<SocketAddr> {
-    state.members_of(role).map(|(_, member)| member.addr).collect()
+    state
+        .members_of(role)
+        .map(|(_, member)| member.addr)
+        .collect()
 }
--- a/src/observe/clock.rs
+++ b/src/observe/clock.rs
@@ -7,5 +7,7 @@
 #[must_use]
 pub fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    since.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
 }
--- a/src/queue/queue.rs
+++ b/src/queue/lanes.rs
@@ -38,7 +38,10 @@
             .filter(|waiting| gone(waiting))
             .map(|waiting| waiting.attempt)
             .collect();
-        attempts.iter().filter_map(|attempt| self.waiting.remove(attempt)).collect()
+        attempts
+            .iter()
+            .filter_map(|attempt| self.waiting.remove(attempt))
+            .collect()
     }
 
     /// Takes out every request whose deadline has passed.
@@ -55,7 +58,9 @@
     /// weight, or none if the team may not start any; the least usage goes first, urgent requests
     /// before all others.
     pub fn next(&mut self, usage: impl Fn(&TeamName) -> Option<f64>) -> Option<&Waiting> {
-        let attempt = self.first(true, &usage).or_else(|| self.first(false, &usage))?;
+        let attempt = self
+            .first(true, &usage)
+            .or_else(|| self.first(false, &usage))?;
         self.waiting.get(&attempt)
     }
 
--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -1,8 +1,8 @@
 //! Requests that wait for a slot, and the order in which they start.
 
 mod lane;
-mod queue;
+mod lanes;
 mod waiting;
 
-pub use queue::Queue;
+pub use lanes::Queue;
 pub use waiting::Waiting;
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -119,7 +119,8 @@
     /// Drops a gate's requests; its slots stay occupied until its tasks have surely ended.
     pub fn lose(&mut self, now: Instant, link: LinkId) {
         self.queue.remove_link(link);
-        self.slots.expire_link(link, now + Duration::from_millis(LOST_GATE_MS));
+        self.slots
+            .expire_link(link, now + Duration::from_millis(LOST_GATE_MS));
         self.reported.remove(&link);
     }
 
@@ -167,7 +168,11 @@
             expires: None,
         };
         self.slots.occupy(attempt, held);
-        let grant = Grant { attempt, host, addr };
+        let grant = Grant {
+            attempt,
+            host,
+            addr,
+        };
         Some(Action::Send(waiting.link, Message::Grant(grant)))
     }
 
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -99,7 +99,9 @@
             };
             self.services.insert(service, dispatcher);
         }
-        before.into_values().for_each(|dispatcher| dispatcher.close(out));
+        before
+            .into_values()
+            .for_each(|dispatcher| dispatcher.close(out));
     }
 
     fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
