--- a/tests/net_links.rs
+++ b/tests/net_links.rs
@@ -52,6 +52,13 @@
 
 type Receiver = UnboundedReceiver<NetEvent>;
 
+fn report() -> Message {
+    Message::Report {
+        epoch: 0,
+        running: Vec::new(),
+    }
+}
+
 fn hello(name: &str) -> Hello {
     Hello {
         node: NodeName::new(name).expect("a name"),
@@ -168,15 +175,12 @@
         to_b.send(probe(nonce));
     }
     to_a.send(large.clone());
-    to_b.send(Message::Report(Vec::new()));
+    to_b.send(report());
     for nonce in 0..500 {
         assert_eq!(message(&mut b_events.state).await, probe(nonce));
     }
     assert_eq!(message(&mut a_events.state).await, large);
-    assert_eq!(
-        message(&mut b_events.core).await,
-        Message::Report(Vec::new())
-    );
+    assert_eq!(message(&mut b_events.core).await, report());
 }
 
 #[compio::test]
@@ -311,8 +315,8 @@
     let second = up(&mut a_events.core).await;
     assert_ne!(second.id(), first.id());
     up(&mut b_events.core).await;
-    first.send(Message::Report(Vec::new()));
-    second.send(Message::Report(Vec::new()));
+    first.send(report());
+    second.send(report());
     message(&mut b_events.core).await;
 }
 
