--- a/src/gate/action.rs
+++ b/src/gate/action.rs
@@ -5,6 +5,7 @@
 use crate::gate::Failure;
 use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::observe::Note;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
 use crate::wire::Message;
@@ -28,4 +29,6 @@
     Renew(SocketAddr, Vec<AttemptId>),
     /// End attempts at a backend server.
     Cancel(SocketAddr, Vec<AttemptId>),
+    /// Put a decision on the time line.
+    Note(Box<Note>),
 }
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -63,6 +63,7 @@
             received,
             ready.clone(),
             pending.clone(),
+            node.recorder(),
         );
         let handler = route(inputs.clone(), ready, settings.body_limit);
         let limits = Limits {
--- a/src/gate/task.rs
+++ b/src/gate/task.rs
@@ -30,6 +30,7 @@
 use crate::net::Link;
 use crate::net::LinkId;
 use crate::net::NetEvent;
+use crate::observe::Recorder;
 use crate::record::Role;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
@@ -63,6 +64,7 @@
     ready: Rc<Cell<bool>>,
     pending: Rc<Cell<usize>>,
     ticks: u32,
+    recorder: Recorder,
 }
 
 impl GateTask {
@@ -73,6 +75,7 @@
         inputs: UnboundedReceiver<Input>,
         ready: Rc<Cell<bool>>,
         pending: Rc<Cell<usize>>,
+        recorder: Recorder,
     ) {
         let sources = select_all([
             net.map(Source::Net).boxed_local(),
@@ -88,6 +91,7 @@
             ready,
             pending,
             ticks: 0,
+            recorder,
         };
         compio::runtime::spawn(task.run(sources)).detach();
     }
@@ -194,6 +198,7 @@
                 }
             }
             Action::Cancel(addr, attempts) => post(addr, "/cancel", cancel_body(&attempts)),
+            Action::Note(note) => self.recorder.record(*note),
         }
     }
 
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -19,6 +19,7 @@
 use crate::net::Mesh;
 use crate::net::NetEvent;
 use crate::node::NodeError;
+use crate::observe::Recorder;
 use crate::observe::open_log;
 use crate::observe::unix_millis;
 use crate::record::Change;
@@ -48,6 +49,7 @@
     core: Option<UnboundedReceiver<NetEvent>>,
     ready: Rc<Cell<bool>>,
     log: Logger,
+    recorder: Recorder,
 }
 
 impl Node {
@@ -101,6 +103,7 @@
             core: Some(events.core),
             ready,
             log,
+            recorder: Recorder::default(),
         })
     }
 
@@ -116,6 +119,12 @@
         self.hello.incarnation
     }
 
+    /// Where decisions are put on the time line.
+    #[must_use]
+    pub fn recorder(&self) -> Recorder {
+        self.recorder.clone()
+    }
+
     /// Log of the process.
     pub const fn log(&self) -> &Logger {
         &self.log
--- a/src/sched/action.rs
+++ b/src/sched/action.rs
@@ -1,6 +1,7 @@
 //! What a scheduler wants done.
 
 use crate::net::LinkId;
+use crate::observe::Note;
 use crate::wire::Message;
 
 /// An output of [`crate::sched::Scheduler`].
@@ -8,4 +9,6 @@
 pub enum Action {
     /// Send a message to a gate.
     Send(LinkId, Message),
+    /// Put a decision on the time line.
+    Note(Box<Note>),
 }
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -25,7 +25,12 @@
     pub async fn spawn(settings: SchedSettings) -> Result<Self, NodeError> {
         let mut node = Node::spawn(&settings.common, Role::Sched).await?;
         let scheduler = Scheduler::new(node.name().clone(), node.incarnation());
-        SchedTask::spawn(scheduler, node.take_events(), node.subscribe());
+        SchedTask::spawn(
+            scheduler,
+            node.take_events(),
+            node.subscribe(),
+            node.recorder(),
+        );
         let handler: Handler = probes(node.readiness());
         let http = HttpServer::bind(settings.common.http, Limits::default(), handler)?;
         node.announce();
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -14,6 +14,7 @@
 use crate::net::Link;
 use crate::net::LinkId;
 use crate::net::NetEvent;
+use crate::observe::Recorder;
 use crate::record::Role;
 use crate::sched::Action;
 use crate::sched::Event;
@@ -35,6 +36,7 @@
 pub struct SchedTask {
     scheduler: Scheduler,
     links: HashMap<LinkId, Link>,
+    recorder: Recorder,
 }
 
 impl SchedTask {
@@ -43,6 +45,7 @@
         scheduler: Scheduler,
         net: UnboundedReceiver<NetEvent>,
         state: UnboundedReceiver<StateEvent>,
+        recorder: Recorder,
     ) {
         let ticks = futures_util::stream::unfold((), |()| async {
             compio::time::sleep(Duration::from_millis(TICK_MS)).await;
@@ -56,6 +59,7 @@
         let task = Self {
             scheduler,
             links: HashMap::new(),
+            recorder,
         };
         compio::runtime::spawn(task.run(sources)).detach();
     }
@@ -117,9 +121,13 @@
     }
 
     fn carry_out(&self, action: Action) {
-        let Action::Send(link, message) = action;
-        if let Some(link) = self.links.get(&link) {
-            link.send(message);
+        match action {
+            Action::Send(link, message) => {
+                if let Some(link) = self.links.get(&link) {
+                    link.send(message);
+                }
+            }
+            Action::Note(note) => self.recorder.record(*note),
         }
     }
 }
