Fix the voters by the settings, and let new ones recover first

Cause: a state counted as fresh once a majority of the folded fleet members had vouched for it. A process that is cut off folds no membership changes, so its majority and that of a fleet replaced meanwhile need not have a member in common: tests/state_voters.rs failed on the old rule with 'a change is in force, and a fresh gate lacks it'.

Ruled out: counting both the old and the new members (joint consensus needs the same agreement that is missing); stopping whenever the log is down.

Change: the voters are the addresses under 'fleet' in each process's settings; a voter is known by the address that was dialled, and votes once, with its newest incarnation. A restarted voter has forgotten all, so it vouches only once its state was complete as of an instant after its start. A change is in force once a majority hold it and then, in the same incarnations, answer one more probe: without that, a voter that restarts between its own word and the others' could be counted for what it no longer knows.

--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -139,14 +139,16 @@
         let now = Instant::now();
         let (of_fleet, from_fleet) = (me.role == Role::Fleet, link.peer().role == Role::Fleet);
         match message {
-            Message::Probe { nonce, offset } if of_fleet => {
-                self.replica.note(link.peer(), offset);
-                link.send(self.replica.vouch(now, nonce));
+            Message::Probe { nonce, .. } if of_fleet => {
+                if let Some(vouch) = self.replica.vouch(now, nonce) {
+                    link.send(vouch);
+                }
             }
             Message::Vouch { nonce, offset, age } if from_fleet => {
                 let probe = self.probes.iter().find(|(sent, _)| *sent == nonce);
                 if let Some((_, asked)) = probe.copied() {
-                    self.replica.vouched(now, link.peer(), asked, offset, age);
+                    let by = (link.peer(), link.addr());
+                    self.replica.vouched(now, by, asked, offset, age);
                 }
                 self.fetch(link);
             }
--- a/src/member/follower.rs
+++ b/src/member/follower.rs
@@ -14,6 +14,7 @@
 use crate::member::ChangeError;
 use crate::member::Replica;
 use crate::member::StateEvent;
+use crate::member::Voters;
 use crate::member::core::Core;
 use crate::member::tasks::Tasks;
 use crate::net::NetEvent;
@@ -30,15 +31,17 @@
 }
 
 impl Follower {
-    /// Starts following the log for the process `me`, and returns the handle.
+    /// Starts following the log for the process `me`, whose state `voters` vouch for, and
+    /// returns the handle.
     #[must_use]
     pub fn spawn(
         me: Hello,
+        voters: Voters,
         log: LogClient,
         events: UnboundedReceiver<NetEvent>,
         logger: Logger,
     ) -> Self {
-        let core = RefCell::new(Core::new(Replica::new(me.clone())));
+        let core = RefCell::new(Core::new(Replica::new(Instant::now(), me.clone(), voters)));
         let tasks = Rc::new(Tasks {
             me,
             log,
--- a/src/member/freshness.rs
+++ b/src/member/freshness.rs
@@ -1,74 +1,85 @@
 //! Until when a process may rely on its state.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::member::FreshnessEvent;
 use crate::member::Voter;
+use crate::member::Voters;
 
 /// How long a state stays fresh after the instant for which it is known to be complete.
 pub const FRESH_FOR: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Clone)]
 struct Vouch {
-    by: Voter,
+    by: Option<Voter>,
     asked: Instant,
     offset: u64,
     age: Option<Duration>,
 }
 
+/// A voter's last word that counts.
+#[derive(Debug, Clone)]
+struct Vote {
+    by: Voter,
+    asked: Instant,
+}
+
 /// How recent this process's state is.
 ///
-/// An operator's change is acknowledged once it is in the log and a majority of the voters, the
-/// fleet members, have folded it. So a state is complete as of an instant if
+/// An operator's change is in force once a majority of the voters have folded it and then, in the
+/// same incarnations, have answered one more probe. So a state is complete as of an instant if
 /// - the log was asked at that instant, and all it told is folded;
-/// - a voter asked the log at that instant, and all that the voter has folded is folded here;
+/// - a fleet process asked the log at that instant, and all that it has folded is folded here;
 /// - a majority of the voters were asked at that instant or later, and all that they had folded
-///   is folded here. That holds with the log down too: one of them has every acknowledged change.
+///   is folded here. That holds with the log down too: one of them has every change in force.
+///
+/// A process keeps nothing when it restarts, so a voter has no vote until its own state was
+/// complete as of an instant after its start.
 ///
 /// Instants are those of the question, never of the answer, and the result is a deadline: a
 /// process that was frozen wakes with a deadline that has passed.
 #[derive(Debug, Clone)]
 pub struct Freshness {
-    me: Voter,
+    voters: Voters,
+    start: Instant,
     offset: u64,
-    voters: BTreeSet<Voter>,
-    /// Latest instant for which the log, or a voter that asked it, showed the state complete.
+    /// Latest instant for which the log, or a process that asked it, showed the state complete.
     known: Option<Instant>,
-    /// By voter, the latest instant as of which all it had folded is folded here.
-    counted: BTreeMap<Voter, Instant>,
+    /// By address, the latest instant as of which all that the voter had folded is folded here.
+    counted: BTreeMap<SocketAddr, Vote>,
     /// Answers of processes that have folded further.
     ahead: Vec<Vouch>,
     /// When this process last observed anything.
-    observed: Option<Instant>,
+    observed: Instant,
+    /// Whether the state was complete as of an instant after the start.
+    recovered: bool,
 }
 
 impl Freshness {
-    /// A process that knows nothing yet.
+    /// A process that starts at `now` and knows nothing yet.
     #[must_use]
-    pub fn new(me: Voter) -> Self {
+    pub const fn new(now: Instant, voters: Voters) -> Self {
         Self {
-            me,
+            voters,
+            start: now,
             offset: 0,
-            voters: BTreeSet::new(),
             known: None,
             counted: BTreeMap::new(),
             ahead: Vec::new(),
-            observed: None,
+            observed: now,
+            recovered: false,
         }
     }
 
     /// Takes in what was learned at `now`.
     pub fn observe(&mut self, now: Instant, event: FreshnessEvent) {
-        self.observed = self.observed.max(Some(now));
+        self.observed = self.observed.max(now);
         match event {
             FreshnessEvent::Head { asked } => self.known = self.known.max(Some(asked)),
-            FreshnessEvent::Folded { offset, voters } => {
-                self.offset = offset;
-                self.voters = voters;
-            }
+            FreshnessEvent::Folded { offset } => self.offset = offset,
             FreshnessEvent::Vouched {
                 by,
                 asked,
@@ -82,13 +93,23 @@
             }),
         }
         self.count(now);
+        self.recovered |= self.complete() >= Some(self.start);
     }
 
     /// The deadline until which the state is fresh; none if it never was.
     #[must_use]
     pub fn until(&self) -> Option<Instant> {
-        let complete = self.known.max(self.majority());
-        complete.map(|instant| instant + FRESH_FOR)
+        self.complete().map(|instant| instant + FRESH_FOR)
+    }
+
+    /// Whether others may count this process's word, if it is a voter.
+    #[must_use]
+    pub const fn may_vouch(&self) -> bool {
+        self.recovered
+    }
+
+    fn complete(&self) -> Option<Instant> {
+        self.known.max(self.majority())
     }
 
     fn count(&mut self, now: Instant) {
@@ -104,25 +125,30 @@
     fn count_one(&mut self, vouch: Vouch) {
         let told = vouch.age.and_then(|age| vouch.asked.checked_sub(age));
         self.known = self.known.max(told);
-        let latest = self.counted.entry(vouch.by).or_insert(vouch.asked);
-        *latest = vouch.asked.max(*latest);
+        let other = |by: &Voter| self.voters.has_other(by.addr);
+        if let Some(by) = vouch.by.filter(other) {
+            let asked = vouch.asked;
+            self.vote(Vote { by, asked });
+        }
+    }
+
+    /// Counts a voter once, whatever addresses lead to it, and its newest incarnation only.
+    fn vote(&mut self, vote: Vote) {
+        self.counted
+            .retain(|addr, held| *addr == vote.by.addr || held.by.node != vote.by.node);
+        let order = |vote: &Vote| (vote.by.incarnation, vote.asked);
+        let held = self.counted.get(&vote.by.addr);
+        if held.is_none_or(|held| order(held) < order(&vote)) {
+            self.counted.insert(vote.by.addr, vote);
+        }
     }
 
     /// Latest instant as of which a majority of the voters had folded nothing more.
     fn majority(&self) -> Option<Instant> {
-        let mut instants: Vec<Instant> = self
-            .voters
-            .iter()
-            .filter_map(|voter| self.as_of(voter))
-            .collect();
+        let own = self.voters.own().filter(|_| self.recovered);
+        let others = self.counted.values().map(|vote| vote.asked);
+        let mut instants: Vec<Instant> = others.chain(own.map(|_| self.observed)).collect();
         instants.sort_unstable_by(|a, b| b.cmp(a));
-        instants.get(self.voters.len() / 2).copied()
-    }
-
-    fn as_of(&self, voter: &Voter) -> Option<Instant> {
-        if *voter == self.me {
-            return self.observed;
-        }
-        self.counted.get(voter).copied()
+        instants.get(self.voters.majority() - 1).copied()
     }
 }
--- a/src/member/freshness_event.rs
+++ b/src/member/freshness_event.rs
@@ -1,6 +1,5 @@
 //! What tells how recent a state is.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,13 +17,11 @@
     Folded {
         /// Offset of the next record.
         offset: u64,
-        /// Current fleet members.
-        voters: BTreeSet<Voter>,
     },
     /// A fleet process answered a probe.
     Vouched {
-        /// The process.
-        by: Voter,
+        /// The process; none if it was not dialled, so that it has no vote.
+        by: Option<Voter>,
         /// When the probe was sent.
         asked: Instant,
         /// Offset that it had folded up to.
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -11,6 +11,7 @@
 mod state_event;
 mod tasks;
 mod voter;
+mod voters;
 
 pub use applied::Applied;
 pub use change_error::ChangeError;
@@ -24,3 +25,4 @@
 pub use replica::SNAPSHOT_EVERY;
 pub use state_event::StateEvent;
 pub use voter::Voter;
+pub use voters::Voters;
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -1,8 +1,8 @@
 //! A process's copy of the state, with what it knows of the others' copies.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +10,8 @@
 use crate::member::Freshness;
 use crate::member::FreshnessEvent;
 use crate::member::Voter;
+use crate::member::Voters;
+use crate::name::NodeName;
 use crate::record::DecodeError;
 use crate::record::Role;
 use crate::record::State;
@@ -28,6 +30,16 @@
 /// Bytes of records after which a message is full.
 const BATCH_BYTES: usize = 256 * 1024;
 
+/// What a voter has answered.
+#[derive(Debug)]
+struct Reached {
+    by: Voter,
+    /// Offset that it had folded up to.
+    offset: u64,
+    /// Latest probe that it has answered.
+    asked: Instant,
+}
+
 /// The folded state, the records behind it, and how recent it is. Reads no clock.
 #[derive(Debug)]
 pub struct Replica {
@@ -37,21 +49,26 @@
     freshness: Freshness,
     /// When the log was last asked with an answer that is folded whole.
     asked: Option<Instant>,
-    /// Offsets that the other processes are known to have folded up to.
-    reached: BTreeMap<Voter, u64>,
+    voters: Voters,
+    /// The other voters' answers, by address.
+    reached: BTreeMap<SocketAddr, Reached>,
+    /// Offsets that the fleet processes are known to have folded up to.
+    heard: BTreeMap<NodeName, u64>,
 }
 
 impl Replica {
-    /// An empty copy for the process `me`.
+    /// An empty copy for the process `me`, which starts at `now`.
     #[must_use]
-    pub fn new(me: Hello) -> Self {
+    pub fn new(now: Instant, me: Hello, voters: Voters) -> Self {
         Self {
-            freshness: Freshness::new(Voter::from(&me)),
+            freshness: Freshness::new(now, voters.clone()),
             me,
             state: Rc::default(),
             kept: VecDeque::new(),
             asked: None,
+            voters,
             reached: BTreeMap::new(),
+            heard: BTreeMap::new(),
         }
     }
 
@@ -107,24 +124,23 @@
         self.freshness.observe(now, FreshnessEvent::Head { asked });
     }
 
-    /// Notes that a process has folded up to `offset`.
-    pub fn note(&mut self, peer: &Hello, offset: u64) {
-        let reached = self.reached.entry(Voter::from(peer)).or_insert(offset);
-        *reached = offset.max(*reached);
-    }
-
-    /// Takes in a fleet process's answer to the probe of `asked`.
+    /// Takes in the answer to the probe of `asked` of the fleet process `peer`, dialled at `addr`.
     pub fn vouched(
         &mut self,
         now: Instant,
-        peer: &Hello,
+        (peer, addr): (&Hello, Option<SocketAddr>),
         asked: Instant,
         offset: u64,
         age: Option<u32>,
     ) {
-        self.note(peer, offset);
+        let heard = self.heard.entry(peer.node.clone()).or_insert(offset);
+        *heard = offset.max(*heard);
+        let by = addr.map(|addr| Voter::new(addr, peer));
+        if let Some(by) = by.clone().filter(|by| self.voters.has_other(by.addr)) {
+            self.reach(Reached { by, offset, asked });
+        }
         let event = FreshnessEvent::Vouched {
-            by: Voter::from(peer),
+            by,
             asked,
             offset,
             age: age.map(|age| Duration::from_millis(age.into())),
@@ -132,23 +148,34 @@
         self.freshness.observe(now, event);
     }
 
+    fn reach(&mut self, news: Reached) {
+        let order = |reached: &Reached| (reached.by.incarnation, reached.asked);
+        let held = self.reached.get(&news.by.addr);
+        if held.is_none_or(|held| order(held) <= order(&news)) {
+            self.reached.insert(news.by.addr, news);
+        }
+    }
+
     /// Whether a process is known to have folded further than this one.
     #[must_use]
     pub fn is_behind(&self, peer: &Hello) -> bool {
-        let reached = self.reached.get(&Voter::from(peer));
-        reached.is_some_and(|reached| *reached > self.state.offset)
+        let heard = self.heard.get(&peer.node);
+        heard.is_some_and(|heard| *heard > self.state.offset)
     }
 
-    /// The answer to a probe.
+    /// The answer to a probe; none while this process may not vouch.
     #[must_use]
-    pub fn vouch(&self, now: Instant, nonce: u64) -> Message {
+    pub fn vouch(&self, now: Instant, nonce: u64) -> Option<Message> {
+        if !self.freshness.may_vouch() {
+            return None;
+        }
         // Rounded up: an age that is too small would make others trust too long.
         let age = |asked| now.saturating_duration_since(asked).as_millis() + 1;
-        Message::Vouch {
+        Some(Message::Vouch {
             nonce,
             offset: self.state.offset,
             age: self.asked.and_then(|asked| age(asked).try_into().ok()),
-        }
+        })
     }
 
     /// The answer to a fetch: records, or the state where they are no longer kept.
@@ -178,14 +205,32 @@
         Message::Records(batch.cloned().collect())
     }
 
-    /// Whether a majority of the voters are known to have folded the record at `offset`. From
-    /// then on every process that is fresh by its voters, or will be, has it within
-    /// [`FRESH_FOR`](crate::member::FRESH_FOR).
+    /// The voters known to have folded the record at `offset`; none while they are no majority.
     #[must_use]
-    pub fn in_force(&self, offset: u64) -> bool {
-        let voters = self.voters();
-        let has = |voter: &&Voter| self.reached_by(voter) > offset;
-        voters.iter().filter(has).count() * 2 > voters.len()
+    pub fn holders(&self, offset: u64) -> Option<Vec<Voter>> {
+        let reached = self.reached.values();
+        let others = reached.filter(|reached| reached.offset > offset);
+        let others: Vec<Voter> = others.map(|reached| reached.by.clone()).collect();
+        let own = self.own_vote(self.state.offset > offset);
+        (others.len() + own >= self.voters.majority()).then_some(others)
+    }
+
+    /// Whether a majority of the voters, counting `holders` only, have answered a probe of
+    /// `since` or later in the same incarnation. A record that they held at `since` is in force:
+    /// each voter that has recovered since knows it from one of them, and every process that is
+    /// fresh by its voters has it within [`FRESH_FOR`](crate::member::FRESH_FOR).
+    #[must_use]
+    pub fn confirmed(&self, holders: &[Voter], since: Instant) -> bool {
+        let answered = |holder: &&Voter| {
+            let reached = self.reached.get(&holder.addr);
+            reached.is_some_and(|reached| reached.by == **holder && reached.asked >= since)
+        };
+        let others = holders.iter().filter(answered).count();
+        others + self.own_vote(true) >= self.voters.majority()
+    }
+
+    fn own_vote(&self, holds: bool) -> usize {
+        usize::from(holds && self.voters.own().is_some() && self.freshness.may_vouch())
     }
 
     /// Whether this process should append a snapshot now: of the fleet members that stay, the
@@ -201,22 +246,6 @@
         mine && since > SNAPSHOT_EVERY && self.until() > Some(now)
     }
 
-    fn reached_by(&self, voter: &Voter) -> u64 {
-        if *voter == Voter::from(&self.me) {
-            return self.state.offset;
-        }
-        self.reached.get(voter).copied().unwrap_or(0)
-    }
-
-    fn voters(&self) -> BTreeSet<Voter> {
-        let members = self.state.members_of(Role::Fleet);
-        let voters = members.map(|(name, member)| Voter {
-            node: name.clone(),
-            incarnation: member.incarnation,
-        });
-        voters.collect()
-    }
-
     fn keep(&mut self, offset: u64, data: Vec<u8>) {
         if self.kept.len() == KEPT_RECORDS {
             self.kept.pop_front();
@@ -227,7 +256,6 @@
     fn folded(&mut self, now: Instant) {
         let event = FreshnessEvent::Folded {
             offset: self.state.offset,
-            voters: self.voters(),
         };
         self.freshness.observe(now, event);
     }
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -52,9 +52,12 @@
 /// How long an append whose answer was lost is looked for.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
-/// How long an append waits for a majority of the fleet members to know it.
+/// How long an append waits for a majority of the voters to know it.
 const FORCE_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long the voters that hold a record have to say so again.
+const CONFIRM_LIMIT: Duration = Duration::from_secs(1);
+
 /// The tasks' common part.
 pub(super) struct Tasks {
     pub(super) me: Hello,
@@ -183,8 +186,9 @@
 
     pub(super) async fn append_record(&self, record: Record) -> Result<Applied, ChangeError> {
         let (id, data) = (record.id, record.encode());
-        if let Some(known) = self.core.borrow().find(id) {
-            return Ok(self.repeated(known));
+        let known = self.core.borrow().find(id);
+        if let Some(known) = known {
+            return Ok(self.repeated(known).await);
         }
         let deadline = Instant::now() + SETTLE_LIMIT;
         let answer = self
@@ -206,11 +210,11 @@
         if offset.is_none() && settled.result.is_ok() {
             self.core.borrow_mut().push(settled.offset, data);
         }
-        Ok(self.enforce(settled).await)
+        Ok(self.applied(settled).await)
     }
 
-    fn repeated(&self, known: Settled) -> Applied {
-        let in_force = known.result.is_ok() && self.in_force(known.offset);
+    async fn repeated(&self, known: Settled) -> Applied {
+        let in_force = known.result.is_ok() && self.enforce(known.offset).await;
         let outcome = Outcome::Repeated {
             offset: known.offset,
             first: known.result,
@@ -218,23 +222,37 @@
         Applied { outcome, in_force }
     }
 
-    async fn enforce(&self, settled: Settled) -> Applied {
+    async fn applied(&self, settled: Settled) -> Applied {
         let Settled { offset, result, .. } = settled;
-        let accepted = result.is_ok();
-        let outcome = Outcome::from(result);
-        if accepted {
-            let bound = Instant::now() + FORCE_LIMIT;
-            let reached = |core: &Core| core.replica.in_force(offset).then_some(());
-            self.wait_for(bound, reached).await;
-        }
+        let in_force = result.is_ok() && self.enforce(offset).await;
         Applied {
-            in_force: accepted && self.in_force(offset),
-            outcome,
+            outcome: Outcome::from(result),
+            in_force,
+        }
+    }
+
+    /// Waits until the record at `offset` is in force; false if that can't be known in time.
+    async fn enforce(&self, offset: u64) -> bool {
+        let deadline = Instant::now() + FORCE_LIMIT;
+        while Instant::now() < deadline {
+            if self.confirm(offset, deadline).await {
+                return true;
+            }
         }
+        false
     }
 
-    fn in_force(&self, offset: u64) -> bool {
-        self.core.borrow().replica.in_force(offset)
+    /// Waits for a majority that holds the record, and then for its word once more.
+    async fn confirm(&self, offset: u64, deadline: Instant) -> bool {
+        let holders = |core: &Core| core.replica.holders(offset);
+        let Some(holders) = self.wait_for(deadline, holders).await else {
+            return false;
+        };
+        let since = Instant::now();
+        self.core.borrow_mut().probe();
+        let confirmed = |core: &Core| core.replica.confirmed(&holders, since).then_some(());
+        let round = deadline.min(since + CONFIRM_LIMIT);
+        self.wait_for(round, confirmed).await.is_some()
     }
 
     async fn wait_for<T>(
--- a/src/member/voter.rs
+++ b/src/member/voter.rs
@@ -1,30 +1,29 @@
-//! A fleet member whose word counts.
+//! A fleet process whose word counts.
 
-use std::fmt;
+use std::net::SocketAddr;
 
 use crate::name::NodeName;
 use crate::wire::Hello;
 
-/// One incarnation of a fleet process; its successor under the same name is another voter.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// A fleet process at one of the voters' addresses.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Voter {
+    /// Address at which it was dialled.
+    pub addr: SocketAddr,
     /// Name of the process.
     pub node: NodeName,
     /// Its incarnation.
     pub incarnation: u64,
 }
 
-impl From<&Hello> for Voter {
-    fn from(hello: &Hello) -> Self {
+impl Voter {
+    /// The process `peer`, dialled at `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr, peer: &Hello) -> Self {
         Self {
-            node: hello.node.clone(),
-            incarnation: hello.incarnation,
+            addr,
+            node: peer.node.clone(),
+            incarnation: peer.incarnation,
         }
     }
 }
-
-impl fmt::Display for Voter {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.node, self.incarnation)
-    }
-}
--- a/src/net/dialer.rs
+++ b/src/net/dialer.rs
@@ -43,7 +43,9 @@
         Ok(connecting.await?)
     };
     match session::in_time(connecting, deadline).await {
-        Ok(connection) => session::dialled(connection, Rc::clone(station), deadline, stood).await,
+        Ok(connection) => {
+            session::dialled(connection, addr, Rc::clone(station), deadline, stood).await
+        }
         Err(err) => err,
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,6 +1,7 @@
 //! A connection to another process.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures_channel::mpsc::UnboundedSender;
@@ -14,6 +15,7 @@
 pub struct Link {
     id: LinkId,
     peer: Arc<Hello>,
+    addr: Option<SocketAddr>,
     queue: UnboundedSender<Message>,
 }
 
@@ -24,10 +26,24 @@
         Self {
             id,
             peer: Arc::new(peer),
+            addr: None,
             queue,
         }
     }
 
+    /// The same link, dialled by this process at `addr`.
+    #[must_use]
+    pub const fn dialled(mut self, addr: SocketAddr) -> Self {
+        self.addr = Some(addr);
+        self
+    }
+
+    /// The address that was dialled; none if the peer did.
+    #[must_use]
+    pub const fn addr(&self) -> Option<SocketAddr> {
+        self.addr
+    }
+
     /// Its identity.
     #[must_use]
     pub const fn id(&self) -> LinkId {
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -14,6 +14,7 @@
 use compio_quic::VarInt;
 use futures_channel::mpsc;
 use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::mpsc::UnboundedSender;
 use futures_util::StreamExt;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -94,14 +95,18 @@
         Ok((send, recv, decoder, peer))
     };
     match in_time(greeting, deadline).await {
-        Ok((send, recv, decoder, peer)) => run(send, recv, decoder, peer, station).await,
+        Ok((send, recv, decoder, peer)) => {
+            let link = |queue| Link::new(station.outlet.next_id(), peer, queue);
+            run(send, recv, decoder, link, &station).await
+        }
         Err(err) => err,
     }
 }
 
-/// Runs a connection that was dialled, until it ends; `stood` becomes true if its link stood.
+/// Runs a connection that was dialled at `addr`, until it ends; `stood` becomes true if its link stood.
 pub(super) async fn dialled(
     connection: Connection,
+    addr: SocketAddr,
     station: Rc<Station>,
     deadline: Instant,
     stood: &mut bool,
@@ -117,7 +122,8 @@
     match in_time(greeting, deadline).await {
         Ok((send, recv, decoder, peer)) => {
             *stood = true;
-            run(send, recv, decoder, peer, station).await
+            let link = |queue| Link::new(station.outlet.next_id(), peer, queue).dialled(addr);
+            run(send, recv, decoder, link, &station).await
         }
         Err(err) => err,
     }
@@ -176,13 +182,13 @@
     send: SendStream,
     recv: RecvStream,
     decoder: Decoder,
-    peer: Hello,
-    station: Rc<Station>,
+    link: impl FnOnce(UnboundedSender<Message>) -> Link,
+    station: &Rc<Station>,
 ) -> NetError {
     let (queue, queued) = mpsc::unbounded();
-    let link = Link::new(station.outlet.next_id(), peer, queue);
-    let _standing = Standing::announce(link.clone(), Rc::clone(&station));
-    let reader = pin!(read(recv, decoder, &link, &station));
+    let link = link(queue);
+    let _standing = Standing::announce(link.clone(), Rc::clone(station));
+    let reader = pin!(read(recv, decoder, &link, station));
     let writer = pin!(write(send, queued, &station.log));
     match select(reader, writer).await {
         Either::Left((err, _)) | Either::Right((err, _)) => err,
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -15,6 +15,7 @@
 use crate::log::LogClient;
 use crate::member::Follower;
 use crate::member::StateEvent;
+use crate::member::Voters;
 use crate::name::NodeName;
 use crate::net::Mesh;
 use crate::net::NetEvent;
@@ -70,8 +71,11 @@
             NodeError::Io(std::io::Error::other("the events of the links were taken"))
         })?;
         mesh.dial(FLEET_GROUP, settings.fleet.clone());
+        let own = (role == Role::Fleet).then(|| mesh.local_addr());
+        let voters = Voters::new(settings.fleet.iter().copied(), own);
         let follower = Follower::spawn(
             hello.clone(),
+            voters,
             LogClient::new(&settings.log.to_string()).map_err(std::io::Error::other)?,
             events.state,
             log.clone(),
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -2,6 +2,7 @@
 
 mod tiny_log;
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,6 +19,7 @@
 use mimosastep::member::ChangeError;
 use mimosastep::member::Follower;
 use mimosastep::member::StateEvent;
+use mimosastep::member::Voters;
 use mimosastep::net::Link;
 use mimosastep::net::LinkId;
 use mimosastep::net::NetEvent;
@@ -46,6 +48,12 @@
     events: UnboundedSender<NetEvent>,
 }
 
+/// Where a process listens.
+fn addr(node: &str) -> SocketAddr {
+    let number: u8 = node[1..].parse().expect("a number");
+    ([10, node.as_bytes()[0], 0, number], 1).into()
+}
+
 fn process(log: &str, node: &str, role: Role) -> Process {
     let hello = Hello {
         node: node.parse().expect("a name"),
@@ -55,7 +63,9 @@
     let (events, receiver) = mpsc::unbounded();
     let client = LogClient::new(log).expect("a client");
     let logger = Logger::root(Discard, o!());
-    let follower = Follower::spawn(hello.clone(), client, receiver, logger);
+    let own = (role == Role::Fleet).then(|| addr(node));
+    let voters = Voters::new(["f1", "f2", "f3"].map(addr), own);
+    let follower = Follower::spawn(hello.clone(), voters, client, receiver, logger);
     Process {
         hello,
         follower,
@@ -71,7 +81,8 @@
 
 fn one_way(to: &Process, peer: &Process, id: u64) {
     let (outbox, mut sent) = mpsc::unbounded::<Message>();
-    let link = Link::new(LinkId(id), peer.hello.clone(), outbox);
+    let there = addr(peer.hello.node.as_str());
+    let link = Link::new(LinkId(id), peer.hello.clone(), outbox).dialled(there);
     let there = peer.events.clone();
     let home = to.events.clone();
     let reply = Link::new(LinkId(id), to.hello.clone(), relay(home, link.clone()));
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -1,6 +1,6 @@
 //! A process starts work only under a state known to be recent; all time is virtual.
 
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,47 +8,58 @@
 use mimosastep::member::Freshness;
 use mimosastep::member::FreshnessEvent;
 use mimosastep::member::Voter;
+use mimosastep::member::Voters;
 use test_case::test_case;
 
 const STEP: u64 = 100;
 
-fn name(text: &str) -> Voter {
-    let node = text.parse().expect("a name");
-    let incarnation = 1;
-    Voter { node, incarnation }
-}
-
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn voters(count: usize) -> BTreeSet<Voter> {
-    (1..=count)
-        .map(|number| name(&format!("f{number}")))
-        .collect()
+fn addr(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 1).into()
+}
+
+fn voter(number: u8) -> Voter {
+    let node = format!("f{number}").parse().expect("a name");
+    let (addr, incarnation) = (addr(number), 1);
+    Voter {
+        addr,
+        node,
+        incarnation,
+    }
 }
 
-fn folded(offset: u64, count: usize) -> FreshnessEvent {
-    let voters = voters(count);
-    FreshnessEvent::Folded { offset, voters }
+const fn folded(offset: u64) -> FreshnessEvent {
+    FreshnessEvent::Folded { offset }
 }
 
-fn vouched(by: usize, asked: Instant, offset: u64, age: Option<u64>) -> FreshnessEvent {
+fn said(by: Voter, asked: Instant, offset: u64, age: Option<u64>) -> FreshnessEvent {
     FreshnessEvent::Vouched {
-        by: name(&format!("f{by}")),
+        by: Some(by),
         asked,
         offset,
         age: age.map(ms),
     }
 }
 
-/// A process that has folded ten records and knows three voters.
-fn process(me: &str, now: Instant) -> Freshness {
-    let mut process = Freshness::new(name(me));
-    process.observe(now, folded(10, 3));
+fn vouched(by: u8, asked: Instant, offset: u64, age: Option<u64>) -> FreshnessEvent {
+    said(voter(by), asked, offset, age)
+}
+
+/// A process that has folded ten records and knows `count` voters.
+fn one_of(count: u8, me: &str, now: Instant) -> Freshness {
+    let own = me.strip_prefix('f').map(|me| addr(me.parse().unwrap()));
+    let mut process = Freshness::new(now, Voters::new((1..=count).map(addr), own));
+    process.observe(now, folded(10));
     process
 }
 
+fn process(me: &str, now: Instant) -> Freshness {
+    one_of(3, me, now)
+}
+
 #[test]
 fn the_log_makes_fresh_from_the_question_on() {
     let start = Instant::now();
@@ -61,17 +72,20 @@
     assert_eq!(gate.until(), Some(start + FRESH_FOR), "never reverts");
 }
 
-#[test_case("g", &[1], None; "a gate with one of three")]
-#[test_case("g", &[1, 1], None; "a gate with one of three, twice")]
-#[test_case("g", &[1, 2], Some(100); "a gate with two of three")]
-#[test_case("g", &[1, 2, 3], Some(200); "a gate with all three")]
-#[test_case("f1", &[], None; "a voter alone")]
-#[test_case("f1", &[2], Some(100); "a voter with one other")]
-#[test_case("f1", &[2, 3], Some(200); "a voter with both others")]
-#[test_case("g", &[8, 9], None; "a gate with strangers")]
-fn a_majority_of_voters_makes_fresh(me: &str, by: &[usize], since: Option<u64>) {
+#[test_case(3, "g", &[1], None; "a gate with one of three")]
+#[test_case(3, "g", &[1, 1], None; "a gate with one of three, twice")]
+#[test_case(3, "g", &[1, 2], Some(100); "a gate with two of three")]
+#[test_case(3, "g", &[1, 2, 3], Some(200); "a gate with all three")]
+#[test_case(5, "g", &[1, 2], None; "a gate with two of five")]
+#[test_case(5, "g", &[1, 2, 3], Some(100); "a gate with three of five")]
+#[test_case(4, "g", &[1, 2], None; "a gate with two of four")]
+#[test_case(3, "f1", &[2], None; "a new voter with one other")]
+#[test_case(3, "f1", &[2, 3], Some(200); "a new voter with both others")]
+#[test_case(3, "f1", &[1, 1, 2], None; "a new voter with one that claims its address")]
+#[test_case(3, "g", &[8, 9], None; "a gate with strangers")]
+fn a_majority_of_voters_makes_fresh(count: u8, me: &str, by: &[u8], since: Option<u64>) {
     let start = Instant::now();
-    let mut process = process(me, start);
+    let mut process = one_of(count, me, start);
     for (index, voter) in (1..).zip(by) {
         let asked = start + ms(100 * index);
         process.observe(start + ms(900), vouched(*voter, asked, 10, None));
@@ -80,6 +94,30 @@
     assert_eq!(process.until(), expected);
 }
 
+#[test_case(&[], 0; "alone")]
+#[test_case(&[2], 100; "with one other")]
+#[test_case(&[2, 3], 200; "with both others")]
+fn a_voter_that_has_read_the_log_counts_itself(by: &[u8], since: u64) {
+    let start = Instant::now();
+    let mut process = process("f1", start);
+    process.observe(start + ms(10), FreshnessEvent::Head { asked: start });
+    for (index, voter) in (1..).zip(by) {
+        let asked = start + ms(100 * index);
+        process.observe(start + ms(900), vouched(*voter, asked, 10, None));
+    }
+    assert_eq!(process.until(), Some(start + ms(since) + FRESH_FOR));
+}
+
+#[test_case(10, true; "asked after the start")]
+#[test_case(60, false; "asked before the start")]
+fn a_voter_vouches_once_its_state_was_complete_after_its_start(age: u64, may: bool) {
+    let start = Instant::now();
+    let mut process = process("f1", start);
+    process.observe(start + ms(60), vouched(2, start + ms(50), 10, Some(age)));
+    assert!(process.until().is_some());
+    assert_eq!(process.may_vouch(), may);
+}
+
 #[test_case(10, Some(400); "one that has folded as much")]
 #[test_case(9, Some(400); "one that has folded less")]
 #[test_case(11, None; "one that has folded more")]
@@ -101,37 +139,35 @@
     gate.observe(start, vouched(1, start, 12, None));
     gate.observe(start, vouched(2, start, 10, None));
     assert_eq!(gate.until(), None);
-    gate.observe(start + ms(50), folded(11, 3));
+    gate.observe(start + ms(50), folded(11));
     assert_eq!(gate.until(), None);
-    gate.observe(start + ms(60), folded(12, 3));
+    gate.observe(start + ms(60), folded(12));
     assert_eq!(gate.until(), Some(start + FRESH_FOR));
 }
 
-#[test]
-fn new_voters_raise_the_majority() {
+#[test_case(Voter { incarnation: 2, ..voter(1) }; "a successor")]
+#[test_case(Voter { addr: addr(2), ..voter(1) }; "one at two addresses")]
+#[test_case(Voter { node: voter(2).node, ..voter(1) }; "two at one address")]
+fn a_voter_counts_once(again: Voter) {
     let start = Instant::now();
     let mut gate = process("g", start);
     gate.observe(start, vouched(1, start, 10, None));
-    gate.observe(start, vouched(2, start, 10, None));
-    assert!(gate.until().is_some());
-    gate.observe(start, folded(11, 5));
+    gate.observe(start, said(again, start, 10, None));
     assert_eq!(gate.until(), None);
 }
 
 #[test]
-fn a_voters_successor_is_another_voter() {
+fn an_older_incarnation_has_no_vote() {
     let start = Instant::now();
     let mut gate = process("g", start);
-    gate.observe(start, vouched(1, start, 10, None));
-    gate.observe(start, vouched(2, start, 10, None));
-    let incarnation = 2;
-    let voters = voters(3).into_iter().map(|voter| Voter {
-        incarnation,
-        ..voter
-    });
-    let (offset, voters) = (11, voters.collect());
-    gate.observe(start, FreshnessEvent::Folded { offset, voters });
-    assert_eq!(gate.until(), None);
+    let newer = Voter {
+        incarnation: 2,
+        ..voter(1)
+    };
+    gate.observe(start, said(newer, start, 10, None));
+    gate.observe(start + ms(500), vouched(1, start + ms(500), 10, None));
+    gate.observe(start + ms(500), vouched(2, start + ms(500), 10, None));
+    assert_eq!(gate.until(), Some(start + FRESH_FOR));
 }
 
 #[test]
@@ -153,9 +189,9 @@
 struct World {
     log_up: fn(u64) -> bool,
     /// Whether the gate's questions reach the voter.
-    there: fn(u64, usize) -> bool,
+    there: fn(u64, u8) -> bool,
     /// Whether the voter's answers reach the gate.
-    back: fn(u64, usize) -> bool,
+    back: fn(u64, u8) -> bool,
     gate_reads: fn(u64) -> bool,
     /// When a key's withdrawal is in the log and with voters 1 and 2.
     withdrawn: u64,
@@ -198,7 +234,7 @@
         if reads {
             *offset = head;
         }
-        gate.observe(now, folded(*offset, 3));
+        gate.observe(now, folded(*offset));
         if reads {
             gate.observe(now, FreshnessEvent::Head { asked });
         }
