Show what a voter's restart would break without recovery

A restarted voter that vouched at once, and a change that counted as in force on words given before a restart, would each leave a fresh gate without a change in force; the tests drive the real replica and its broken copy.

--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -31,7 +31,7 @@
 const BATCH_BYTES: usize = 256 * 1024;
 
 /// What a voter has answered.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Reached {
     by: Voter,
     /// Offset that it had folded up to.
@@ -41,7 +41,7 @@
 }
 
 /// The folded state, the records behind it, and how recent it is. Reads no clock.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Replica {
     me: Hello,
     state: Rc<State>,
--- a/tests/state_voters.rs
+++ b/tests/state_voters.rs
@@ -66,6 +66,14 @@
     )
 }
 
+fn fleet(number: u8, incarnation: u64) -> Hello {
+    let hello = hello(&format!("f{number}"), Role::Fleet);
+    Hello {
+        incarnation,
+        ..hello
+    }
+}
+
 fn voters(own: Option<u8>) -> Voters {
     Voters::new((1..=3).map(addr), own.map(addr))
 }
@@ -90,7 +98,72 @@
 
 fn vouch(replica: &mut Replica, now: Instant, by: &[u8], offset: u64) {
     for number in by {
-        let peer = hello(&format!("f{number}"), Role::Fleet);
-        replica.vouched(now, (&peer, Some(addr(*number))), now, offset, None);
+        say(replica, now, &fleet(*number, 1), offset);
     }
 }
+
+/// The fleet process `peer` answers a probe of now.
+fn say(replica: &mut Replica, now: Instant, peer: &Hello, offset: u64) {
+    let number = peer.node.as_str()[1..].parse().expect("a number");
+    replica.vouched(now, (peer, Some(addr(number))), now, offset, None);
+}
+
+/// A process with the first `offset` records.
+fn with(start: Instant, me: Hello, own: Option<u8>, offset: u64) -> Replica {
+    let mut replica = Replica::new(start, me, voters(own));
+    replica.fold(
+        start,
+        (0..offset).map(|at| encode(at, Change::Table(Vec::new()))),
+    );
+    replica
+}
+
+/// The log is down, f1 and f2 hold a change that f3 lacks, and f1 restarts.
+#[test]
+fn a_restarted_voter_first_learns_what_it_had_vouched_for() {
+    let start = Instant::now();
+    let mut again = with(start, fleet(1, 2), Some(1), 3);
+    say(&mut again, start, &fleet(3, 1), 3);
+    let mut gate = with(start, hello("g", Role::Gate), None, 3);
+    say(&mut gate, start, &fleet(3, 1), 3);
+    assert_eq!(again.vouch(start, 1), None);
+    assert_eq!(gate.until(), None);
+    let mut broken = gate.clone();
+    say(&mut broken, start, &fleet(1, 2), 3);
+    assert!(
+        broken.until().is_some(),
+        "a vouch of it would hide the change"
+    );
+    say(&mut again, start, &fleet(2, 1), 4);
+    assert_eq!(again.vouch(start, 1), None, "it knows of more than it has");
+    again.fold(start, [encode(3, Change::Table(Vec::new()))]);
+    assert!(again.vouch(start, 1).is_some());
+}
+
+/// f1 says that it holds a change and restarts; f2 gets the change only after that.
+#[test]
+fn a_word_given_before_a_restart_does_not_put_a_change_in_force() {
+    let start = Instant::now();
+    let mut writer = with(start, hello("g1", Role::Gate), None, 4);
+    say(&mut writer, start, &fleet(1, 1), 4);
+    let mut again = with(start, fleet(1, 2), Some(1), 3);
+    vouch(&mut again, start, &[2, 3], 3);
+    assert!(again.vouch(start, 1).is_some());
+    say(&mut writer, start, &fleet(2, 1), 4);
+    let mut gate = with(start, hello("g2", Role::Gate), None, 3);
+    say(&mut gate, start, &fleet(1, 2), 3);
+    say(&mut gate, start, &fleet(3, 1), 3);
+    assert!(
+        gate.until().is_some(),
+        "the gate is fresh without the change"
+    );
+    let holders = writer.holders(3).expect("each of a majority has held it");
+    let since = start + Duration::from_millis(1);
+    say(&mut writer, since, &fleet(1, 2), 3);
+    say(&mut writer, since, &fleet(2, 1), 4);
+    assert!(!writer.confirmed(&holders, since));
+    say(&mut writer, since, &fleet(3, 1), 4);
+    let holders = writer.holders(3).expect("f2 and f3 hold it");
+    assert!(!writer.confirmed(&holders, since + Duration::from_millis(1)));
+    assert!(writer.confirmed(&holders, since));
+}
