--- a/scenarios/src/bin/demo.rs
+++ b/scenarios/src/bin/demo.rs
@@ -1,7 +1,6 @@
 //! Starts a site of today's size, loads it while a data centre leaves and returns, and counts.
 
 use std::error::Error;
-use std::net::SocketAddr;
 use std::process::Command;
 use std::process::ExitCode;
 use std::process::Stdio;
@@ -16,9 +15,9 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
-use scenarios::http;
 use scenarios::layout::Layout;
 use scenarios::process::beside;
+use scenarios::runner::starts;
 use scenarios::site::Site;
 
 /// Requests of the demo.
@@ -61,7 +60,8 @@
     print!("{}", site.must(&["dc", "in", "swansea"])?);
     let output = load.wait_with_output()?;
     let report: Value = serde_json::from_slice(&output.stdout)?;
-    let twice = run_twice(&site.backends)?;
+    let counts = starts(&site.backends)?;
+    let twice = counts.values().filter(|count| **count > 1).count();
     let number = |name: &str| report[name].as_f64().unwrap_or(f64::NAN);
     let answered = report["answered"].as_u64().unwrap_or(0);
     if answered != REQUESTS {
@@ -82,34 +82,10 @@
     args.push(REQUESTS.to_string());
     args.extend(["--callers".to_owned(), CALLERS.to_string()]);
     args.extend(["--pace".to_owned(), PACE.to_string()]);
-    for gate in site.gates() {
-        args.extend(["--target".to_owned(), gate.to_string()]);
-    }
-    for service in &site.layout.services {
-        for (team, ..) in &site.layout.teams {
-            args.extend([
-                "--path".to_owned(),
-                format!("/v1/services/{service}/requests"),
-            ]);
-            args.extend(["--key".to_owned(), Site::key(team)]);
-        }
-    }
+    args.extend(site.load_args());
     args
 }
 
-/// Requests that a backend server started more than once, or that several started.
-fn run_twice(backends: &[SocketAddr]) -> Result<usize, Box<dyn Error>> {
-    let mut counts = std::collections::HashMap::<String, u64>::new();
-    for addr in backends {
-        let runs = http::send(*addr, "GET", "/runs", &[], "")?.json();
-        let by_request = runs["by_request"].as_object().cloned().unwrap_or_default();
-        for (request, count) in by_request {
-            *counts.entry(request).or_default() += count.as_u64().unwrap_or(0);
-        }
-    }
-    Ok(counts.values().filter(|count| **count > 1).count())
-}
-
 /// Ends all processes of the site, by id, when the demo is interrupted.
 fn end_on_signal(ids: Vec<u32>) -> Result<(), Box<dyn Error>> {
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
--- a/scenarios/src/layout.rs
+++ b/scenarios/src/layout.rs
@@ -72,6 +72,13 @@
         &self.dcs[index % self.dcs.len()]
     }
 
+    /// Rack of host `index`.
+    #[must_use]
+    pub fn rack(&self, index: usize) -> String {
+        let number = index / self.dcs.len() / RACK_HOSTS;
+        format!("{}-{number}", self.dc(index))
+    }
+
     /// The operators' table.
     #[must_use]
     pub fn table(&self) -> String {
@@ -99,9 +106,9 @@
         let rows = addrs.iter().enumerate().map(|(index, addr)| {
             let pool = self.services.get(index / self.hosts.max(1));
             let pool = pool.map_or("spare", String::as_str);
-            let rack = index / self.dcs.len() / RACK_HOSTS;
             let dc = self.dc(index);
-            format!("host-{index},{dc},{dc}-{rack},{addr},{SLOTS},{pool}\n")
+            let rack = self.rack(index);
+            format!("host-{index},{dc},{rack},{addr},{SLOTS},{pool}\n")
         });
         "host,dc,rack,addr,slots,pool\n".to_owned() + &rows.collect::<String>()
     }
--- a/scenarios/src/lib.rs
+++ b/scenarios/src/lib.rs
@@ -5,4 +5,7 @@
 pub mod layout;
 pub mod ports;
 pub mod process;
+pub mod runner;
+pub mod script;
 pub mod site;
+pub mod step;
--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -24,6 +24,10 @@
 pub const ROLES: [&str; 3] = ["fleet", "sched", "gate"];
 /// The operator's key of a site.
 const OPERATOR_KEY: &str = "operator-key-of-a-test-site";
+/// Addresses of the log, of the list of hosts and of the forwarder's control.
+const PLATFORM_PORTS: usize = 3;
+/// Addresses of the processes of one entry host.
+const ENTRY_PORTS: usize = 9;
 /// Longest wait for the site to be ready, in milliseconds.
 const READY_MS: u64 = 30_000;
 /// Time between two looks, in milliseconds.
@@ -38,6 +42,8 @@
     pub quic: SocketAddr,
     /// For callers, operators or probes.
     pub http: SocketAddr,
+    /// The forwarder on its way to the log.
+    pub log: SocketAddr,
 }
 
 /// Stand-ins and the system's processes, all started here.
@@ -51,6 +57,9 @@
     /// Addresses of the system's processes, by role and entry host.
     pub addresses: Vec<[Address; 3]>,
     hosts: SocketAddr,
+    forward: SocketAddr,
+    links: Vec<String>,
+    listed: Vec<String>,
     operator: String,
     processes: Vec<Process>,
     authority: Authority,
@@ -64,12 +73,14 @@
     /// If a program is missing, or the site is not ready in time.
     pub fn spawn(layout: Layout) -> Fallible<Self> {
         let dir = tempfile::tempdir()?;
-        let ports = ports::free(2 + layout.host_count() + layout.entries * 6)?;
-        let backends = ports[2..2 + layout.host_count()].to_vec();
-        let addresses = ports[2 + layout.host_count()..].chunks(6).map(|p| {
+        let first = PLATFORM_PORTS + layout.host_count();
+        let ports = ports::free(first + layout.entries * ENTRY_PORTS)?;
+        let backends = ports[PLATFORM_PORTS..first].to_vec();
+        let addresses = ports[first..].chunks(ENTRY_PORTS).map(|p| {
             let pair = |i: usize| Address {
-                quic: p[2 * i],
-                http: p[2 * i + 1],
+                quic: p[3 * i],
+                http: p[3 * i + 1],
+                log: p[3 * i + 2],
             };
             [pair(0), pair(1), pair(2)]
         });
@@ -78,6 +89,9 @@
             addresses: addresses.collect(),
             backends,
             hosts: ports[1],
+            forward: ports[2],
+            links: Vec::new(),
+            listed: vec!["live".to_owned(); layout.host_count()],
             operator: blake3::hash(OPERATOR_KEY.as_bytes()).to_hex().to_string(),
             processes: Vec::new(),
             authority: Authority::open(dir.path())?,
@@ -163,6 +177,54 @@
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
+    /// Arguments of the load client: all gates, and all services for all teams.
+    #[must_use]
+    pub fn load_args(&self) -> Vec<String> {
+        let targets = self.gates();
+        let targets = targets
+            .iter()
+            .flat_map(|gate| ["--target".to_owned(), gate.to_string()]);
+        let services = self.layout.services.iter();
+        let routes = services.flat_map(|service| {
+            let path = format!("/v1/services/{service}/requests");
+            self.layout.teams.iter().flat_map(move |(team, ..)| {
+                [
+                    "--path".to_owned(),
+                    path.clone(),
+                    "--key".to_owned(),
+                    Self::key(team),
+                ]
+            })
+        });
+        targets.chain(routes).collect()
+    }
+
+    /// Cuts or mends a process's way to the log: `none`, `both`, `to_target` or `to_client`.
+    ///
+    /// # Errors
+    /// If there is no such process, or the forwarder does not answer.
+    pub fn cut(&self, node: &str, way: &str) -> Fallible<()> {
+        let link = self.links.iter().position(|name| name == node);
+        let link = link.ok_or_else(|| format!("no process {node}"))?;
+        let body = format!("{{\"link\": {link}, \"cut\": \"{way}\"}}");
+        let answer = http::send(self.forward, "PUT", "/control", &[], &body)?;
+        if answer.status == 200 || answer.status == 204 {
+            return Ok(());
+        }
+        Err(format!("the cut was refused: {} {}", answer.status, answer.body).into())
+    }
+
+    /// Sets the state of a host on the platform's list.
+    ///
+    /// # Errors
+    /// If there is no such host, or the list does not answer.
+    pub fn list(&mut self, host: &str, state: &str) -> Fallible<()> {
+        let index: usize = host.strip_prefix("host-").unwrap_or(host).parse()?;
+        let entry = self.listed.get_mut(index).ok_or("no such host")?;
+        *entry = state.to_owned();
+        self.publish()
+    }
+
     /// Key of a team.
     #[must_use]
     pub fn key(team: &str) -> String {
@@ -200,6 +262,14 @@
         let listen = |addr: SocketAddr| ["--listen".to_owned(), addr.to_string()];
         self.add("log", "standin-log", &listen(self.log))?;
         self.add("hosts", "standin-hosts", &listen(self.hosts))?;
+        let mut args = vec!["--control".to_owned(), self.forward.to_string()];
+        for (entry, addresses) in self.addresses.iter().enumerate() {
+            for (role, address) in ROLES.iter().zip(addresses) {
+                self.links.push(node(entry, role));
+                args.extend(["--tcp".to_owned(), format!("{}={}", address.log, self.log)]);
+            }
+        }
+        self.add("forward", "standin-forward", &args)?;
         for (index, dc) in self.layout.dcs.clone().iter().enumerate() {
             let own = self
                 .backends
@@ -237,7 +307,7 @@
             self.layout.dc(entry),
             address.quic,
             address.http,
-            self.log,
+            address.log,
             fleet.join(", "),
         );
         text += &self.authority.issue(&name)?;
@@ -250,7 +320,30 @@
         Ok(text)
     }
 
+    /// Hands the list of hosts to its stand-in.
+    fn publish(&self) -> Fallible<()> {
+        let hosts = self.backends.iter().zip(&self.listed).enumerate();
+        let rows: Vec<String> = hosts
+            .map(|(index, (addr, state))| {
+                let dc = self.layout.dc(index);
+                let rack = self.layout.rack(index);
+                format!(
+                    r#"{{"name":"host-{index}","dc":"{dc}","rack":"{rack}","addr":"{addr}","state":"{state}"}}"#
+                )
+            })
+            .collect();
+        let body = format!("[{}]", rows.join(","));
+        let answer = http::send(self.hosts, "PUT", "/control/hosts", &[], &body)?;
+        if answer.status == 200 || answer.status == 204 {
+            return Ok(());
+        }
+        Err(format!("the list was refused: {} {}", answer.status, answer.body).into())
+    }
+
     fn set_up(&self) -> Fallible<()> {
+        Self::wait("the list of hosts answers", READY_MS, || {
+            self.publish().is_ok()
+        })?;
         fs::write(self.path("table.csv"), self.layout.table())?;
         fs::write(self.path("pools.csv"), self.layout.pools())?;
         fs::write(self.path("hosts.csv"), self.layout.hosts(&self.backends))?;
