Report silent members, and let an ended process rejoin

Cause: nothing appended Suspect, so a process that died stayed a member and kept its roles for good. A process that had been ended went on idle, and one whose wall clock had gone back took its rejected join for a success.

Change: a pure detector on each fleet process reports a member after 3 s of silence, only while its own state is fresh, and begins all waits anew after a late tick. Trust takes a report back. An ended process is stopped as by a signal and starts anew in a runtime of its own, with the next incarnation; one that was replaced by its own name exits with a failure.

Tests: state_detector (12, with both breaks), members in tests/state, and a_suspicion_is_void_when_its_reporter_takes_it_back.

Small edits elsewhere: the servers tell their node, fleet::Submission knows the new change.

--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -18,6 +18,7 @@
 use crate::member::Follower;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::record::Author;
 use crate::record::Record;
 use crate::record::Role;
@@ -61,6 +62,12 @@
     }
 }
 
+impl Service for FleetServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
 struct Operators {
     follower: Follower,
     ready: Rc<Cell<bool>>,
--- a/src/fleet/submission.rs
+++ b/src/fleet/submission.rs
@@ -92,6 +92,7 @@
         Change::Join { .. }
         | Change::Leave { .. }
         | Change::Suspect { .. }
+        | Change::Trust { .. }
         | Change::End { .. }
         | Change::Snapshot(_) => false,
     }
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -24,6 +24,7 @@
 use crate::name::ServiceName;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::node::probe;
 use crate::record::Role;
 use crate::settings::GateSettings;
@@ -101,6 +102,12 @@
     }
 }
 
+impl Service for GateServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
 fn route(inputs: UnboundedSender<Input>, ready: Rc<Cell<bool>>, limit: usize) -> Handler {
     Rc::new(move |request: Request<Incoming>| {
         let path = request.uri().path();
--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -10,11 +10,13 @@
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 
+use crate::member::Detector;
 use crate::member::FRESH_FOR;
 use crate::member::Replica;
 use crate::member::StateEvent;
 use crate::net::Link;
 use crate::net::LinkId;
+use crate::record::Change;
 use crate::record::RecordId;
 use crate::record::Role;
 use crate::record::Settled;
@@ -34,10 +36,15 @@
     published: (u64, Option<Instant>),
     /// Whether a snapshot is being appended.
     pub(super) snapping: bool,
+    /// Watches the other members, on a fleet process.
+    detector: Option<Detector>,
+    /// Whether reports of the detector are being appended.
+    pub(super) reporting: bool,
 }
 
 impl Core {
-    pub(super) fn new(replica: Replica) -> Self {
+    pub(super) fn new(replica: Replica, me: &Hello) -> Self {
+        let fleet = me.role == Role::Fleet;
         Self {
             replica,
             links: BTreeMap::new(),
@@ -47,6 +54,8 @@
             waiters: Vec::new(),
             published: (0, None),
             snapping: false,
+            detector: fleet.then(|| Detector::new(me.node.clone())),
+            reporting: false,
         }
     }
 
@@ -95,12 +104,34 @@
 
     pub(super) fn up(&mut self, link: Link) {
         let fleet = link.peer().role == Role::Fleet;
+        self.hear(&link);
         self.links.insert(link.id(), link);
         if fleet {
             self.probe();
         }
     }
 
+    fn hear(&mut self, link: &Link) {
+        if let Some(detector) = &mut self.detector {
+            detector.hear(Instant::now(), link.peer());
+        }
+    }
+
+    /// The reports of silent members that should be appended now.
+    pub(super) fn start_reports(&mut self) -> Vec<Change> {
+        let now = Instant::now();
+        let fresh = self.replica.until() > Some(now);
+        let Some(detector) = &mut self.detector else {
+            return Vec::new();
+        };
+        let reports = detector.tick(now, self.replica.state(), fresh);
+        if self.reporting || reports.is_empty() {
+            return Vec::new();
+        }
+        self.reporting = true;
+        reports
+    }
+
     fn fleet(&self) -> impl Iterator<Item = &Link> {
         let links = self.links.values();
         links.filter(|link| link.peer().role == Role::Fleet)
@@ -137,6 +168,7 @@
 
     pub(super) fn receive(&mut self, link: &Link, message: Message, me: &Hello) {
         let now = Instant::now();
+        self.hear(link);
         let (of_fleet, from_fleet) = (me.role == Role::Fleet, link.peer().role == Role::Fleet);
         match message {
             Message::Probe { nonce, .. } if of_fleet => {
--- a/src/member/follower.rs
+++ b/src/member/follower.rs
@@ -41,7 +41,8 @@
         events: UnboundedReceiver<NetEvent>,
         logger: Logger,
     ) -> Self {
-        let core = RefCell::new(Core::new(Replica::new(Instant::now(), me.clone(), voters)));
+        let replica = Replica::new(Instant::now(), me.clone(), voters);
+        let core = RefCell::new(Core::new(replica, &me));
         let tasks = Rc::new(Tasks {
             me,
             log,
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,6 +3,7 @@
 mod applied;
 mod change_error;
 mod core;
+mod detector;
 mod follower;
 mod freshness;
 mod freshness_event;
@@ -15,6 +16,10 @@
 
 pub use applied::Applied;
 pub use change_error::ChangeError;
+pub use detector::Detector;
+pub use detector::SUSPECT_AFTER;
+pub use detector::TICK_EVERY;
+pub use detector::TICK_LATE;
 pub use follower::Follower;
 pub use freshness::FRESH_FOR;
 pub use freshness::Freshness;
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -24,6 +24,7 @@
 use crate::log::ReadError;
 use crate::member::Applied;
 use crate::member::ChangeError;
+use crate::member::TICK_EVERY;
 use crate::member::core::Core;
 use crate::net::NetEvent;
 use crate::record::Author;
@@ -46,9 +47,6 @@
 /// Shortest and longest pause after a failed request.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
 
-/// Time between probes.
-const PROBE_EVERY: Duration = Duration::from_millis(300);
-
 /// How long an append whose answer was lost is looked for.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -150,22 +148,39 @@
 
     pub(super) async fn tick(self: Rc<Self>) {
         loop {
-            let due = {
+            let (due, reports) = {
                 let mut core = self.core.borrow_mut();
                 core.probe();
-                core.start_snapshot()
+                (core.start_snapshot(), core.start_reports())
             };
+            if !reports.is_empty() {
+                let tasks = Rc::clone(&self);
+                spawn(async move { tasks.report(reports).await }).detach();
+            }
             if let Some(bytes) = due {
                 let tasks = Rc::clone(&self);
                 spawn(async move { tasks.snap(bytes).await }).detach();
             }
-            sleep(PROBE_EVERY).await;
+            sleep(TICK_EVERY).await;
         }
     }
 
+    /// Appends reports of silent members until one fails; those that still hold come again.
+    async fn report(&self, reports: Vec<Change>) {
+        for report in reports {
+            info!(self.logger, "reporting a member"; "report" => ?report);
+            if let Err(err) = self.settle(self.record(None, report)).await {
+                warn!(self.logger, "report not appended"; "error" => %err);
+                break;
+            }
+        }
+        self.core.borrow_mut().reporting = false;
+    }
+
     async fn snap(&self, bytes: Vec<u8>) {
-        let applied = self.append(None, Change::Snapshot(bytes)).await;
-        debug!(self.logger, "snapshot appended"; "result" => ?applied);
+        let record = self.record(None, Change::Snapshot(bytes));
+        let settled = self.settle(record).await;
+        debug!(self.logger, "snapshot appended"; "result" => ?settled);
         self.core.borrow_mut().snapping = false;
     }
 
@@ -174,22 +189,31 @@
         base: Option<u64>,
         change: Change,
     ) -> Result<Applied, ChangeError> {
-        let record = Record {
+        self.append_record(self.record(base, change)).await
+    }
+
+    fn record(&self, base: Option<u64>, change: Change) -> Record {
+        Record {
             id: RecordId::random(),
             base,
             author: Author::Node(self.me.node.clone()),
             at: unix_ms(),
             change,
-        };
-        self.append_record(record).await
+        }
     }
 
     pub(super) async fn append_record(&self, record: Record) -> Result<Applied, ChangeError> {
-        let (id, data) = (record.id, record.encode());
-        let known = self.core.borrow().find(id);
+        let known = self.core.borrow().find(record.id);
         if let Some(known) = known {
             return Ok(self.repeated(known).await);
         }
+        let settled = self.settle(record).await?;
+        Ok(self.applied(settled).await)
+    }
+
+    /// Appends a record whose id is new, and waits until it is folded here.
+    async fn settle(&self, record: Record) -> Result<Settled, ChangeError> {
+        let (id, data) = (record.id, record.encode());
         let deadline = Instant::now() + SETTLE_LIMIT;
         let answer = self
             .log
@@ -210,7 +234,7 @@
         if offset.is_none() && settled.result.is_ok() {
             self.core.borrow_mut().push(settled.offset, data);
         }
-        Ok(self.applied(settled).await)
+        Ok(settled)
     }
 
     async fn repeated(&self, known: Settled) -> Applied {
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use compio::runtime::JoinHandle;
+use compio::runtime::spawn;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
 use slog::Logger;
@@ -19,10 +21,11 @@
 use crate::name::NodeName;
 use crate::net::Mesh;
 use crate::net::NetEvent;
+use crate::node::Ended;
 use crate::node::NodeError;
+use crate::node::incarnation;
 use crate::observe::Recorder;
 use crate::observe::open_log;
-use crate::observe::unix_millis;
 use crate::record::Change;
 use crate::record::Member;
 use crate::record::Role;
@@ -49,6 +52,7 @@
     follower: Follower,
     core: Option<UnboundedReceiver<NetEvent>>,
     ready: Rc<Cell<bool>>,
+    watch: JoinHandle<()>,
     log: Logger,
     recorder: Recorder,
 }
@@ -62,7 +66,7 @@
         let log = open_log(&settings.node, role);
         let hello = Hello {
             node: settings.node.clone(),
-            incarnation: unix_millis(),
+            incarnation: incarnation::next(),
             role,
         };
         let identity = settings.tls.identity()?;
@@ -97,7 +101,7 @@
             joined: false,
             fresh: None,
         };
-        compio::runtime::spawn(watch.run(follower.subscribe())).detach();
+        let watch = spawn(watch.run(follower.subscribe()));
         info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
         Ok(Self {
             hello,
@@ -106,6 +110,7 @@
             follower,
             core: Some(events.core),
             ready,
+            watch,
             log,
             recorder: Recorder::default(),
         })
@@ -167,7 +172,7 @@
             member: self.member.clone(),
         };
         let log = self.log.clone();
-        compio::runtime::spawn(async move {
+        spawn(async move {
             while let Err(err) = follower.append(None, change.clone()).await {
                 warn!(log, "cannot join yet"; "error" => %err);
                 compio::time::sleep(Duration::from_millis(JOIN_MS)).await;
@@ -177,6 +182,32 @@
         .detach();
     }
 
+    /// Waits until the membership has ended without this process's doing.
+    pub async fn ended(&self) -> Ended {
+        let Hello {
+            node, incarnation, ..
+        } = &self.hello;
+        let mut events = self.subscribe();
+        loop {
+            match events.next().await {
+                Some(StateEvent::State(state)) if state.is_ended(node, *incarnation) => {
+                    let last = state.incarnations.get(node);
+                    incarnation::note(last.copied().unwrap_or(0));
+                    let replaced = state.members.contains_key(node);
+                    let ended = if replaced {
+                        Ended::Replaced
+                    } else {
+                        Ended::Suspected
+                    };
+                    warn!(self.log, "membership ended"; "why" => ?ended);
+                    return ended;
+                }
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Leaves the membership and closes the links.
     pub async fn leave(self) {
         let node = self.hello.node.clone();
@@ -189,6 +220,7 @@
         compio::time::sleep(Duration::from_millis(HANDOVER_MS)).await;
         self.tell(Change::End { node, incarnation }).await;
         info!(self.log, "stopped");
+        let _ = self.watch.cancel().await;
         if let Ok(mesh) = Rc::try_unwrap(self.mesh) {
             mesh.close().await;
         }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,52 +1,93 @@
 //! The life of a process.
 
 use std::future::Future;
+use std::path::Path;
 use std::process::ExitCode;
 
+use compio::runtime::Runtime;
 use futures_util::FutureExt;
+use futures_util::future::Either;
+use futures_util::future::Shared;
 use futures_util::future::select;
 
 use crate::node::Args;
+use crate::node::Ended;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::settings::SettingsError;
 
 /// Signal that asks for a planned stop.
 const SIGTERM: i32 = 15;
 
-/// Reads the settings, starts the process, waits for a signal and stops the process.
+/// How one incarnation of a process is over.
+enum Over {
+    /// A signal asked for it.
+    Stopped,
+    /// Its membership has ended.
+    Ended(Ended),
+}
+
+/// Reads the settings, starts the process, waits for a signal and stops the process. If the
+/// fleet processes took it for dead, it is stopped as by a signal and started anew, under a new
+/// incarnation and with nothing kept.
 pub fn run<S, P, Spawn, SpawnFut, Stop, StopFut>(
-    open: impl FnOnce(&std::path::Path) -> Result<S, SettingsError>,
+    open: impl Fn(&Path) -> Result<S, SettingsError>,
     spawn: Spawn,
     stop: Stop,
 ) -> ExitCode
 where
-    Spawn: FnOnce(S) -> SpawnFut,
+    P: Service,
+    Spawn: Fn(S) -> SpawnFut,
     SpawnFut: Future<Output = Result<P, NodeError>>,
-    Stop: FnOnce(P) -> StopFut,
+    Stop: Fn(P) -> StopFut,
     StopFut: Future<Output = ()>,
 {
     let args: Args = argh::from_env();
-    let settings = match open(&args.settings) {
-        Ok(settings) => settings,
-        Err(err) => return failed(&err.to_string()),
-    };
-    if args.check {
-        println!("{}: ok", args.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    let runtime = match compio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(err) => return failed(&err.to_string()),
-    };
-    runtime.block_on(async {
-        let process = match spawn(settings).await {
-            Ok(process) => process,
+    loop {
+        let settings = match open(&args.settings) {
+            Ok(settings) => settings,
             Err(err) => return failed(&err.to_string()),
         };
-        stop_signal().await;
-        stop(process).await;
-        ExitCode::SUCCESS
-    })
+        if args.check {
+            println!("{}: ok", args.settings.display());
+            return ExitCode::SUCCESS;
+        }
+        // The tasks of an incarnation end with its runtime.
+        let runtime = match Runtime::new() {
+            Ok(runtime) => runtime,
+            Err(err) => return failed(&err.to_string()),
+        };
+        match runtime.block_on(live(spawn(settings), &stop)) {
+            Ok(Over::Stopped) => return ExitCode::SUCCESS,
+            Ok(Over::Ended(Ended::Suspected)) => {}
+            Ok(Over::Ended(Ended::Replaced)) => {
+                return failed("another process has joined under this name");
+            }
+            Err(err) => return failed(&err.to_string()),
+        }
+    }
+}
+
+async fn live<P: Service, StopFut: Future<Output = ()>>(
+    spawning: impl Future<Output = Result<P, NodeError>>,
+    stop: impl Fn(P) -> StopFut,
+) -> Result<Over, NodeError> {
+    let process = spawning.await?;
+    let signal = stop_signal().boxed_local().shared();
+    let over = over(&process, signal.clone()).await;
+    stop(process).await;
+    match over {
+        Over::Ended(_) if signal.now_or_never().is_some() => Ok(Over::Stopped),
+        over => Ok(over),
+    }
+}
+
+async fn over(process: &impl Service, signal: Shared<impl Future<Output = ()>>) -> Over {
+    let ended = process.node().ended().boxed_local();
+    match select(signal, ended).await {
+        Either::Left(_) => Over::Stopped,
+        Either::Right((ended, _)) => Over::Ended(ended),
+    }
 }
 
 async fn stop_signal() {
--- /dev/null
+++ b/src/node/service.rs
@@ -0,0 +1,9 @@
+//! What a program runs.
+
+use crate::node::Node;
+
+/// The running part of a program.
+pub trait Service {
+    /// Its links, state and membership.
+    fn node(&self) -> &Node;
+}
--- a/src/record/change.rs
+++ b/src/record/change.rs
@@ -153,6 +153,15 @@
     },
     /// The whole state before this record, in the snapshot's encoding.
     Snapshot(Vec<u8>),
+    /// A fleet process hears again from a process that it has reported.
+    Trust {
+        /// Name of the process.
+        node: NodeName,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The fleet process that had reported.
+        by: NodeName,
+    },
 }
 
 impl Change {
--- a/src/record/fold.rs
+++ b/src/record/fold.rs
@@ -87,6 +87,11 @@
             } => self.suspect(&node, incarnation, by),
             Change::End { node, incarnation } => self.end(&node, incarnation),
             Change::Snapshot(bytes) => self.check_snapshot(&bytes),
+            Change::Trust {
+                node,
+                incarnation,
+                by,
+            } => self.trust(&node, incarnation, &by),
         }
     }
 
@@ -290,6 +295,17 @@
         Ok(())
     }
 
+    fn trust(&mut self, node: &NodeName, incarnation: u64, by: &NodeName) -> Result<(), Reject> {
+        self.member_mut(node, incarnation)?;
+        self.suspicions.retain(|of, said| {
+            of != node || {
+                said.remove(by);
+                !said.is_empty()
+            }
+        });
+        Ok(())
+    }
+
     // Drops what was said of a process, and what its earlier incarnation said of others.
     fn forget(&mut self, node: &NodeName) {
         self.suspicions.remove(node);
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -90,6 +90,20 @@
         of_pool.filter(|host| !self.usable(host)).count()
     }
 
+    /// Whether this incarnation of a process is a member.
+    #[must_use]
+    pub fn is_member(&self, node: &NodeName, incarnation: u64) -> bool {
+        let member = self.members.get(node);
+        member.is_some_and(|member| member.incarnation == incarnation)
+    }
+
+    /// Whether this incarnation of a process was a member and has been ended or replaced.
+    #[must_use]
+    pub fn is_ended(&self, node: &NodeName, incarnation: u64) -> bool {
+        let last = self.incarnations.get(node);
+        last.is_some_and(|last| *last >= incarnation) && !self.is_member(node, incarnation)
+    }
+
     /// Members of a role, the leaving ones included.
     pub fn members_of(&self, role: Role) -> impl Iterator<Item = (&NodeName, &Member)> {
         self.members
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -5,6 +5,7 @@
 use crate::http::Limits;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::node::probes;
 use crate::record::Role;
 use crate::sched::Scheduler;
@@ -44,3 +45,9 @@
         self.http.stopped().await;
     }
 }
+
+impl Service for SchedServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
--- a/tests/record_fold.rs
+++ b/tests/record_fold.rs
@@ -363,6 +363,25 @@
     assert!(state.members.contains_key("g1"));
 }
 
+/// Two suspicions that are days apart are no majority if the first was taken back.
+#[test]
+fn a_suspicion_is_void_when_its_reporter_takes_it_back() {
+    let mut state = fleet();
+    suspect(&mut state, "g1", "f1").unwrap();
+    let (node, by) = (name("g1"), name("f1"));
+    let trust = Change::Trust {
+        node,
+        incarnation: 1,
+        by,
+    };
+    put(&mut state, trust).unwrap();
+    assert!(state.suspicions.is_empty());
+    suspect(&mut state, "g1", "f2").unwrap();
+    assert!(state.members.contains_key("g1"));
+    suspect(&mut state, "g1", "f1").unwrap();
+    assert!(!state.members.contains_key("g1"));
+}
+
 #[test_case(1, false; "the same")]
 #[test_case(0, false; "an older")]
 #[test_case(2, true; "a newer")]
--- /dev/null
+++ b/tests/state/members.rs
@@ -0,0 +1,39 @@
+//! Members that fall silent are ended, and rejoin when they are back.
+
+use std::time::Duration;
+
+use compio::time::sleep;
+use mimosastep::record::Role;
+
+use crate::tiny_fleet::connect;
+use crate::tiny_fleet::fleet;
+use crate::tiny_fleet::join;
+use crate::tiny_fleet::process;
+use crate::tiny_fleet::record;
+use crate::tiny_fleet::until;
+use crate::tiny_log::TinyLog;
+
+#[compio::test]
+async fn the_fleet_ends_a_silent_member_and_no_other() {
+    let log = TinyLog::start();
+    let fleet = fleet(&log).await;
+    let gate = process(&log.url(), "g1", Role::Gate);
+    let state = |of: usize| fleet[of].follower.state();
+    (0..3).for_each(|of| connect(&gate, &fleet[of], 11 + of as u64));
+    for (id, node) in [(10, "g1"), (11, "g2")] {
+        log.put(record(id, join(node, Role::Gate)).encode());
+    }
+    until("joined", || state(0).members.len() == 5).await;
+    until("the silent one is ended", || {
+        (0..3).all(|of| !state(of).members.contains_key("g2"))
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(state(0).members.len(), 4, "the others stay");
+    assert!(
+        gate.follower
+            .state()
+            .is_ended(&"g2".parse().expect("a name"), 1)
+    );
+    assert!(state(1).suspicions.is_empty());
+}
--- /dev/null
+++ b/tests/state/tiny_fleet.rs
@@ -0,0 +1,158 @@
+//! Processes without a network: followers linked by channels, on a log in memory.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::spawn;
+use compio::time::sleep;
+use futures_channel::mpsc;
+use futures_channel::mpsc::UnboundedSender;
+use futures_util::StreamExt;
+use mimosastep::log::LogClient;
+use mimosastep::member::Follower;
+use mimosastep::member::Voters;
+use mimosastep::net::Link;
+use mimosastep::net::LinkId;
+use mimosastep::net::NetEvent;
+use mimosastep::record::Author;
+use mimosastep::record::Change;
+use mimosastep::record::Member;
+use mimosastep::record::Record;
+use mimosastep::record::RecordId;
+use mimosastep::record::Role;
+use mimosastep::record::TeamRow;
+use mimosastep::wire::Hello;
+use mimosastep::wire::Message;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+
+use crate::tiny_log::TinyLog;
+
+pub struct Process {
+    pub hello: Hello,
+    pub follower: Follower,
+    pub events: UnboundedSender<NetEvent>,
+}
+
+/// Where a process listens.
+pub fn addr(node: &str) -> SocketAddr {
+    let number: u8 = node[1..].parse().expect("a number");
+    ([10, node.as_bytes()[0], 0, number], 1).into()
+}
+
+pub fn process(log: &str, node: &str, role: Role) -> Process {
+    let hello = Hello {
+        node: node.parse().expect("a name"),
+        incarnation: 1,
+        role,
+    };
+    let (events, receiver) = mpsc::unbounded();
+    let client = LogClient::new(log).expect("a client");
+    let logger = Logger::root(Discard, o!());
+    let own = (role == Role::Fleet).then(|| addr(node));
+    let voters = Voters::new(["f1", "f2", "f3"].map(addr), own);
+    let follower = Follower::spawn(hello.clone(), voters, client, receiver, logger);
+    Process {
+        hello,
+        follower,
+        events,
+    }
+}
+
+/// Links two processes without a network.
+pub fn connect(one: &Process, other: &Process, id: u64) {
+    one_way(one, other, id);
+    one_way(other, one, id);
+}
+
+fn one_way(to: &Process, peer: &Process, id: u64) {
+    let (outbox, mut sent) = mpsc::unbounded::<Message>();
+    let there = addr(peer.hello.node.as_str());
+    let link = Link::new(LinkId(id), peer.hello.clone(), outbox).dialled(there);
+    let there = peer.events.clone();
+    let home = to.events.clone();
+    let reply = Link::new(LinkId(id), to.hello.clone(), relay(home, link.clone()));
+    spawn(async move {
+        while let Some(message) = sent.next().await {
+            let link = reply.clone();
+            let _ = there.unbounded_send(NetEvent::Message { link, message });
+        }
+    })
+    .detach();
+    let _ = to.events.unbounded_send(NetEvent::Up { link });
+}
+
+/// Carries answers back over the link that the question came by.
+fn relay(home: UnboundedSender<NetEvent>, link: Link) -> UnboundedSender<Message> {
+    let (sender, mut receiver) = mpsc::unbounded();
+    spawn(async move {
+        while let Some(message) = receiver.next().await {
+            let link = link.clone();
+            let _ = home.unbounded_send(NetEvent::Message { link, message });
+        }
+    })
+    .detach();
+    sender
+}
+
+pub fn table(weight: u32) -> Change {
+    Change::Table(vec![TeamRow {
+        team: "x".parse().expect("a name"),
+        weight,
+        limit: 1,
+        urgent: false,
+    }])
+}
+
+pub fn record(id: u128, change: Change) -> Record {
+    Record {
+        id: RecordId(id),
+        base: None,
+        author: Author::Operator("test".to_owned()),
+        at: 0,
+        change,
+    }
+}
+
+pub fn join(node: &str, role: Role) -> Change {
+    Change::Join {
+        node: node.parse().expect("a name"),
+        member: Member {
+            role,
+            incarnation: 1,
+            addr: ([127, 0, 0, 1], 1).into(),
+            dc: "a".parse().expect("a name"),
+            leaving: false,
+        },
+    }
+}
+
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(8);
+    while !holds() {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+pub fn fresh(process: &Process) -> bool {
+    process.follower.until() > Some(Instant::now())
+}
+
+/// Fleet processes f1 to f3, linked and joined, with offset 3.
+pub async fn fleet(log: &TinyLog) -> [Process; 3] {
+    for (id, node) in (1..).zip(["f1", "f2", "f3"]) {
+        log.put(record(id, join(node, Role::Fleet)).encode());
+    }
+    let fleet = ["f1", "f2", "f3"].map(|node| process(&log.url(), node, Role::Fleet));
+    connect(&fleet[0], &fleet[1], 1);
+    connect(&fleet[1], &fleet[2], 2);
+    connect(&fleet[0], &fleet[2], 3);
+    until("joined", || {
+        fleet.iter().all(|f| f.follower.state().offset == 3)
+    })
+    .await;
+    fleet
+}
--- /dev/null
+++ b/tests/state_detector.rs
@@ -0,0 +1,137 @@
+//! A silent member is reported in time, and only its own silence counts; all time is virtual.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mimosastep::member::Detector;
+use mimosastep::member::SUSPECT_AFTER;
+use mimosastep::member::TICK_EVERY;
+use mimosastep::name::NodeName;
+use mimosastep::record::Change;
+use mimosastep::record::Member;
+use mimosastep::record::Role;
+use mimosastep::record::State;
+use mimosastep::wire::Hello;
+use test_case::test_case;
+
+fn name(text: &str) -> NodeName {
+    text.parse().expect("a name")
+}
+
+fn join(state: &mut State, node: &str, role: Role, incarnation: u64) {
+    let member = Member {
+        role,
+        incarnation,
+        addr: ([127, 0, 0, 1], 1).into(),
+        dc: "a".parse().expect("a name"),
+        leaving: false,
+    };
+    state.incarnations.insert(name(node), incarnation);
+    state.members.insert(name(node), member);
+}
+
+/// What happens to gate g and to the detector of f1, by time in milliseconds.
+#[derive(Clone, Copy)]
+struct World {
+    /// Whether a message of g reaches f1.
+    heard: fn(u64) -> bool,
+    /// Whether f1 runs.
+    runs: fn(u64) -> bool,
+    fresh: fn(u64) -> bool,
+    /// When g rejoins under its second incarnation.
+    rejoins: u64,
+}
+
+const HEALTHY: World = World {
+    heard: |_| true,
+    runs: |_| true,
+    fresh: |_| true,
+    rejoins: u64::MAX,
+};
+
+impl World {
+    /// Runs 20 s; gives the times of the reports, each taken by the log at once.
+    fn run(&self) -> Vec<(u64, &'static str)> {
+        let start = Instant::now();
+        let (mut state, mut detector) = (State::default(), Detector::new(name("f1")));
+        join(&mut state, "f1", Role::Fleet, 1);
+        join(&mut state, "g", Role::Gate, 1);
+        let mut reports = Vec::new();
+        for at in (0..20_000).step_by(TICK_EVERY.as_millis() as usize) {
+            let now = start + Duration::from_millis(at);
+            let incarnation = 1 + u64::from(at >= self.rejoins);
+            if state.members["g"].incarnation != incarnation {
+                join(&mut state, "g", Role::Gate, incarnation);
+            }
+            if !(self.runs)(at) {
+                continue;
+            }
+            for change in detector.tick(now, &state, (self.fresh)(at)) {
+                let said = state.suspicions.entry(name("g")).or_default();
+                let report = match change {
+                    Change::Suspect { by, .. } if said.insert(by.clone()) => "suspect",
+                    Change::Trust { by, .. } if said.remove(&by) => "trust",
+                    other => panic!("{other:?}"),
+                };
+                reports.push((at, report));
+            }
+            if (self.heard)(at) {
+                let (node, role) = (name("g"), Role::Gate);
+                detector.hear(
+                    now,
+                    &Hello {
+                        node,
+                        incarnation,
+                        role,
+                    },
+                );
+            }
+        }
+        reports
+    }
+
+    fn kinds(&self) -> Vec<&'static str> {
+        self.run().into_iter().map(|(_, report)| report).collect()
+    }
+}
+
+const FROZEN: World = World {
+    runs: |at| !(5_000..12_000).contains(&at),
+    ..HEALTHY
+};
+
+const CUT_OFF: World = World {
+    heard: |at| !(5_000..12_000).contains(&at),
+    fresh: |at| !(5_000..12_000).contains(&at),
+    ..HEALTHY
+};
+
+#[test_case(HEALTHY, &[]; "all well")]
+#[test_case(World { heard: |_| false, ..HEALTHY }, &["suspect"]; "never heard")]
+#[test_case(World { heard: |at| at < 5_000, ..HEALTHY }, &["suspect"]; "silent for good")]
+#[test_case(World { heard: |at| !(5_000..7_000).contains(&at), ..HEALTHY }, &[]; "silent for less")]
+#[test_case(World { heard: |at| !(5_000..9_000).contains(&at), ..HEALTHY }, &["suspect", "trust"]; "silent for a while")]
+#[test_case(World { heard: |at| at < 5_000, rejoins: 6_000, ..HEALTHY }, &["suspect"]; "its successor is silent")]
+#[test_case(World { heard: |at| !(5_000..8_000).contains(&at), rejoins: 6_000, ..HEALTHY }, &[]; "its successor is heard")]
+#[test_case(FROZEN, &[]; "the detector was frozen")]
+#[test_case(CUT_OFF, &[]; "the detector was cut off")]
+fn only_a_silent_member_is_reported(world: World, expected: &[&str]) {
+    assert_eq!(world.kinds(), expected);
+}
+
+#[test]
+fn a_report_comes_within_the_wait_and_a_tick() {
+    let silent = World {
+        heard: |at| at < 5_000,
+        ..HEALTHY
+    };
+    let (at, _) = silent.run()[0];
+    let bound = Duration::from_millis(5_000) + SUSPECT_AFTER + TICK_EVERY;
+    assert!(Duration::from_millis(at) <= bound, "{at}");
+}
+
+#[test_case(World { heard: FROZEN.runs, ..HEALTHY }; "lateness of its own tick")]
+#[test_case(World { fresh: |_| true, ..CUT_OFF }; "its own lack of freshness")]
+fn a_detector_that_ignored_its_own_fault_would_report_wrongly(broken: World) {
+    assert_eq!(broken.kinds(), ["suspect", "trust"]);
+}
