Close the links of a stopped process

Cause: a task of the node held the links, so that Node::leave could neither close them nor free the address: peers noticed only by the idle timeout of 2 s, and a second incarnation could not bind. The tests failed first with '1 links are still open' and 'Address already in use'.

Ruled out: cancelling the task (its future is dropped later than the handle says).

Change: the task ends by a signal of the node, which waits for it.

After: an_ended_process_rejoins_under_a_new_incarnation, a_process_gives_way_to_its_successor, a_process_whose_clock_went_back_joins_all_the_same and a_stopped_process_closes_its_links pass.

--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,6 +10,8 @@
 use compio::runtime::JoinHandle;
 use compio::runtime::spawn;
 use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::oneshot;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use slog::Logger;
 use slog::info;
@@ -53,6 +56,8 @@
     core: Option<UnboundedReceiver<NetEvent>>,
     ready: Rc<Cell<bool>>,
     watch: JoinHandle<()>,
+    /// Dropped to end the watch.
+    quit: oneshot::Sender<()>,
     log: Logger,
     recorder: Recorder,
 }
@@ -101,7 +106,8 @@
             joined: false,
             fresh: None,
         };
-        let watch = spawn(watch.run(follower.subscribe()));
+        let (quit, ending) = oneshot::channel();
+        let watch = spawn(watch.run(follower.subscribe().take_until(ending)));
         info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
         Ok(Self {
             hello,
@@ -111,6 +117,7 @@
             core: Some(events.core),
             ready,
             watch,
+            quit,
             log,
             recorder: Recorder::default(),
         })
@@ -173,11 +180,17 @@
         };
         let log = self.log.clone();
         spawn(async move {
-            while let Err(err) = follower.append(None, change.clone()).await {
-                warn!(log, "cannot join yet"; "error" => %err);
+            let applied = loop {
+                match follower.append(None, change.clone()).await {
+                    Ok(applied) => break applied,
+                    Err(err) => warn!(log, "cannot join yet"; "error" => %err),
+                }
                 compio::time::sleep(Duration::from_millis(JOIN_MS)).await;
+            };
+            match applied.outcome.settled() {
+                Ok(_) => info!(log, "joined"),
+                Err(reject) => warn!(log, "join rejected"; "why" => %reject),
             }
-            info!(log, "joined");
         })
         .detach();
     }
@@ -220,7 +233,8 @@
         compio::time::sleep(Duration::from_millis(HANDOVER_MS)).await;
         self.tell(Change::End { node, incarnation }).await;
         info!(self.log, "stopped");
-        let _ = self.watch.cancel().await;
+        drop(self.quit);
+        let _ = self.watch.await;
         if let Ok(mesh) = Rc::try_unwrap(self.mesh) {
             mesh.close().await;
         }
@@ -249,7 +263,8 @@
 }
 
 impl Watch {
-    async fn run(mut self, mut events: UnboundedReceiver<StateEvent>) {
+    async fn run(mut self, events: impl Stream<Item = StateEvent>) {
+        let mut events = pin!(events);
         while let Some(event) = events.next().await {
             match event {
                 StateEvent::State(state) => self.update(&state),
