--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -154,7 +154,7 @@
             return None;
         }
         self.snapping = true;
-        Some(self.replica.state().snapshot())
+        Some(self.replica.next_snapshot())
     }
 
     /// Folds a record that the log has taken, hands it to the fleet and asks who has it.
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -12,6 +12,7 @@
 use crate::member::Voter;
 use crate::member::Voters;
 use crate::name::NodeName;
+use crate::record::CHECKPOINT_EVERY;
 use crate::record::DecodeError;
 use crate::record::Role;
 use crate::record::State;
@@ -24,6 +25,10 @@
 /// Records since the last snapshot after which the next is due.
 pub const SNAPSHOT_EVERY: u64 = 2000;
 
+/// Time since the last snapshot after which the next is due, so that one is always in the log
+/// however few records there are.
+pub const SNAPSHOT_AFTER: Duration = Duration::from_secs(600);
+
 /// Most records in one message.
 const BATCH_RECORDS: usize = 256;
 
@@ -49,6 +54,14 @@
     freshness: Freshness,
     /// When the log was last asked with an answer that is folded whole.
     asked: Option<Instant>,
+    /// Oldest offset that the log holds.
+    first: u64,
+    /// Offset of the last snapshot that was noticed.
+    snapped: u64,
+    /// When the next snapshot is due at the latest.
+    due: Instant,
+    /// The state of the last checkpoint.
+    past: Rc<State>,
     voters: Voters,
     /// The other voters' answers, by address.
     reached: BTreeMap<SocketAddr, Reached>,
@@ -66,6 +79,10 @@
             state: Rc::default(),
             kept: VecDeque::new(),
             asked: None,
+            first: 0,
+            snapped: 0,
+            due: now + SNAPSHOT_AFTER,
+            past: Rc::default(),
             voters,
             reached: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -92,6 +109,9 @@
                 break;
             }
             if offset == self.state.offset {
+                if offset.is_multiple_of(CHECKPOINT_EVERY) {
+                    self.past = Rc::clone(&self.state);
+                }
                 let _ = Rc::make_mut(&mut self.state).apply(offset, &data);
                 self.keep(offset, data);
             }
@@ -106,13 +126,22 @@
     /// # Errors
     /// A [`DecodeError`] if `bytes` are not a snapshot of `offset`.
     pub fn adopt(&mut self, now: Instant, offset: u64, bytes: &[u8]) -> Result<(), DecodeError> {
-        let state = State::from_snapshot(offset, bytes)?;
-        if offset > self.state.offset {
+        self.resume(now, State::from_snapshot(offset, bytes)?);
+        Ok(())
+    }
+
+    /// Takes over `state`, if it is further on.
+    pub fn resume(&mut self, now: Instant, state: State) {
+        if state.offset > self.state.offset {
             self.state = Rc::new(state);
             self.kept.clear();
             self.folded(now);
         }
-        Ok(())
+    }
+
+    /// Notes that `first` is the oldest offset that the log holds.
+    pub fn expired(&mut self, first: u64) {
+        self.first = self.first.max(first);
     }
 
     /// Notes that the log, asked at `asked`, told `head` as the offset of its next record.
@@ -237,13 +266,26 @@
     /// one whose name comes first does.
     #[must_use]
     pub fn snapshot_due(&self, now: Instant) -> bool {
-        let since = self.state.offset - self.state.snapped;
+        let state = &self.state;
+        let many = state.offset - state.snapped > SNAPSHOT_EVERY;
+        let gone = self.first > state.resumes;
         let mut staying = self.state.members_of(Role::Fleet);
         let writer = staying.find(|(_, member)| !member.leaving);
         let mine = writer.is_some_and(|(name, member)| {
             *name == self.me.node && member.incarnation == self.me.incarnation
         });
-        mine && since > SNAPSHOT_EVERY && self.until() > Some(now)
+        mine && (many || gone || now >= self.due) && self.until() > Some(now)
+    }
+
+    /// A snapshot that the fold will accept: of the last checkpoint, which no other record can
+    /// overtake, or of now if there has been a snapshot since.
+    #[must_use]
+    pub fn next_snapshot(&self) -> Vec<u8> {
+        let checkpoint = self.state.checkpoint.offset;
+        if checkpoint > self.state.snapped && self.past.offset == checkpoint {
+            return self.past.snapshot();
+        }
+        self.state.snapshot()
     }
 
     fn keep(&mut self, offset: u64, data: Vec<u8>) {
@@ -254,6 +296,10 @@
     }
 
     fn folded(&mut self, now: Instant) {
+        if self.state.snapped != self.snapped {
+            self.snapped = self.state.snapped;
+            self.due = now + SNAPSHOT_AFTER;
+        }
         let event = FreshnessEvent::Folded {
             offset: self.state.offset,
         };
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -24,6 +24,7 @@
 use crate::log::ReadError;
 use crate::member::Applied;
 use crate::member::ChangeError;
+use crate::member::Search;
 use crate::member::TICK_EVERY;
 use crate::member::core::Core;
 use crate::net::NetEvent;
@@ -41,6 +42,9 @@
 /// How long a request to the log may take.
 const REQUEST_LIMIT: Duration = Duration::from_millis(1500);
 
+/// Largest record, in bytes: it fits into a message between processes.
+const RECORD_LIMIT: usize = 3 << 20;
+
 /// Most records in one answer of the log.
 const POLL_MAX: usize = 500;
 
@@ -90,6 +94,7 @@
         let mut core = self.core.borrow_mut();
         let now = Instant::now();
         core.replica.fold(now, page.entries.into_iter().map(raw));
+        core.replica.expired(page.first);
         core.replica.head(now, asked, page.head);
         core.publish();
         Ok(())
@@ -103,14 +108,21 @@
     /// Starts from the first usable snapshot that the log still holds.
     async fn restart(&self, first: u64, head: u64) -> Result<(), ReadError> {
         info!(self.logger, "records expired, looking for a snapshot"; "first" => first, "head" => head);
-        let mut from = first;
+        let (mut from, mut search) = (first, Search::default());
         while from < head {
             let page = self.read(from, Duration::ZERO).await?;
             let Some(last) = page.entries.last() else {
                 break;
             };
             from = last.offset + 1;
-            if self.start_in(page.entries) {
+            let found = page
+                .entries
+                .into_iter()
+                .find_map(|entry| search.feed(entry));
+            if let Some(state) = found {
+                let mut core = self.core.borrow_mut();
+                core.replica.resume(Instant::now(), state);
+                core.publish();
                 return Ok(());
             }
         }
@@ -118,22 +130,6 @@
         Err(ReadError::Gone(first, head))
     }
 
-    fn start_in(&self, entries: Vec<Entry>) -> bool {
-        let mut core = self.core.borrow_mut();
-        let now = Instant::now();
-        let mut entries = entries.into_iter().skip_while(|entry| {
-            let Some(Change::Snapshot(bytes)) = change_of(&entry.data) else {
-                return true;
-            };
-            core.replica.adopt(now, entry.offset, &bytes).is_err()
-        });
-        let rest: Vec<Entry> = entries.by_ref().collect();
-        let found = !rest.is_empty();
-        core.replica.fold(now, rest.into_iter().map(raw));
-        core.publish();
-        found
-    }
-
     pub(super) async fn listen(self: Rc<Self>, mut events: UnboundedReceiver<NetEvent>) {
         while let Some(event) = events.next().await {
             let mut core = self.core.borrow_mut();
@@ -214,6 +210,13 @@
     /// Appends a record whose id is new, and waits until it is folded here.
     async fn settle(&self, record: Record) -> Result<Settled, ChangeError> {
         let (id, data) = (record.id, record.encode());
+        if data.len() > RECORD_LIMIT {
+            let why = format!(
+                "a record of {} bytes, at most {RECORD_LIMIT} fit",
+                data.len()
+            );
+            return Err(ChangeError::NotAppended(why));
+        }
         let deadline = Instant::now() + SETTLE_LIMIT;
         let answer = self
             .log
@@ -301,10 +304,6 @@
     (entry.offset, entry.data)
 }
 
-fn change_of(data: &[u8]) -> Option<Change> {
-    Record::decode(data).ok().map(|record| record.change)
-}
-
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis().try_into().unwrap_or(u64::MAX))
--- a/src/record/fold.rs
+++ b/src/record/fold.rs
@@ -8,7 +8,9 @@
 use crate::name::NodeName;
 use crate::name::PoolName;
 use crate::name::TeamName;
+use crate::record::CHECKPOINT_EVERY;
 use crate::record::Change;
+use crate::record::Checkpoint;
 use crate::record::Host;
 use crate::record::HostRow;
 use crate::record::KeyHash;
@@ -24,6 +26,10 @@
 use crate::record::Team;
 use crate::record::TeamRow;
 
+/// Largest snapshot that an operators' change may lead to, in bytes. With what processes add
+/// later, a snapshot fits into a record and into a message between processes.
+pub const STATE_LIMIT: usize = 2 << 20;
+
 impl State {
     /// Folds the record at `offset`, which must be the next one. It counts as a whole or changes
     /// nothing but the offset.
@@ -31,6 +37,9 @@
         if offset != self.offset {
             return Outcome::Rejected(Reject::OutOfOrder(self.offset));
         }
+        if offset > 0 && offset.is_multiple_of(CHECKPOINT_EVERY) {
+            self.checkpoint = Checkpoint::of(offset, &self.snapshot());
+        }
         let outcome = self.fold(offset, data);
         self.offset += 1;
         outcome
@@ -59,12 +68,26 @@
         if base.is_some_and(|base| base != self.revision) {
             return Err(Reject::StaleBase(self.revision));
         }
-        let operators = change.is_operators();
-        self.change(change)?;
-        self.revision += u64::from(operators);
+        if change.is_operators() {
+            self.change_bounded(change)?;
+            self.revision += 1;
+        } else {
+            self.change(change)?;
+        }
         Ok(self.revision)
     }
 
+    /// Folds an operators' change, unless the state would no longer fit into a snapshot.
+    fn change_bounded(&mut self, change: Change) -> Result<(), Reject> {
+        let before = self.clone();
+        self.change(change)?;
+        if self.snapshot().len() > STATE_LIMIT {
+            *self = before;
+            return Err(Reject::StateTooLarge);
+        }
+        Ok(())
+    }
+
     fn change(&mut self, change: Change) -> Result<(), Reject> {
         match change {
             Change::Table(rows) => self.set_table(rows),
@@ -316,10 +339,16 @@
     }
 
     fn check_snapshot(&mut self, bytes: &[u8]) -> Result<(), Reject> {
-        if self.snapshot() != bytes {
+        let past = Checkpoint::of(self.checkpoint.offset, bytes) == self.checkpoint;
+        if !past && self.snapshot() != bytes {
             return Err(Reject::WrongSnapshot);
         }
         self.snapped = self.offset;
+        self.resumes = if past {
+            self.checkpoint.offset
+        } else {
+            self.offset
+        };
         Ok(())
     }
 
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -2,6 +2,7 @@
 
 mod author;
 mod change;
+mod checkpoint;
 mod codec;
 mod decode_error;
 mod fold;
@@ -26,7 +27,10 @@
 pub use change::HostRow;
 pub use change::PoolRow;
 pub use change::TeamRow;
+pub use checkpoint::CHECKPOINT_EVERY;
+pub use checkpoint::Checkpoint;
 pub use decode_error::DecodeError;
+pub use fold::STATE_LIMIT;
 pub use host::Host;
 pub use key_hash::KeyHash;
 pub use member::Member;
--- a/src/record/reject.rs
+++ b/src/record/reject.rs
@@ -102,5 +102,9 @@
         WrongSnapshot {
             display("not a snapshot of the state before it")
         }
+        /// The state would no longer fit into a snapshot.
+        StateTooLarge {
+            display("the state would be too large")
+        }
     }
 }
--- a/src/record/snapshot.rs
+++ b/src/record/snapshot.rs
@@ -11,6 +11,7 @@
 use crate::name::NodeName;
 use crate::name::PoolName;
 use crate::name::TeamName;
+use crate::record::Checkpoint;
 use crate::record::DecodeError;
 use crate::record::Host;
 use crate::record::KeyHash;
@@ -40,6 +41,8 @@
     revision: u64,
     epoch: u64,
     snapped: u64,
+    resumes: u64,
+    checkpoint: Checkpoint,
 }
 
 impl From<State> for StateWire {
@@ -58,6 +61,8 @@
             revision: state.revision,
             epoch: state.epoch,
             snapped: state.snapped,
+            resumes: state.resumes,
+            checkpoint: state.checkpoint,
         }
     }
 }
@@ -80,6 +85,8 @@
             revision: wire.revision,
             epoch: wire.epoch,
             snapped: wire.snapped,
+            resumes: wire.resumes,
+            checkpoint: wire.checkpoint,
         };
         match state.flaw() {
             Some(what) => Err(DecodeError::Inconsistent(what)),
@@ -100,7 +107,7 @@
     /// # Errors
     /// A [`DecodeError`] if `data` is not a snapshot, contradicts itself or is of another offset.
     pub fn from_snapshot(offset: u64, data: &[u8]) -> Result<Self, DecodeError> {
-        let state = Self::try_from(codec::decode::<StateWire>(VERSION, data)?)?;
+        let state = Self::open_snapshot(data)?;
         if state.offset != offset {
             return Err(DecodeError::Inconsistent(
                 "the snapshot is of another offset",
@@ -109,6 +116,14 @@
         Ok(state)
     }
 
+    /// Reads back the state of a snapshot, whatever its offset.
+    ///
+    /// # Errors
+    /// A [`DecodeError`] if `data` is not a snapshot or contradicts itself.
+    pub fn open_snapshot(data: &[u8]) -> Result<Self, DecodeError> {
+        Self::try_from(codec::decode::<StateWire>(VERSION, data)?)
+    }
+
     fn flaw(&self) -> Option<&'static str> {
         let checks = [
             (
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -9,6 +9,7 @@
 use crate::name::PoolName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::record::Checkpoint;
 use crate::record::Host;
 use crate::record::KeyHash;
 use crate::record::Member;
@@ -46,6 +47,10 @@
     pub epoch: u64,
     /// Offset of the last accepted snapshot.
     pub snapped: u64,
+    /// Offset from which that snapshot needs the records.
+    pub resumes: u64,
+    /// The last checkpoint.
+    pub checkpoint: Checkpoint,
 }
 
 impl State {
--- a/tests/record_fold.rs
+++ b/tests/record_fold.rs
@@ -3,6 +3,7 @@
 use mimosastep::name::DcName;
 use mimosastep::name::NodeName;
 use mimosastep::record::Author;
+use mimosastep::record::CHECKPOINT_EVERY;
 use mimosastep::record::Change;
 use mimosastep::record::HostRow;
 use mimosastep::record::KeyHash;
@@ -14,6 +15,7 @@
 use mimosastep::record::RecordId;
 use mimosastep::record::Reject;
 use mimosastep::record::Role;
+use mimosastep::record::STATE_LIMIT;
 use mimosastep::record::State;
 use mimosastep::record::TeamRow;
 use proptest::prelude::*;
@@ -413,6 +415,39 @@
     assert_eq!(late, Err(Reject::WrongSnapshot));
 }
 
+#[test_case(CHECKPOINT_EVERY, true; "of the last checkpoint")]
+#[test_case(CHECKPOINT_EVERY + 1, false; "of a state since")]
+#[test_case(CHECKPOINT_EVERY - 1, false; "of a state before")]
+fn a_snapshot_that_others_overtook_counts(of: u64, counts: bool) {
+    let mut state = site();
+    let mut bytes = Vec::new();
+    for offset in state.offset..CHECKPOINT_EVERY + 5 {
+        if offset == of {
+            bytes = state.snapshot();
+        }
+        put(&mut state, table("x", offset as u32)).unwrap();
+    }
+    let late = put(&mut state, Change::Snapshot(bytes));
+    assert_eq!(late.is_ok(), counts);
+    assert_eq!(state.snapped == state.offset - 1, counts);
+}
+
+#[test]
+fn a_state_too_large_for_a_snapshot_is_rejected() {
+    let mut state = site();
+    let rows = |count: usize| (0..count).map(|number| row(&format!("{number:0>64}"), 1));
+    let each = 64 + 4;
+    put(
+        &mut state,
+        Change::Table(rows(STATE_LIMIT / each * 9 / 10).collect()),
+    )
+    .unwrap();
+    let (teams, revision) = (state.teams.clone(), state.revision);
+    let large = Change::Table(rows(STATE_LIMIT / each).collect());
+    assert_eq!(put(&mut state, large), Err(Reject::StateTooLarge));
+    assert_eq!((state.teams, state.revision), (teams, revision));
+}
+
 fn fixed() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(20),
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -6,5 +6,6 @@
 mod follower;
 mod members;
 mod node;
+mod snapshots;
 mod tiny_fleet;
 mod tiny_log;
--- a/tests/state/tiny_log.rs
+++ b/tests/state/tiny_log.rs
@@ -22,6 +22,8 @@
     Up,
     /// Answers 503 to everything.
     Down,
+    /// Takes an append a while after it came in.
+    Slow,
     /// Takes the append, then closes without an answer.
     LoseAnswer,
     /// Closes without taking the append.
@@ -118,6 +120,9 @@
             return Some(self.read(line));
         }
         self.inner.lock().unwrap().appends += 1;
+        if mode == Mode::Slow {
+            thread::sleep(Duration::from_millis(60));
+        }
         if mode == Mode::LoseAppend {
             return None;
         }
