Let the load client choose another target as a balancer would

rolling_stop was broken: 2358 of 2400 answered, 7 failed with 'connection refused' and 35 refused with 503 and no retry. Cause: the client read the verdict beside the error object of the answer instead of in it, so it never repeated a refused request, and counted a refused connection as a lost request, where a balancer chooses another target.

--- a/scenarios/src/runner.rs
+++ b/scenarios/src/runner.rs
@@ -92,7 +92,9 @@
                     return Ok(());
                 }
                 let name = figure.join(" ");
-                Err(format!("{name} is {seen}, expected {bound:?} {wanted}").into())
+                let report = figure.last().and_then(|load| self.reports.get(load));
+                let report = report.map(ToString::to_string).unwrap_or_default();
+                Err(format!("{name} is {seen}, expected {bound:?} {wanted} {report}").into())
             }
         }
     }
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -175,8 +175,12 @@
             let answer = match answer {
                 Ok(answer) => answer,
                 Err(failure) => {
-                    caller.target += 1;
+                    caller.turn(self.plan.targets.len());
                     sleep(PAUSE).await;
+                    let unsent = failure.downcast_ref::<Unconnected>().is_some();
+                    if unsent && Instant::now() < call.deadline {
+                        continue;
+                    }
                     return Outcome::Failed(failure.to_string());
                 }
             };
@@ -184,6 +188,7 @@
                 Some(at) => sleep_until(at).await,
                 None => return call.judge(&answer),
             }
+            caller.turn(self.plan.targets.len());
             self.tally.borrow_mut().count_retry();
         }
     }
@@ -236,6 +241,14 @@
         let mut sender = self.sender.take()?;
         sender.ready().await.is_ok().then_some(sender)
     }
+
+    /// Goes on to the next of several targets.
+    fn turn(&mut self, targets: usize) {
+        if targets > 1 {
+            self.target += 1;
+            self.sender = None;
+        }
+    }
 }
 
 impl Call<'_> {
@@ -263,11 +276,23 @@
     }
     let seconds = header_number(answer.headers(), "retry-after")?;
     let body: Value = serde_json::from_slice(answer.body()).ok()?;
-    (body["verdict"] == "not-run").then(|| Instant::now() + Duration::from_secs(seconds))
+    (body["error"]["verdict"] == "not-run").then(|| Instant::now() + Duration::from_secs(seconds))
+}
+
+/// No connection: the platform's balancer would have chosen another target.
+#[derive(Debug)]
+struct Unconnected(std::io::Error);
+
+impl std::fmt::Display for Unconnected {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "no connection: {}", self.0)
+    }
 }
 
+impl Error for Unconnected {}
+
 async fn connect(address: SocketAddr) -> Result<Sender, Failure> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = TcpStream::connect(address).await.map_err(Unconnected)?;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await?;
     compio::runtime::spawn(connection).detach();
