--- a/src/gate/backend.rs
+++ b/src/gate/backend.rs
@@ -11,8 +11,12 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::http::response::Parts;
 use quick_error::quick_error;
 
 /// Longest answer of a backend server, in bytes.
@@ -95,6 +99,10 @@
             }
         };
         let (parts, body) = response.into_parts();
+        if !is_delimited(&parts) {
+            let reason = "the answer says nowhere how long it is";
+            return Err(BackendError::Broken(reason.into()));
+        }
         let body = Limited::new(body, ANSWER_LIMIT)
             .collect()
             .await
@@ -102,3 +110,10 @@
         Ok(Response::from_parts(parts, body.to_bytes()))
     }
 }
+
+/// Whether a cut answer could be told from a whole one.
+fn is_delimited(parts: &Parts) -> bool {
+    let bodyless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&parts.status);
+    let named = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    bodyless || named.iter().any(|name| parts.headers.contains_key(name))
+}
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::admit::admit;
@@ -12,28 +13,43 @@
 use crate::gate::Event;
 use crate::gate::Failure;
 use crate::gate::FailureCode;
-use crate::gate::RetryBudget;
+use crate::gate::Settled;
 use crate::gate::Submission;
+use crate::gate::budgets::RetryBudgets;
+use crate::gate::callers::Callers;
+use crate::gate::closing::Closing;
+use crate::gate::closing::ClosingSet;
+use crate::gate::links::Links;
 use crate::gate::pending::Pending;
 use crate::gate::pending::Phase;
-use crate::member::place;
-use crate::name::NodeName;
-use crate::name::ServiceName;
+use crate::gate::pending::Run;
 use crate::net::LinkId;
-use crate::record::Role;
+use crate::observe::NoteKind;
 use crate::record::State;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Message;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
 use crate::wire::RequestId;
+use crate::wire::Running;
 use crate::wire::Verdict;
 
-/// Attempts that one request gets at most.
-const ATTEMPT_LIMIT: u32 = 4;
+/// Times that one request is sent to a backend server at most.
+const RUN_LIMIT: u32 = 4;
 /// When to come back after the gate itself refused, in milliseconds.
 const RETRY_MS: u32 = 500;
+/// Time until a scheduler is asked again that could not say, in milliseconds.
+const PAUSE_MS: u64 = 100;
+/// Time until a scheduler is asked again that said nothing, in milliseconds.
+const REPEAT_MS: u64 = 2_000;
+/// Longest that requests wait for a state known to be recent, in milliseconds.
+const STALE_MS: u64 = 1_000;
+/// Age from which a backend server should know an attempt, in milliseconds.
+const KNOWN_MS: u64 = 1_000;
+/// Longest that the answer of a task that has ended is waited for, in milliseconds.
+const LATE_MS: u64 = 5_000;
 
 /// State and events in, actions out.
 #[derive(Debug, Default)]
@@ -41,9 +57,11 @@
     state: Rc<State>,
     fresh: Option<Instant>,
     stopping: bool,
-    links: BTreeMap<NodeName, (LinkId, u64)>,
+    links: Links,
     requests: HashMap<RequestId, Pending>,
-    budget: RetryBudget,
+    callers: Callers,
+    closing: ClosingSet,
+    budgets: RetryBudgets,
 }
 
 impl Gate {
@@ -57,7 +75,7 @@
                 node,
                 incarnation,
             } => {
-                self.links.insert(node, (link, incarnation));
+                self.links.add(node, link, incarnation);
                 out.push(self.report(link));
                 self.place_all(now, out);
             }
@@ -66,16 +84,18 @@
             Event::Grant(link, grant) => self.grant(now, link, grant, out),
             Event::Refuse(link, refusal) => self.refuse(now, link, &refusal, out),
             Event::Ended(attempt, ended) => self.end(now, attempt, ended, out),
-            Event::Gone(request) => self.forget(request, out),
+            Event::Unknown(attempts) => attempts.iter().for_each(|a| self.doubt(now, a, out)),
+            Event::Settled(attempt, settled) => self.settle(now, attempt, settled, out),
+            Event::Gone(request) => self.forget(now, request, Evidence::Nothing, out),
             Event::Stop => self.stopping = true,
             Event::Tick => self.tick(now, out),
         }
     }
 
-    /// Requests that have no final answer yet.
+    /// Requests that have no final answer yet, and attempts that have not surely ended.
     #[must_use]
     pub fn pending(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.closing.len()
     }
 
     /// Whether the gate takes requests.
@@ -94,21 +114,21 @@
         if self.state.epoch == epoch {
             return;
         }
-        let links: Vec<LinkId> = self.links.values().map(|(link, _)| *link).collect();
-        out.extend(links.into_iter().map(|link| self.report(link)));
+        out.extend(self.links.all().map(|link| self.report(link)));
         self.place_all(now, out);
     }
 
     fn submit(&mut self, now: Instant, submission: Submission, out: &mut Vec<Action>) {
         let request = submission.request;
-        if self.stopping {
-            let failure = Failure::refused(RefusalCode::Unavailable, RETRY_MS);
-            out.push(Action::Fail(request, failure));
-            return;
-        }
-        if !self.is_fresh(now) {
-            let failure = Failure::refused(RefusalCode::StateNotFresh, RETRY_MS);
-            out.push(Action::Fail(request, failure));
+        let refused = if self.stopping {
+            Some(RefusalCode::Unavailable)
+        } else if !self.is_fresh(now) {
+            Some(RefusalCode::StateNotFresh)
+        } else {
+            None
+        };
+        if let Some(code) = refused {
+            out.push(Action::Fail(request, Failure::refused(code, RETRY_MS)));
             return;
         }
         let admission = match admit(&self.state, &submission.service, submission.key.as_ref()) {
@@ -118,7 +138,11 @@
                 return;
             }
         };
-        self.budget.deposit();
+        if !self.callers.add(&admission.team, &submission) {
+            out.push(Action::Fail(request, Failure::in_progress(RETRY_MS)));
+            return;
+        }
+        self.budgets.deposit(&submission.service);
         let urgent = submission.urgent && admission.urgent;
         let pending = Pending::new(submission, admission.team, urgent, now);
         self.requests.insert(request, pending);
@@ -130,197 +154,421 @@
         let Some(pending) = self.requests.get_mut(&request) else {
             return;
         };
-        let owner = owner(&self.state, &self.links, &pending.submission.service);
+        let owner = self.links.owner(&self.state, &pending.submission.service);
         if let Some(link) = owner {
-            pending.phase = Phase::Asked(link);
+            let again = now + Duration::from_millis(REPEAT_MS);
+            pending.phase = Phase::Asked { link, again };
             out.push(Action::Send(link, Message::Ask(pending.ask(now))));
         }
     }
 
     /// Asks again for every request whose scheduler is no longer the one in charge.
     fn place_all(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let misplaced: Vec<RequestId> = self
-            .requests
-            .values()
-            .filter(|pending| {
-                let owner = owner(&self.state, &self.links, &pending.submission.service);
-                match &pending.phase {
-                    Phase::Unplaced => owner.is_some(),
-                    Phase::Asked(link) => owner.is_some() && owner != Some(*link),
-                    Phase::Running { .. } => false,
-                }
-            })
-            .map(|pending| pending.submission.request)
-            .collect();
+        let owner = |p: &Pending| self.links.owner(&self.state, &p.submission.service);
+        let misplaced = self.select(|pending| match &pending.phase {
+            Phase::Unplaced { .. } => owner(pending).is_some(),
+            Phase::Asked { link, .. } => owner(pending).is_some_and(|owner| owner != *link),
+            Phase::Running(_) | Phase::Settling => false,
+        });
         for request in misplaced {
-            self.next_attempt(request);
+            self.withdraw(now, request, out);
             self.place_one(now, request, out);
         }
     }
 
+    /// Takes back what a scheduler was asked, so that its answer no longer counts.
+    fn withdraw(&mut self, again: Instant, request: RequestId, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if let Phase::Asked { link, .. } = pending.phase {
+            out.push(Action::Send(link, Message::Cancel(pending.attempt())));
+        }
+        pending.number += 1;
+        pending.phase = Phase::Unplaced { again };
+    }
+
     fn lose(&mut self, now: Instant, link: LinkId, out: &mut Vec<Action>) {
-        self.links.retain(|_, (id, _)| *id != link);
+        self.links.remove(link);
         for pending in self.requests.values_mut() {
-            if pending.phase == Phase::Asked(link) {
-                pending.phase = Phase::Unplaced;
+            if matches!(pending.phase, Phase::Asked { link: asked, .. } if asked == link) {
+                pending.number += 1;
+                pending.phase = Phase::Unplaced { again: now };
             }
         }
         self.place_all(now, out);
     }
 
     fn grant(&mut self, now: Instant, link: LinkId, grant: Grant, out: &mut Vec<Action>) {
-        let wanted = self
-            .requests
-            .get(&grant.attempt.request)
-            .is_some_and(|p| p.attempt() == grant.attempt && p.phase == Phase::Asked(link));
-        if !wanted || !self.may_start(now, link, &grant) {
-            out.push(Action::Send(link, finished(grant.attempt, true)));
-            if wanted {
-                self.fail(
-                    grant.attempt.request,
-                    Failure::refused(RefusalCode::StateNotFresh, RETRY_MS),
-                    out,
-                );
-            }
+        let attempt = grant.attempt;
+        let request = attempt.request;
+        if self.is_started(&attempt) {
             return;
         }
-        if let Some(pending) = self.requests.get_mut(&grant.attempt.request) {
-            pending.phase = Phase::Running {
-                host: grant.host.clone(),
-                addr: grant.addr,
-                link,
-            };
-            let team = pending.team.clone();
-            out.push(Action::Run { grant, team });
+        let asked = self.is_asked(link, &attempt);
+        let admitted = self.admitted(request);
+        if asked && admitted.is_ok() && self.may_start(now, link, &grant) {
+            self.start(now, link, grant, out);
+            return;
+        }
+        out.push(Action::Send(link, finished(attempt, Evidence::Nothing)));
+        if !asked {
+            return;
+        }
+        if let Some(pending) = self.requests.get_mut(&request) {
+            let again = now + Duration::from_millis(PAUSE_MS);
+            pending.number += 1;
+            pending.phase = Phase::Unplaced { again };
         }
+        if let Err(code) = admitted {
+            self.fail(now, request, code, None, out);
+        }
+    }
+
+    fn start(&mut self, now: Instant, link: LinkId, grant: Grant, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get_mut(&grant.attempt.request) else {
+            return;
+        };
+        pending.runs += 1;
+        pending.phase = Phase::Running(Run {
+            host: grant.host.clone(),
+            addr: grant.addr,
+            link,
+            since: now,
+            doubt: None,
+        });
+        let team = pending.team.clone();
+        out.push(Action::Run { grant, team });
+    }
+
+    /// Whether a repeated grant names an attempt that occupies its slot already.
+    fn is_started(&self, attempt: &AttemptId) -> bool {
+        let pending = self.requests.get(&attempt.request);
+        let runs = pending.is_some_and(|p| p.attempt() == *attempt && p.run().is_some());
+        runs || self.closing.contains(attempt)
+    }
+
+    fn is_asked(&self, link: LinkId, attempt: &AttemptId) -> bool {
+        let pending = self.requests.get(&attempt.request);
+        pending.is_some_and(|p| {
+            let asked = matches!(p.phase, Phase::Asked { link: asked, .. } if asked == link);
+            asked && p.attempt() == *attempt
+        })
+    }
+
+    /// Whether the key that came with a request still gives access.
+    fn admitted(&self, request: RequestId) -> Result<(), FailureCode> {
+        let Some(pending) = self.requests.get(&request) else {
+            return Ok(());
+        };
+        let submission = &pending.submission;
+        admit(&self.state, &submission.service, submission.key.as_ref()).map(drop)
     }
 
     /// Whether a grant may be used: the state is recent, the scheduler still is a member, and the
     /// host still takes work.
     fn may_start(&self, now: Instant, link: LinkId, grant: &Grant) -> bool {
-        let granter = self.links.iter().find(|(_, (id, _))| *id == link);
-        let member = granter.is_some_and(|(node, (_, incarnation))| {
-            let member = self.state.members.get(node);
-            member.is_some_and(|m| m.incarnation == *incarnation)
-        });
-        let usable = self
-            .state
-            .hosts
-            .get(&grant.host)
-            .is_some_and(|host| self.state.usable(host));
-        self.is_fresh(now) && member && usable
+        let host = self.state.hosts.get(&grant.host);
+        let usable = host.is_some_and(|host| self.state.usable(host));
+        self.is_fresh(now) && self.links.is_member(&self.state, link) && usable
     }
 
     fn refuse(&mut self, now: Instant, link: LinkId, refusal: &Refusal, out: &mut Vec<Action>) {
         let request = refusal.attempt.request;
-        let Some(pending) = self.requests.get_mut(&request) else {
-            return;
-        };
-        if pending.attempt() != refusal.attempt || pending.phase != Phase::Asked(link) {
+        if !self.is_asked(link, &refusal.attempt) {
             return;
         }
-        let owner = owner(&self.state, &self.links, &pending.submission.service);
-        if refusal.code == RefusalCode::Unavailable && owner != Some(link) {
-            pending.phase = Phase::Unplaced;
-            self.place_all(now, out);
+        if refusal.code != RefusalCode::Unavailable {
+            let code = FailureCode::Refused(refusal.code);
+            self.fail(now, request, code, Some(refusal.retry_after), out);
             return;
         }
-        let mut failure = Failure::from(refusal);
-        failure.verdict = pending.verdict;
-        self.fail(request, failure, out);
+        if let Some(pending) = self.requests.get_mut(&request) {
+            let again = now + Duration::from_millis(PAUSE_MS);
+            pending.number += 1;
+            pending.phase = Phase::Unplaced { again };
+            let owner = self.links.owner(&self.state, &pending.submission.service);
+            if owner != Some(link) {
+                self.place_one(now, request, out);
+            }
+        }
     }
 
     fn end(&mut self, now: Instant, attempt: AttemptId, ended: Ended, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.get_mut(&attempt.request) else {
+        let Some(pending) = self.requests.get(&attempt.request) else {
             return;
         };
-        if pending.attempt() != attempt {
-            return;
-        }
-        let phase = std::mem::replace(&mut pending.phase, Phase::Unplaced);
-        let Phase::Running { host, link, .. } = phase else {
+        let run = pending.run().filter(|_| pending.attempt() == attempt);
+        let Some(run) = run.cloned() else {
+            if ended == Ended::Answered {
+                self.forget(now, attempt.request, Evidence::Nothing, out);
+            }
             return;
         };
-        let owner = owner(&self.state, &self.links, &pending.submission.service);
-        out.extend(release(attempt, ended.healthy(), link, owner));
         match ended {
-            Ended::Answered { .. } => {
-                self.requests.remove(&attempt.request);
-                return;
+            Ended::Answered => {
+                self.release(attempt, Evidence::Served, run.link, out);
+                self.remove(attempt.request);
+            }
+            Ended::Unknown => self.give_up(now, attempt.request, out),
+            Ended::Failed | Ended::NotRun(_) => {
+                self.release(attempt, ended.evidence(), run.link, out);
+                self.leave_host(attempt.request, ended == Ended::Failed);
+                self.resolve(now, attempt.request, ended.verdict(), out);
             }
-            Ended::Unknown => pending.verdict = Verdict::Unknown,
-            Ended::NotRun { .. } => {}
-        }
-        pending.avoid.push(host);
-        let safe = ended.verdict() == Verdict::NotRun || pending.submission.idempotent;
-        let left = pending.number < ATTEMPT_LIMIT && now < pending.submission.deadline;
-        if safe && left && self.budget.withdraw() {
-            self.next_attempt(attempt.request);
-            self.place_one(now, attempt.request, out);
-            return;
         }
-        let failure = Failure {
-            code: FailureCode::AttemptFailed,
-            verdict: pending.verdict,
-            retry_after: Some(RETRY_MS),
+    }
+
+    /// Asks the backend server what became of an attempt that got no answer.
+    fn give_up(&mut self, now: Instant, request: RequestId, out: &mut Vec<Action>) {
+        if let Some(closing) = self.closing_of(request, Evidence::Failed) {
+            self.closing.add(now, closing, out);
+            self.leave_host(request, false);
+        }
+    }
+
+    /// Ends the present attempt's run; its host should not get the request again.
+    fn leave_host(&mut self, request: RequestId, held: bool) {
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
         };
-        self.fail(attempt.request, failure, out);
+        pending.held |= held;
+        if let Phase::Running(run) = std::mem::replace(&mut pending.phase, Phase::Settling) {
+            pending.avoid.push(run.host);
+        }
     }
 
-    fn next_attempt(&mut self, request: RequestId) {
-        if let Some(pending) = self.requests.get_mut(&request) {
+    /// Decides what follows from an attempt that is over: a further one, or the final answer.
+    fn resolve(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        verdict: Verdict,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
+        };
+        pending.verdict = pending.verdict.and(verdict);
+        pending.phase = Phase::Unplaced { again: now };
+        let safe = verdict == Verdict::NotRun || pending.submission.idempotent;
+        let left = pending.runs < RUN_LIMIT && now < pending.submission.deadline;
+        if safe && left && self.budgets.withdraw(&pending.submission.service) {
             pending.number += 1;
-            pending.phase = Phase::Unplaced;
+            let cause = format!("attempt {}: {}", pending.runs, verdict.as_str());
+            let note = pending.note(NoteKind::RequestRetried, cause);
+            out.push(Action::Note(Box::new(note)));
+            self.place_one(now, request, out);
+            return;
         }
+        self.fail(
+            now,
+            request,
+            FailureCode::AttemptFailed,
+            Some(RETRY_MS),
+            out,
+        );
     }
 
-    /// Drops a request whose caller went away and frees its place.
-    fn forget(&mut self, request: RequestId, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.remove(&request) else {
+    /// A backend server says that an attempt does not run.
+    fn doubt(&mut self, now: Instant, attempt: &AttemptId, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get_mut(&attempt.request) else {
+            return;
+        };
+        let present = pending.attempt() == *attempt;
+        let Phase::Running(run) = &mut pending.phase else {
+            return;
+        };
+        let known = run.since + Duration::from_millis(KNOWN_MS) <= now;
+        if present && known && run.doubt.is_none() {
+            run.doubt = Some(now + Duration::from_millis(LATE_MS));
+            out.push(Action::Cancel(run.addr, vec![*attempt]));
+        }
+    }
+
+    /// A backend server says, or does not say, what became of an attempt.
+    fn settle(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        settled: Settled,
+        out: &mut Vec<Action>,
+    ) {
+        if settled != Settled::Unreachable
+            && let Some(closing) = self.closing.remove(&attempt)
+        {
+            let refused = settled == Settled::Refused;
+            let evidence = if refused {
+                Evidence::Nothing
+            } else {
+                closing.evidence
+            };
+            self.release_closing(&closing, evidence, out);
+        }
+        let request = attempt.request;
+        let pending = self.requests.get(&request);
+        let Some(pending) = pending.filter(|p| p.attempt() == attempt) else {
             return;
         };
-        let attempt = pending.attempt();
-        match pending.phase {
-            Phase::Unplaced => {}
-            Phase::Asked(link) => out.push(Action::Send(link, Message::Cancel(attempt))),
-            Phase::Running { addr, link, .. } => {
-                let owner = owner(&self.state, &self.links, &pending.submission.service);
-                out.push(Action::Cancel(addr, vec![attempt]));
-                out.extend(release(attempt, true, link, owner));
+        match (&pending.phase, settled) {
+            (Phase::Settling, Settled::Refused) => {
+                self.resolve(now, request, Verdict::NotRun, out);
             }
+            (Phase::Settling, _) => self.resolve(now, request, Verdict::Unknown, out),
+            (Phase::Running(run), Settled::Refused) => {
+                let link = run.link;
+                out.push(Action::Abandon(request, run.addr));
+                self.release(attempt, Evidence::Nothing, link, out);
+                self.leave_host(request, false);
+                self.resolve(now, request, Verdict::NotRun, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Drops a request that needs no further answer and frees its place.
+    fn forget(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        evidence: Evidence,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(closing) = self.closing_of(request, evidence) {
+            self.closing.add(now, closing, out);
+        }
+        let Some(pending) = self.remove(request) else {
+            return;
+        };
+        if let Phase::Asked { link, .. } = pending.phase {
+            out.push(Action::Send(link, Message::Cancel(pending.attempt())));
         }
     }
 
-    fn fail(&mut self, request: RequestId, failure: Failure, out: &mut Vec<Action>) {
-        self.forget(request, out);
-        out.push(Action::Fail(request, failure));
+    fn remove(&mut self, request: RequestId) -> Option<Pending> {
+        let pending = self.requests.remove(&request)?;
+        self.callers.remove(&pending.team, &pending.submission);
+        Some(pending)
     }
 
-    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let expired: Vec<(RequestId, Verdict)> = self
-            .requests
-            .values()
-            .filter(|p| p.submission.deadline <= now)
-            .map(|p| (p.submission.request, verdict_now(p)))
-            .collect();
-        for (request, verdict) in expired {
+    fn closing_of(&self, request: RequestId, evidence: Evidence) -> Option<Closing> {
+        let pending = self.requests.get(&request)?;
+        let run = pending.run()?;
+        Some(Closing {
+            run: pending.report(run),
+            addr: run.addr,
+            link: run.link,
+            evidence,
+        })
+    }
+
+    /// Gives the caller its final answer: the backend server's own error if there is one.
+    fn fail(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        code: FailureCode,
+        retry_after: Option<u32>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.requests.get(&request) else {
+            return;
+        };
+        let verdict = pending.verdict_now();
+        let kind = match code {
+            FailureCode::AttemptFailed | FailureCode::DeadlinePassed => NoteKind::RequestFailed,
+            _ => NoteKind::RequestRefused,
+        };
+        let cause = format!("{}, {}", code.as_str(), verdict.as_str());
+        out.push(Action::Note(Box::new(pending.note(kind, cause))));
+        if pending.held && code != FailureCode::Refused(RefusalCode::JobFailing) {
+            out.push(Action::Pass(request));
+        } else {
             let failure = Failure {
-                code: FailureCode::DeadlinePassed,
+                code,
                 verdict,
-                retry_after: Some(RETRY_MS),
+                retry_after,
             };
-            self.fail(request, failure, out);
+            out.push(Action::Fail(request, failure));
+        }
+        self.forget(now, request, Evidence::Failed, out);
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.expire(now, out);
+        self.drop_doubted(now, out);
+        self.refuse_stale(now, out);
+        self.ask_again(now, out);
+        self.closing.repeat(now, out);
+        for closing in self.closing.remove_lapsed(now) {
+            let evidence = match closing.evidence {
+                Evidence::Nothing => Evidence::Nothing,
+                _ => Evidence::Unreachable,
+            };
+            self.release_closing(&closing, evidence, out);
         }
         if self.is_fresh(now) {
             out.extend(self.renewals());
         }
     }
 
+    fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for request in self.select(|p| p.submission.deadline <= now) {
+            let code = FailureCode::DeadlinePassed;
+            self.fail(now, request, code, Some(RETRY_MS), out);
+        }
+    }
+
+    /// Gives up attempts that have ended at their backend server and sent no answer.
+    fn drop_doubted(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let doubted = self.select(|p| {
+            let doubt = p.run().and_then(|run| run.doubt);
+            doubt.is_some_and(|until| until <= now)
+        });
+        for request in doubted {
+            if let Some(run) = self.requests.get(&request).and_then(Pending::run) {
+                out.push(Action::Abandon(request, run.addr));
+            }
+            self.give_up(now, request, out);
+        }
+    }
+
+    fn refuse_stale(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let limit = Duration::from_millis(STALE_MS);
+        if self.fresh.is_some_and(|until| now < until + limit) {
+            return;
+        }
+        let waiting = |p: &Pending| matches!(p.phase, Phase::Unplaced { .. } | Phase::Asked { .. });
+        for request in self.select(waiting) {
+            let code = FailureCode::Refused(RefusalCode::StateNotFresh);
+            self.fail(now, request, code, Some(RETRY_MS), out);
+        }
+    }
+
+    /// Asks for requests whose pause is over, and repeats questions that got no answer.
+    fn ask_again(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let due = self.select(|p| match p.phase {
+            Phase::Unplaced { again } | Phase::Asked { again, .. } => again <= now,
+            Phase::Running(_) | Phase::Settling => false,
+        });
+        for request in due {
+            self.place_one(now, request, out);
+        }
+    }
+
+    /// Requests for which `wanted` holds, in the order of their identities.
+    fn select(&self, wanted: impl Fn(&Pending) -> bool) -> Vec<RequestId> {
+        let held = self.requests.values().filter(|p| wanted(p));
+        let mut requests: Vec<RequestId> = held.map(|p| p.submission.request).collect();
+        requests.sort_unstable();
+        requests
+    }
+
     fn renewals(&self) -> Vec<Action> {
         let mut groups: BTreeMap<SocketAddr, Vec<AttemptId>> = BTreeMap::new();
         for pending in self.requests.values() {
-            if let Phase::Running { addr, .. } = pending.phase {
-                groups.entry(addr).or_default().push(pending.attempt());
+            if let Some(run) = pending.run() {
+                groups.entry(run.addr).or_default().push(pending.attempt());
             }
         }
         groups
@@ -330,35 +578,27 @@
     }
 
     fn report(&self, link: LinkId) -> Action {
-        let message = Message::Report {
-            epoch: self.state.epoch,
-            running: self
-                .requests
-                .values()
-                .filter_map(Pending::running)
-                .collect(),
-        };
-        Action::Send(link, message)
+        let runs = self.requests.values().filter_map(Pending::running);
+        let running: Vec<Running> = runs.chain(self.closing.reports()).collect();
+        let epoch = self.state.epoch;
+        Action::Send(link, Message::Report { epoch, running })
     }
-}
 
-/// Link to the scheduler that a service is placed on.
-fn owner(
-    state: &State,
-    links: &BTreeMap<NodeName, (LinkId, u64)>,
-    service: &ServiceName,
-) -> Option<LinkId> {
-    let node = place(state, Role::Sched, service.as_str().as_bytes())?;
-    let (link, incarnation) = links.get(node)?;
-    let current = state.members.get(node)?.incarnation;
-    (current == *incarnation).then_some(*link)
-}
+    fn release_closing(&self, closing: &Closing, evidence: Evidence, out: &mut Vec<Action>) {
+        let owner = self.links.owner(&self.state, &closing.run.service);
+        out.extend(release(closing.run.attempt, evidence, closing.link, owner));
+    }
 
-/// What is known about a request at its deadline.
-const fn verdict_now(pending: &Pending) -> Verdict {
-    match pending.phase {
-        Phase::Running { .. } => Verdict::Unknown,
-        Phase::Unplaced | Phase::Asked(_) => pending.verdict,
+    fn release(
+        &self,
+        attempt: AttemptId,
+        evidence: Evidence,
+        granter: LinkId,
+        out: &mut Vec<Action>,
+    ) {
+        let pending = self.requests.get(&attempt.request);
+        let owner = pending.and_then(|p| self.links.owner(&self.state, &p.submission.service));
+        out.extend(release(attempt, evidence, granter, owner));
     }
 }
 
@@ -366,7 +606,7 @@
 /// that the slot is free.
 fn release(
     attempt: AttemptId,
-    healthy: bool,
+    evidence: Evidence,
     granter: LinkId,
     owner: Option<LinkId>,
 ) -> impl Iterator<Item = Action> {
@@ -374,9 +614,9 @@
         .filter(|owner| *owner != granter)
         .into_iter()
         .chain([granter])
-        .map(move |link| Action::Send(link, finished(attempt, healthy)))
+        .map(move |link| Action::Send(link, finished(attempt, evidence)))
 }
 
-const fn finished(attempt: AttemptId, healthy: bool) -> Message {
-    Message::Finished { attempt, healthy }
+const fn finished(attempt: AttemptId, evidence: Evidence) -> Message {
+    Message::Finished { attempt, evidence }
 }
--- a/src/gate/ended.rs
+++ b/src/gate/ended.rs
@@ -1,31 +1,29 @@
 //! How an attempt ended.
 
+use crate::wire::Evidence;
 use crate::wire::Verdict;
 
 /// What the gate learned from an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
     /// The backend server answered and the caller has the answer.
-    Answered {
-        /// Whether the answer was not a server error.
-        healthy: bool,
-    },
-    /// The backend server surely did not run it.
-    NotRun {
-        /// Whether the backend server is otherwise in order, such as when all slots were busy.
-        healthy: bool,
-    },
+    Answered,
+    /// The backend server answered with a server error, which the caller does not have yet.
+    Failed,
+    /// The backend server surely did not run it, and will not.
+    NotRun(Evidence),
     /// Bytes went out and no answer came.
     Unknown,
 }
 
 impl Ended {
-    /// Whether the attempt speaks for the backend server's health.
+    /// What the attempt says about its host.
     #[must_use]
-    pub const fn healthy(self) -> bool {
+    pub const fn evidence(self) -> Evidence {
         match self {
-            Self::Answered { healthy } | Self::NotRun { healthy } => healthy,
-            Self::Unknown => false,
+            Self::Answered => Evidence::Served,
+            Self::Failed | Self::Unknown => Evidence::Failed,
+            Self::NotRun(evidence) => evidence,
         }
     }
 
@@ -33,8 +31,8 @@
     #[must_use]
     pub const fn verdict(self) -> Verdict {
         match self {
-            Self::Answered { .. } => Verdict::Ran,
-            Self::NotRun { .. } => Verdict::NotRun,
+            Self::Answered | Self::Failed => Verdict::Ran,
+            Self::NotRun(_) => Verdict::NotRun,
             Self::Unknown => Verdict::Unknown,
         }
     }
--- a/src/gate/event.rs
+++ b/src/gate/event.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::gate::Ended;
+use crate::gate::Settled;
 use crate::gate::Submission;
 use crate::name::NodeName;
 use crate::net::LinkId;
@@ -39,6 +40,10 @@
     Refuse(LinkId, Refusal),
     /// An attempt has ended.
     Ended(AttemptId, Ended),
+    /// A backend server says that attempts do not run there.
+    Unknown(Vec<AttemptId>),
+    /// A cancellation was answered, or was not.
+    Settled(AttemptId, Settled),
     /// The caller went away.
     Gone(RequestId),
     /// The process is about to stop: no further requests.
--- a/src/gate/failure.rs
+++ b/src/gate/failure.rs
@@ -26,6 +26,10 @@
     Refused(RefusalCode),
     /// The deadline passed before the answer came.
     DeadlinePassed,
+    /// The body did not arrive whole.
+    BadBody,
+    /// A request of the same caller's identity is in progress.
+    InProgress,
     /// Attempts failed and no further one is allowed.
     AttemptFailed,
 }
@@ -35,12 +39,14 @@
     #[must_use]
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::BadRequest | Self::BadDeadline => StatusCode::BAD_REQUEST,
+            Self::BadRequest | Self::BadDeadline | Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::InProgress => StatusCode::CONFLICT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TeamNotAllowed => StatusCode::FORBIDDEN,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Refused(RefusalCode::Overloaded) => StatusCode::TOO_MANY_REQUESTS,
+            Self::Refused(RefusalCode::JobFailing) => StatusCode::BAD_GATEWAY,
             Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Self::AttemptFailed => StatusCode::BAD_GATEWAY,
@@ -58,6 +64,8 @@
             Self::UnknownService => "unknown-service",
             Self::BodyTooLarge => "body-too-large",
             Self::Refused(code) => code.as_str(),
+            Self::BadBody => "bad-body",
+            Self::InProgress => "in-progress",
             Self::DeadlinePassed => "deadline-passed",
             Self::AttemptFailed => "attempt-failed",
         }
@@ -82,6 +90,9 @@
             Self::Refused(RefusalCode::NoCapacity) => "no host of the service is in service",
             Self::Refused(RefusalCode::StateNotFresh) => "this process is cut off; use another one",
             Self::Refused(RefusalCode::Unavailable) => "the service is changing hands",
+            Self::Refused(RefusalCode::JobFailing) => "it fails on hosts that serve others well",
+            Self::BadBody => "the body did not arrive whole and in time",
+            Self::InProgress => "a request with this x-request-id is in progress",
             Self::DeadlinePassed => "the deadline passed before the answer came",
             Self::AttemptFailed => "the backend server failed and no further attempt is allowed",
         }
@@ -110,6 +121,16 @@
         }
     }
 
+    /// A repeat of a request that is in progress and may run.
+    #[must_use]
+    pub const fn in_progress(retry_after: u32) -> Self {
+        Self {
+            code: FailureCode::InProgress,
+            verdict: Verdict::Unknown,
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// A refusal that surely did not run, with the time to come back.
     #[must_use]
     pub const fn refused(code: RefusalCode, retry_after: u32) -> Self {
--- a/src/gate/handler.rs
+++ b/src/gate/handler.rs
@@ -1,5 +1,7 @@
 //! Serves one caller's request from its first byte to its answer.
 
+use std::pin::pin;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -7,6 +9,8 @@
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
+use futures_util::future::Either;
+use futures_util::future::select;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -14,6 +18,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 
+use crate::gate::Ended;
 use crate::gate::Failure;
 use crate::gate::FailureCode;
 use crate::gate::Submission;
@@ -23,11 +28,13 @@
 use crate::gate::headers::CallerHeaders;
 use crate::gate::step::Input;
 use crate::gate::step::Step;
+use crate::http::BodyError;
 use crate::http::Fault;
 use crate::http::read_body;
 use crate::name::ServiceName;
 use crate::wire::RefusalCode;
 use crate::wire::RequestId;
+use crate::wire::Verdict;
 
 /// Tells the gate's task when the caller goes away before its answer.
 struct Caller {
@@ -58,8 +65,12 @@
     };
     let request = RequestId(uuid::Uuid::new_v4().as_u128());
     let id = caller.id.clone().unwrap_or_else(|| request.to_string());
-    let Ok(body) = read_body(body, body_limit).await else {
-        return fail(Failure::not_run(FailureCode::BodyTooLarge), Some(&id));
+    let body = match read_body(body, body_limit).await {
+        Ok(body) => body,
+        Err(BodyError::TooLarge(_)) => {
+            return fail(Failure::not_run(FailureCode::BodyTooLarge), Some(&id));
+        }
+        Err(_) => return fail(Failure::not_run(FailureCode::BadBody), Some(&id)),
     };
     let payload = Payload {
         headers: passed_on(parts.headers, &id),
@@ -68,6 +79,7 @@
     };
     let submission = Submission {
         request,
+        caller: caller.id.as_deref().map(Arc::from),
         service,
         key: caller.key,
         urgent: caller.urgent,
@@ -85,7 +97,7 @@
         .unbounded_send(Input::Submit(submission, sender))
         .is_err()
     {
-        return fail(unavailable(), Some(&id));
+        return fail(lost(Verdict::NotRun), Some(&id));
     }
     let answer = follow(&guard, steps, &payload).await;
     guard.answered = true;
@@ -101,36 +113,54 @@
     mut steps: UnboundedReceiver<Step>,
     payload: &Payload,
 ) -> Result<Response<Bytes>, Failure> {
+    let mut held = None;
+    let mut verdict = Verdict::NotRun;
     while let Some(step) = steps.next().await {
         let (grant, team, backend) = match step {
             Step::Fail(failure) => return Err(failure),
+            Step::Pass => return held.ok_or_else(|| lost(verdict)),
+            Step::Abandon => continue,
             Step::Run {
                 grant,
                 team,
                 backend,
             } => (grant, team, backend),
         };
-        let report = attempt::run(payload, &grant, &team, backend).await;
+        verdict = Verdict::Unknown;
+        let attempt = pin!(attempt::run(payload, &grant, &team, backend));
+        let report = match select(attempt, steps.next()).await {
+            Either::Left((report, _)) => report,
+            Either::Right((Some(Step::Fail(failure)), _)) => return Err(failure),
+            Either::Right((Some(Step::Pass), _)) => return held.ok_or_else(|| lost(verdict)),
+            Either::Right((Some(Step::Abandon | Step::Run { .. }), _)) => continue,
+            Either::Right((None, _)) => break,
+        };
         let _ = guard.inputs.unbounded_send(Input::Ended {
             attempt: grant.attempt,
             ended: report.ended,
+            addr: grant.addr,
             backend: report.backend,
         });
-        if let Some(answer) = report.answer {
-            return Ok(answer);
+        match report.answer {
+            Some(answer) if report.ended == Ended::Answered => return Ok(answer),
+            Some(answer) => held = Some(answer),
+            None => {}
         }
     }
-    Err(unavailable())
+    Err(lost(verdict))
 }
 
-const fn unavailable() -> Failure {
-    Failure::refused(RefusalCode::Unavailable, 1_000)
+/// The answer when the gate's task has ended.
+const fn lost(verdict: Verdict) -> Failure {
+    Failure {
+        code: FailureCode::Refused(RefusalCode::Unavailable),
+        verdict,
+        retry_after: Some(1_000),
+    }
 }
 
 fn passed_on(mut headers: HeaderMap, id: &str) -> HeaderMap {
-    for name in headers::HOP_HEADERS {
-        headers.remove(name);
-    }
+    headers::strip(&mut headers);
     if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert(headers::REQUEST_ID, value);
     }
@@ -139,9 +169,7 @@
 
 fn pass_back(answer: Response<Bytes>, id: &str) -> Response<Full<Bytes>> {
     let (mut parts, body) = answer.into_parts();
-    for name in headers::HOP_HEADERS {
-        parts.headers.remove(name);
-    }
+    headers::strip(&mut parts.headers);
     if let Ok(value) = HeaderValue::from_str(id) {
         parts.headers.insert(headers::REQUEST_ID, value);
     }
--- a/src/gate/headers.rs
+++ b/src/gate/headers.rs
@@ -5,6 +5,8 @@
 
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
 
 use crate::gate::FailureCode;
 use crate::record::KeyHash;
@@ -26,15 +28,23 @@
 /// Set on a backend server's answer to a request that it did not run.
 pub const NOT_RUN: &str = "x-not-run";
 
-/// Headers that are not passed on to the backend server: those of the connection, and the key.
-pub const HOP_HEADERS: [&str; 6] = [
+/// Headers that are not passed on: those of one connection, and the key.
+const HOP_HEADERS: [&str; 12] = [
     "authorization",
     "connection",
     "content-length",
+    "expect",
     "host",
     "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
     "transfer-encoding",
+    "upgrade",
 ];
+/// Headers between the gate and backend servers only.
+const OWN_HEADERS: [&str; 4] = [ATTEMPT_ID, TEAM, LEASE_MS, NOT_RUN];
 
 /// Deadline of a request that names none, in milliseconds.
 const DEADLINE_DEFAULT_MS: u64 = 30_000;
@@ -78,6 +88,23 @@
     }
 }
 
+/// Removes what is not passed on, and what `connection` names.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_HEADERS.into_iter().chain(OWN_HEADERS) {
+        headers.remove(name);
+    }
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, FailureCode> {
     headers
         .get(name)
--- a/src/gate/pending.rs
+++ b/src/gate/pending.rs
@@ -7,6 +7,8 @@
 use crate::name::HostName;
 use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Running;
@@ -15,19 +17,37 @@
 /// Where a request stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
-    /// No scheduler has been asked, or the one asked is gone.
-    Unplaced,
+    /// No scheduler has been asked, or the one asked could not say.
+    Unplaced {
+        /// When to ask next.
+        again: Instant,
+    },
     /// A scheduler has been asked.
-    Asked(LinkId),
-    /// An attempt runs.
-    Running {
-        /// The host that runs it.
-        host: HostName,
-        /// Address of its backend server.
-        addr: SocketAddr,
-        /// Link to the scheduler that granted the slot.
+    Asked {
+        /// Link to it.
         link: LinkId,
+        /// When to ask it again, should it say nothing.
+        again: Instant,
     },
+    /// An attempt runs.
+    Running(Run),
+    /// An attempt ended without an answer, and its backend server is asked what became of it.
+    Settling,
+}
+
+/// An attempt that runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The host that runs it.
+    pub host: HostName,
+    /// Address of its backend server.
+    pub addr: SocketAddr,
+    /// Link to the scheduler that granted the slot.
+    pub link: LinkId,
+    /// When it was sent.
+    pub since: Instant,
+    /// When to give it up, once the backend server said that it does not run.
+    pub doubt: Option<Instant>,
 }
 
 /// A request between its acceptance and its answer.
@@ -43,12 +63,16 @@
     pub since: Instant,
     /// Number of the present attempt, counted from 1.
     pub number: u32,
+    /// Attempts that were sent to a backend server.
+    pub runs: u32,
     /// Where it stands.
     pub phase: Phase,
     /// Hosts that have failed it.
     pub avoid: Vec<HostName>,
     /// What is known of the earlier attempts together.
     pub verdict: Verdict,
+    /// Whether a backend server's error is held back for the caller.
+    pub held: bool,
 }
 
 impl Pending {
@@ -61,9 +85,11 @@
             urgent,
             since: now,
             number: 1,
-            phase: Phase::Unplaced,
+            runs: 0,
+            phase: Phase::Unplaced { again: now },
             avoid: Vec::new(),
             verdict: Verdict::NotRun,
+            held: false,
         }
     }
 
@@ -90,18 +116,51 @@
         }
     }
 
+    /// The attempt that runs, if one does.
+    #[must_use]
+    pub const fn run(&self) -> Option<&Run> {
+        match &self.phase {
+            Phase::Running(run) => Some(run),
+            _ => None,
+        }
+    }
+
     /// The report of the attempt that runs, if one does.
     #[must_use]
     pub fn running(&self) -> Option<Running> {
-        let Phase::Running { host, .. } = &self.phase else {
-            return None;
-        };
-        Some(Running {
+        self.run().map(|run| self.report(run))
+    }
+
+    /// The report of an attempt.
+    #[must_use]
+    pub fn report(&self, run: &Run) -> Running {
+        Running {
             attempt: self.attempt(),
             service: self.submission.service.clone(),
             team: self.team.clone(),
-            host: host.clone(),
-        })
+            host: run.host.clone(),
+        }
+    }
+
+    /// A note about the request, under the caller's identity of it if there is one.
+    #[must_use]
+    pub fn note(&self, kind: NoteKind, cause: String) -> Note {
+        let note = Note::new(kind, cause)
+            .team(&self.team)
+            .service(&self.submission.service);
+        match &self.submission.caller {
+            Some(caller) => note.request(caller),
+            None => note.request(self.submission.request),
+        }
+    }
+
+    /// What is known about the request while its present attempt has not ended.
+    #[must_use]
+    pub const fn verdict_now(&self) -> Verdict {
+        match self.phase {
+            Phase::Running(_) | Phase::Settling => self.verdict.and(Verdict::Unknown),
+            Phase::Unplaced { .. } | Phase::Asked { .. } => self.verdict,
+        }
     }
 }
 
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -60,7 +60,7 @@
         GateTask::spawn(
             node.take_events(),
             node.subscribe(),
-            received,
+            (inputs.clone(), received),
             ready.clone(),
             pending.clone(),
             node.recorder(),
--- a/src/gate/step.rs
+++ b/src/gate/step.rs
@@ -1,9 +1,12 @@
 //! Messages between the gate's task and the tasks that serve callers.
 
+use std::net::SocketAddr;
+
 use futures_channel::mpsc::UnboundedSender;
 
 use crate::gate::Ended;
 use crate::gate::Failure;
+use crate::gate::Settled;
 use crate::gate::Submission;
 use crate::gate::backend::Backend;
 use crate::name::TeamName;
@@ -23,11 +26,15 @@
         /// A connection that was idle, if there is one.
         backend: Option<Backend>,
     },
+    /// Drop the exchange with the backend server.
+    Abandon,
+    /// Answer with the backend server's error that was held back.
+    Pass,
     /// Answer with a failure.
     Fail(Failure),
 }
 
-/// What the task that serves a caller tells the gate's task.
+/// What the tasks that serve callers, and control requests, tell the gate's task.
 #[derive(Debug)]
 pub enum Input {
     /// A request, and where its steps go.
@@ -38,9 +45,20 @@
         attempt: AttemptId,
         /// How it ended.
         ended: Ended,
+        /// Address of the backend server.
+        addr: SocketAddr,
         /// The connection.
         backend: Option<Backend>,
     },
+    /// A backend server says that attempts do not run there.
+    Unknown(Vec<AttemptId>),
+    /// A cancellation is over.
+    Settled {
+        /// Address of the backend server.
+        addr: SocketAddr,
+        /// What became of each attempt.
+        settled: Vec<(AttemptId, Settled)>,
+    },
     /// The caller went away.
     Gone(RequestId),
     /// Stop taking requests.
--- a/src/gate/submission.rs
+++ b/src/gate/submission.rs
@@ -1,5 +1,6 @@
 //! A caller's request as the gate decides on it.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use crate::name::ServiceName;
@@ -11,6 +12,8 @@
 pub struct Submission {
     /// Identity inside the system.
     pub request: RequestId,
+    /// The caller's identity of it, if it named one.
+    pub caller: Option<Arc<str>>,
     /// Service that it addresses.
     pub service: ServiceName,
     /// Hash of the caller's key, if one was sent.
--- a/src/gate/task.rs
+++ b/src/gate/task.rs
@@ -7,33 +7,28 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_channel::mpsc::UnboundedSender;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use futures_util::stream::select_all;
-use http_body_util::Full;
-use hyper::Request;
 
 use crate::gate::Action;
+use crate::gate::Ended;
 use crate::gate::Event;
-use crate::gate::Failure;
 use crate::gate::Gate;
-use crate::gate::attempt::LEASE_MS;
 use crate::gate::backend::Backend;
+use crate::gate::controls::Controls;
+use crate::gate::idle::IdleConnections;
 use crate::gate::step::Input;
 use crate::gate::step::Step;
 use crate::member::StateEvent;
-use crate::name::TeamName;
 use crate::net::Link;
 use crate::net::LinkId;
 use crate::net::NetEvent;
 use crate::observe::Recorder;
 use crate::record::Role;
-use crate::wire::AttemptId;
-use crate::wire::Grant;
 use crate::wire::Message;
 use crate::wire::RequestId;
 
@@ -41,13 +36,8 @@
 const TICK_MS: u64 = 50;
 /// Ticks between two renewals of task leases.
 const RENEW_TICKS: u32 = 20;
-/// Idle connections kept to one backend server.
-const IDLE_LIMIT: usize = 6;
 /// Events taken in before the actions are carried out.
 const BATCH_LIMIT: usize = 128;
-/// Longest that a renewal or cancellation may take, in milliseconds.
-const CONTROL_MS: u64 = 1_000;
-
 enum Source {
     Net(NetEvent),
     State(StateEvent),
@@ -60,7 +50,8 @@
     gate: Gate,
     links: HashMap<LinkId, Link>,
     steps: HashMap<RequestId, UnboundedSender<Step>>,
-    idle: HashMap<SocketAddr, Vec<Backend>>,
+    idle: IdleConnections,
+    controls: Controls,
     ready: Rc<Cell<bool>>,
     pending: Rc<Cell<usize>>,
     ticks: u32,
@@ -72,7 +63,7 @@
     pub fn spawn(
         net: UnboundedReceiver<NetEvent>,
         state: UnboundedReceiver<StateEvent>,
-        inputs: UnboundedReceiver<Input>,
+        (sender, inputs): (UnboundedSender<Input>, UnboundedReceiver<Input>),
         ready: Rc<Cell<bool>>,
         pending: Rc<Cell<usize>>,
         recorder: Recorder,
@@ -87,7 +78,8 @@
             gate: Gate::default(),
             links: HashMap::new(),
             steps: HashMap::new(),
-            idle: HashMap::new(),
+            idle: IdleConnections::default(),
+            controls: Controls::open(sender),
             ready,
             pending,
             ticks: 0,
@@ -107,7 +99,10 @@
                 };
                 self.take(now, next, &mut actions);
             }
-            actions.drain(..).for_each(|action| self.carry_out(action));
+            actions
+                .drain(..)
+                .for_each(|action| self.carry_out(now, action));
+            self.controls.flush();
             self.ready.set(self.gate.ready(now));
             self.pending.set(self.gate.pending());
         }
@@ -118,9 +113,10 @@
             Source::Net(event) => self.net_event(event),
             Source::State(StateEvent::State(state)) => Some(Event::State(state)),
             Source::State(StateEvent::Fresh(until)) => Some(Event::Fresh(until)),
-            Source::Input(input) => Some(self.input(input)),
+            Source::Input(input) => return self.input(now, input, out),
             Source::Tick => {
                 self.ticks += 1;
+                self.idle.expire(now);
                 Some(Event::Tick)
             }
         };
@@ -156,8 +152,8 @@
         }
     }
 
-    fn input(&mut self, input: Input) -> Event {
-        match input {
+    fn input(&mut self, now: Instant, input: Input, out: &mut Vec<Action>) {
+        let event = match input {
             Input::Submit(submission, steps) => {
                 self.steps.insert(submission.request, steps);
                 Event::Submit(submission)
@@ -165,78 +161,86 @@
             Input::Ended {
                 attempt,
                 ended,
+                addr,
                 backend,
             } => {
-                if let Some(backend) = backend {
-                    self.keep(backend);
-                }
-                if let crate::gate::Ended::Answered { .. } = ended {
+                self.keep(now, addr, ended, backend);
+                if ended == Ended::Answered {
                     self.steps.remove(&attempt.request);
                 }
                 Event::Ended(attempt, ended)
             }
+            Input::Unknown(attempts) => Event::Unknown(attempts),
+            Input::Settled { addr, settled } => {
+                self.controls.done(addr);
+                for (attempt, settled) in settled {
+                    self.gate.handle(now, Event::Settled(attempt, settled), out);
+                }
+                return;
+            }
             Input::Gone(request) => {
                 self.steps.remove(&request);
                 Event::Gone(request)
             }
             Input::Stop => Event::Stop,
-        }
+        };
+        self.gate.handle(now, event, out);
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn carry_out(&mut self, now: Instant, action: Action) {
         match action {
             Action::Send(link, message) => {
                 if let Some(link) = self.links.get(&link) {
                     link.send(message);
                 }
             }
-            Action::Run { grant, team } => self.start(grant, team),
-            Action::Fail(request, failure) => self.fail(request, failure),
+            Action::Run { grant, team } => {
+                let backend = self.idle.take(now, grant.addr);
+                let step = Step::Run {
+                    grant: grant.clone(),
+                    team,
+                    backend,
+                };
+                self.step(grant.attempt.request, step);
+            }
+            Action::Abandon(request, addr) => {
+                self.idle.drop_all(addr);
+                self.step(request, Step::Abandon);
+            }
+            Action::Pass(request) => {
+                self.step(request, Step::Pass);
+                self.steps.remove(&request);
+            }
+            Action::Fail(request, failure) => {
+                self.step(request, Step::Fail(failure));
+                self.steps.remove(&request);
+            }
             Action::Renew(addr, attempts) => {
                 if self.ticks.is_multiple_of(RENEW_TICKS) {
-                    post(addr, "/leases", lease_body(&attempts));
+                    self.controls.renew(addr, attempts);
                 }
             }
-            Action::Cancel(addr, attempts) => post(addr, "/cancel", cancel_body(&attempts)),
+            Action::Cancel(addr, attempts) => self.controls.cancel(addr, attempts),
             Action::Note(note) => self.recorder.record(*note),
         }
     }
 
-    fn start(&mut self, grant: Grant, team: TeamName) {
-        let Some(steps) = self.steps.get(&grant.attempt.request) else {
-            return;
-        };
-        let backend = self.idle.get_mut(&grant.addr).and_then(take_idle);
-        let _ = steps.unbounded_send(Step::Run {
-            grant,
-            team,
-            backend,
-        });
-    }
-
-    fn fail(&mut self, request: RequestId, failure: Failure) {
-        if let Some(steps) = self.steps.remove(&request) {
-            let _ = steps.unbounded_send(Step::Fail(failure));
+    fn step(&self, request: RequestId, step: Step) {
+        if let Some(steps) = self.steps.get(&request) {
+            let _ = steps.unbounded_send(step);
         }
     }
 
-    fn keep(&mut self, backend: Backend) {
-        let idle = self.idle.entry(backend.addr()).or_default();
-        if idle.len() < IDLE_LIMIT {
-            idle.push(backend);
+    /// Keeps a connection for the next request; after one without an answer, none to its server.
+    fn keep(&mut self, now: Instant, addr: SocketAddr, ended: Ended, backend: Option<Backend>) {
+        match backend {
+            Some(backend) => self.idle.put(now, backend),
+            None if ended == Ended::Unknown => self.idle.drop_all(addr),
+            None => {}
         }
     }
 }
 
-fn take_idle(idle: &mut Vec<Backend>) -> Option<Backend> {
-    while let Some(backend) = idle.pop() {
-        if backend.is_idle() {
-            return Some(backend);
-        }
-    }
-    None
-}
-
 fn ticks() -> LocalBoxStream<'static, ()> {
     futures_util::stream::unfold((), |()| async {
         compio::time::sleep(Duration::from_millis(TICK_MS)).await;
@@ -244,32 +248,3 @@
     })
     .boxed_local()
 }
-
-fn names(attempts: &[AttemptId]) -> Vec<String> {
-    attempts.iter().map(ToString::to_string).collect()
-}
-
-fn lease_body(attempts: &[AttemptId]) -> Bytes {
-    let body = serde_json::json!({ "attempts": names(attempts), "lease_ms": LEASE_MS });
-    Bytes::from(body.to_string())
-}
-
-fn cancel_body(attempts: &[AttemptId]) -> Bytes {
-    Bytes::from(serde_json::json!({ "attempts": names(attempts) }).to_string())
-}
-
-/// Sends a control request on a connection of its own, in a task of its own.
-fn post(addr: SocketAddr, path: &'static str, body: Bytes) {
-    let exchange = async move {
-        let mut backend = Backend::open(addr).await.ok()?;
-        let request = Request::post(path)
-            .header(hyper::header::HOST, addr.to_string())
-            .body(Full::new(body))
-            .ok()?;
-        backend.exchange(request).await.ok()
-    };
-    compio::runtime::spawn(async move {
-        let _ = compio::time::timeout(Duration::from_millis(CONTROL_MS), exchange).await;
-    })
-    .detach();
-}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 for callers, operators and metrics.
 
+mod activity;
 mod body;
 mod body_error;
 mod error_body;
@@ -7,6 +8,7 @@
 mod limits;
 mod reply;
 mod server;
+mod watched;
 
 pub use body::read_body;
 pub use body_error::BodyError;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -8,10 +8,10 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use compio::net::TcpListener;
 use compio::net::TcpStream;
-use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
@@ -29,8 +29,11 @@
 use crate::http::Fault;
 use crate::http::Limits;
 use crate::http::Reply;
+use crate::http::activity::Activity;
+use crate::http::watched::Watched;
 
-const HEADER_WAIT: Duration = Duration::from_secs(5);
+/// Time between two looks at what a connection does.
+const LOOK: Duration = Duration::from_secs(1);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Answers one request.
@@ -133,21 +136,44 @@
 }
 
 async fn serve(stream: TcpStream, limits: Limits, handler: Handler, quit: Signal, held: Held) {
-    let service = service_fn(|request| answer(request, limits.body_bytes, Rc::clone(&handler)));
+    let activity = Rc::new(Activity::begin(Instant::now()));
+    let service = service_fn(|request| {
+        activity.note_request();
+        let reply = answer(request, limits.body_bytes, Rc::clone(&handler));
+        async {
+            let reply = reply.await;
+            activity.note_answered(Instant::now());
+            reply
+        }
+    });
+    let stream = Watched::new(HyperStream::new_plain(stream), Rc::clone(&activity));
     let mut builder = http1::Builder::new();
     builder
-        .timer(CompioTimer)
-        .header_read_timeout(HEADER_WAIT)
+        .header_read_timeout(None)
         .max_header_size(limits.header_bytes);
-    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
-    let mut connection = pin!(connection);
-    if let Either::Right(_) = select(connection.as_mut(), quit).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    let talk = async {
+        if let Either::Right(_) = select(connection.as_mut(), quit).await {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    };
+    let _ = select(pin!(talk), pin!(watch(&activity))).await;
     drop(held);
 }
 
+/// Ends once a connection has done nothing for too long.
+async fn watch(activity: &Activity) {
+    loop {
+        let now = Instant::now();
+        match activity.deadline() {
+            Some(until) if until <= now => return,
+            Some(until) => compio::time::sleep_until(until.min(now + LOOK)).await,
+            None => compio::time::sleep(LOOK).await,
+        }
+    }
+}
+
 async fn answer(
     request: Request<Incoming>,
     limit: usize,
--- /dev/null
+++ b/src/http/watched.rs
@@ -0,0 +1,60 @@
+//! A stream that notes its activity.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Instant;
+
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+
+use crate::http::activity::Activity;
+
+/// Passes everything on and notes when bytes move.
+pub struct Watched<S> {
+    stream: S,
+    activity: Rc<Activity>,
+}
+
+impl<S> Watched<S> {
+    /// Watches a stream.
+    pub const fn new(stream: S, activity: Rc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl<S: Read + Unpin> Read for Watched<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        self.activity.note_read(Instant::now());
+        Poll::Ready(read)
+    }
+}
+
+impl<S: Write + Unpin> Write for Watched<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        self.activity.note_write(Instant::now());
+        Poll::Ready(written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ctl;
 pub mod fleet;
 pub mod gate;
+pub mod health;
 pub mod http;
 pub mod limit;
 pub mod log;
--- a/src/queue/lanes.rs
+++ b/src/queue/lanes.rs
@@ -64,6 +64,12 @@
         self.waiting.get(&attempt)
     }
 
+    /// Whether a request waits.
+    #[must_use]
+    pub fn contains(&self, attempt: &AttemptId) -> bool {
+        self.waiting.contains_key(attempt)
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -5,10 +5,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::health::Health;
+use crate::health::HealthChange;
 use crate::limit::divide;
+use crate::name::HostName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::record::State;
@@ -17,6 +22,7 @@
 use crate::sched::slots::Slots;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Message;
 use crate::wire::Refusal;
@@ -43,6 +49,7 @@
     reported: BTreeSet<LinkId>,
     queue: Queue,
     slots: Slots,
+    health: Health,
 }
 
 impl Dispatcher {
@@ -51,6 +58,8 @@
     pub fn open(service: ServiceName, state: Rc<State>, now: Instant) -> Self {
         let mut slots = Slots::default();
         slots.update(&state, &service);
+        let mut health = Health::default();
+        health.update(slots.hosts());
         Self {
             service,
             since: state.epoch,
@@ -59,18 +68,28 @@
             reported: BTreeSet::new(),
             queue: Queue::default(),
             slots,
+            health,
         }
     }
 
     /// Goes on under a newer state.
     pub fn update(&mut self, state: Rc<State>) {
         self.slots.update(&state, &self.service);
+        self.health.update(self.slots.hosts());
         self.state = state;
     }
 
-    /// Queues a request, or refuses it at once.
+    /// Queues a request, or refuses it at once; a repeated question gets the same answer.
     pub fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
-        if let Some(code) = self.refusal(&ask) {
+        if self.queue.contains(&ask.attempt) {
+            return;
+        }
+        if self.slots.holds(&ask.attempt) {
+            let grant = self.slots.grant_of(&ask.attempt).map(Message::Grant);
+            out.extend(grant.map(|grant| Action::Send(link, grant)));
+            return;
+        }
+        if let Some(code) = self.refusal(now, &ask) {
             out.push(refuse(link, ask.attempt, code));
             return;
         }
@@ -93,6 +112,28 @@
         self.slots.release(attempt);
     }
 
+    /// Frees the slot of an attempt and keeps what it says about its host.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        attempt: &AttemptId,
+        evidence: Evidence,
+        out: &mut Vec<Action>,
+    ) {
+        self.queue.remove(attempt);
+        let Some(held) = self.slots.release(attempt) else {
+            return;
+        };
+        let (host, team) = (&held.host, &held.team);
+        let change = self
+            .health
+            .record(now, host, team, attempt.request, evidence);
+        if let Some(change) = change {
+            let note = note(change).host(host).service(&self.service);
+            out.push(Action::Note(Box::new(note.request(attempt))));
+        }
+    }
+
     /// Adopts what a gate has running.
     pub fn report(&mut self, link: LinkId, epoch: u64, running: &[Running]) {
         let named = |attempt: &AttemptId| running.iter().any(|run| run.attempt == *attempt);
@@ -127,6 +168,7 @@
     /// Refuses what can no longer start in time and frees slots of lost gates.
     pub fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.slots.release_expired(now);
+        self.health.expire(now);
         let expired = self.queue.remove_expired(now);
         out.extend(
             expired
@@ -140,7 +182,7 @@
         if self.reported.len() < gates && now < self.opens {
             return;
         }
-        while let Some(action) = self.grant_one() {
+        while let Some(action) = self.grant_one(now) {
             out.push(action);
         }
     }
@@ -154,10 +196,11 @@
         );
     }
 
-    fn grant_one(&mut self) -> Option<Action> {
+    fn grant_one(&mut self, now: Instant) -> Option<Action> {
         let usage = |team: &TeamName| usage(&self.state, &self.service, &self.slots, team);
         let waiting = self.queue.next(usage)?;
-        let (host, placed) = self.slots.pick(&waiting.avoid)?;
+        let admits = |host: &HostName, running| self.health.admits(now, host, running);
+        let (host, placed) = self.slots.pick(&waiting.avoid, admits)?;
         let (host, addr) = (host.clone(), placed.addr);
         let attempt = waiting.attempt;
         let waiting = self.queue.remove(&attempt)?;
@@ -176,11 +219,14 @@
         Some(Action::Send(waiting.link, Message::Grant(grant)))
     }
 
-    fn refusal(&self, ask: &Ask) -> Option<RefusalCode> {
+    fn refusal(&self, now: Instant, ask: &Ask) -> Option<RefusalCode> {
         let capacity = self.slots.capacity() as usize;
         if capacity == 0 {
             return Some(RefusalCode::NoCapacity);
         }
+        if self.health.is_culprit(now, ask.attempt.request) {
+            return Some(RefusalCode::JobFailing);
+        }
         if ask.remaining == 0 {
             return Some(RefusalCode::DeadlineTooClose);
         }
@@ -206,3 +252,11 @@
     };
     Action::Send(link, Message::Refuse(refusal))
 }
+
+fn note(change: HealthChange) -> Note {
+    match change {
+        HealthChange::Ejected => Note::new(NoteKind::HostEjected, "fails every request"),
+        HealthChange::TrialFailed => Note::new(NoteKind::HostEjected, "failed its trial"),
+        HealthChange::Readmitted => Note::new(NoteKind::HostReadmitted, "passed its trial"),
+    }
+}
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -7,6 +7,7 @@
 use crate::record::State;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Running;
 
 /// An input of [`crate::sched::Scheduler`].
@@ -26,8 +27,8 @@
     Finished {
         /// The attempt.
         attempt: AttemptId,
-        /// Whether the backend server answered as it should.
-        healthy: bool,
+        /// What it says about its host.
+        evidence: Evidence,
     },
     /// Everything that a gate has running, as of an epoch of its state.
     Report {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -52,7 +52,12 @@
             Event::Fresh(until) => self.fresh = Some(until),
             Event::Down(link) => self.services.values_mut().for_each(|d| d.lose(now, link)),
             Event::Ask(link, ask) => self.ask(now, link, ask, out),
-            Event::Cancel(attempt) | Event::Finished { attempt, .. } => self.forget(&attempt),
+            Event::Cancel(attempt) => self.forget(&attempt),
+            Event::Finished { attempt, evidence } => {
+                self.services
+                    .values_mut()
+                    .for_each(|d| d.finish(now, &attempt, evidence, out));
+            }
             Event::Report {
                 link,
                 epoch,
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -1,5 +1,8 @@
 //! A running scheduler process.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use crate::http::Handler;
 use crate::http::HttpServer;
 use crate::http::Limits;
@@ -11,6 +14,9 @@
 use crate::sched::task::SchedTask;
 use crate::settings::SchedSettings;
 
+/// Longest that a stop waits for the replies to probes, in milliseconds.
+const STOP_MS: u64 = 2_000;
+
 /// Serves gates until it is stopped.
 pub struct SchedServer {
     node: Node,
@@ -41,6 +47,7 @@
     pub async fn stop(self) {
         self.node.leave().await;
         self.http.stop();
-        self.http.stopped().await;
+        let deadline = Instant::now() + Duration::from_millis(STOP_MS);
+        let _ = compio::time::timeout_at(deadline, self.http.stopped()).await;
     }
 }
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -12,6 +12,7 @@
 use crate::record::State;
 use crate::sched::held::Held;
 use crate::wire::AttemptId;
+use crate::wire::Grant;
 
 /// Which slots are in use, and by whom.
 #[derive(Debug, Default)]
@@ -85,13 +86,41 @@
             .collect()
     }
 
-    /// The usable host with the most free slots, `avoid` only if nothing else is free.
+    /// The usable hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = HostName> {
+        self.hosts.keys().cloned()
+    }
+
+    /// Whether an attempt occupies a slot.
+    #[must_use]
+    pub fn holds(&self, attempt: &AttemptId) -> bool {
+        self.held.contains_key(attempt)
+    }
+
+    /// The grant of an attempt that occupies a slot of a usable host.
+    #[must_use]
+    pub fn grant_of(&self, attempt: &AttemptId) -> Option<Grant> {
+        let held = self.held.get(attempt)?;
+        let placed = self.hosts.get(&held.host)?;
+        Some(Grant {
+            attempt: *attempt,
+            host: held.host.clone(),
+            addr: placed.addr,
+        })
+    }
+
+    /// The usable host with the most free slots, `avoid` only if nothing else is free. `admits`
+    /// says whether a host may get work with so many slots in use.
     #[must_use]
-    pub fn pick(&self, avoid: &[HostName]) -> Option<(&HostName, &Host)> {
+    pub fn pick(
+        &self,
+        avoid: &[HostName],
+        admits: impl Fn(&HostName, u32) -> bool,
+    ) -> Option<(&HostName, &Host)> {
         let free = |name: &HostName, host: &Host| host.slots.saturating_sub(self.in_use(name));
         self.hosts
             .iter()
-            .filter(|(name, host)| free(name, host) > 0)
+            .filter(|(name, host)| free(name, host) > 0 && admits(name, self.in_use(name)))
             .max_by_key(|(name, host)| (!avoid.contains(name), free(name, host)))
     }
 
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -107,8 +107,8 @@
             NetEvent::Message { link, message } => match message {
                 Message::Ask(ask) => Some(Event::Ask(link.id(), ask)),
                 Message::Cancel(attempt) => Some(Event::Cancel(attempt)),
-                Message::Finished { attempt, healthy } => {
-                    Some(Event::Finished { attempt, healthy })
+                Message::Finished { attempt, evidence } => {
+                    Some(Event::Finished { attempt, evidence })
                 }
                 Message::Report { epoch, running } => Some(Event::Report {
                     link: link.id(),
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -6,6 +6,7 @@
 use crate::name::TeamName;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Hello;
 use crate::wire::Refusal;
@@ -24,8 +25,8 @@
     Finished {
         /// The attempt.
         attempt: AttemptId,
-        /// Whether the backend server answered as it should.
-        healthy: bool,
+        /// What it says about its host.
+        evidence: Evidence,
     },
     /// Gate to scheduler, after connecting and after each change of members: every attempt that
     /// it has running.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod attempt_id;
+mod evidence;
 mod grant;
 mod hello;
 mod message;
@@ -11,6 +12,7 @@
 
 pub use ask::Ask;
 pub use attempt_id::AttemptId;
+pub use evidence::Evidence;
 pub use grant::Grant;
 pub use grant::Running;
 pub use hello::Hello;
--- a/src/wire/refusal.rs
+++ b/src/wire/refusal.rs
@@ -19,6 +19,8 @@
     StateNotFresh,
     /// The process that would serve the request is leaving or has just taken over.
     Unavailable,
+    /// The request fails on hosts that serve others well.
+    JobFailing,
 }
 
 impl RefusalCode {
@@ -31,6 +33,7 @@
             Self::NoCapacity => "no-capacity",
             Self::StateNotFresh => "state-not-fresh",
             Self::Unavailable => "unavailable",
+            Self::JobFailing => "job-failing",
         }
     }
 }
--- a/src/wire/verdict.rs
+++ b/src/wire/verdict.rs
@@ -16,6 +16,16 @@
 }
 
 impl Verdict {
+    /// What is known of two attempts together.
+    #[must_use]
+    pub const fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Ran, _) | (_, Self::Ran) => Self::Ran,
+            (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+        }
+    }
+
     /// The word that callers see.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/standins/src/executor.rs
+++ b/standins/src/executor.rs
@@ -182,8 +182,13 @@
     fn cancel(&self, cancellation: Cancellation) -> Answer {
         let mut unknown = cancellation.attempts;
         unknown.retain(|attempt| !self.runs.borrow_mut().end(attempt, Kind::Cancelled));
+        let mut refused = unknown.clone();
+        refused.retain(|attempt| self.runs.borrow_mut().refuse(attempt));
         self.changed.post();
-        json(StatusCode::OK, &json!({"unknown": unknown}))
+        json(
+            StatusCode::OK,
+            &json!({"unknown": unknown, "refused": refused}),
+        )
     }
 
     fn clear(&self) -> Answer {
@@ -253,8 +258,14 @@
         Kind::Cancelled => plain(cancelled.unwrap_or(StatusCode::GONE), "cancelled"),
         Kind::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
     };
-    if let Ok(request) = HeaderValue::from_str(&task.names.request) {
-        answer.headers_mut().insert("x-request-id", request);
+    let repeated = [
+        ("x-request-id", &task.names.request),
+        ("x-attempt-id", &task.names.attempt),
+    ];
+    for (name, id) in repeated {
+        if let Ok(id) = HeaderValue::from_str(id) {
+            answer.headers_mut().insert(name, id);
+        }
     }
     answer
 }
--- a/standins/src/runs.rs
+++ b/standins/src/runs.rs
@@ -65,6 +65,7 @@
     slots: usize,
     running: HashMap<String, Running>,
     seen: HashSet<String>,
+    refused: HashSet<String>,
     max_running: usize,
     started: u64,
     ended: u64,
@@ -79,6 +80,7 @@
             slots,
             running: HashMap::new(),
             seen: HashSet::new(),
+            refused: HashSet::new(),
             max_running: 0,
             started: 0,
             ended: 0,
@@ -118,6 +120,14 @@
         true
     }
 
+    /// Refuses an attempt from now on, unless it was seen before, and says whether it's refused.
+    pub fn refuse(&mut self, attempt: &str) -> bool {
+        if self.seen.insert(attempt.to_owned()) {
+            self.refused.insert(attempt.to_owned());
+        }
+        self.refused.contains(attempt)
+    }
+
     /// Sets the end of a running task's lease, and says whether there's such a task.
     pub fn renew(&mut self, attempt: &str, lease: Instant) -> bool {
         let task = self.running.get_mut(attempt);
--- a/standins/tests/standins/executor.rs
+++ b/standins/tests/standins/executor.rs
@@ -44,12 +44,17 @@
     assert_eq!((status, head.contains("x-not-run: 1")), (503, true));
     let cancelled = control.json("POST /cancel", r#"{"attempts":["a","z"]}"#);
     assert_eq!(cancelled["unknown"], serde_json::json!(["z"]));
+    assert_eq!(cancelled["refused"], serde_json::json!(["z"]));
+    let again = control.json("POST /cancel", r#"{"attempts":["a","z"]}"#);
+    assert_eq!(again["refused"], serde_json::json!(["z"]));
     assert_eq!(first.receive().unwrap().0, 499);
     let (status, head, body) = second.call(&run("b", 0, 600_000), "x").unwrap();
     assert_eq!((status, body.as_str()), (200, "rb:x"));
     assert!(head.contains("x-request-id: rb"));
     let (status, head, _) = second.call(&run("a", 0, 600_000), "x").unwrap();
     assert_eq!((status, head.contains("x-not-run: 1")), (409, true));
+    let (status, head, _) = second.call(&run("z", 0, 600_000), "x").unwrap();
+    assert_eq!((status, head.contains("x-not-run: 1")), (409, true));
     assert_eq!(kinds(&mut control), ["start", "cancelled", "start", "end"]);
     assert!(program.stop());
 }
--- a/tests/wire_frames.rs
+++ b/tests/wire_frames.rs
@@ -6,6 +6,7 @@
 use mimosastep::net::FrameError;
 use mimosastep::net::encode;
 use mimosastep::wire::AttemptId;
+use mimosastep::wire::Evidence;
 use mimosastep::wire::Message;
 use mimosastep::wire::Refusal;
 use mimosastep::wire::RefusalCode;
@@ -36,10 +37,11 @@
         Just(RefusalCode::Overloaded),
         Just(RefusalCode::StateNotFresh)
     ];
+    let evidence = prop_oneof![Just(Evidence::Served), Just(Evidence::Unreachable)];
     prop_oneof![
         attempt.clone().prop_map(Message::Cancel),
-        (attempt.clone(), any::<bool>())
-            .prop_map(|(attempt, healthy)| Message::Finished { attempt, healthy }),
+        (attempt.clone(), evidence)
+            .prop_map(|(attempt, evidence)| Message::Finished { attempt, evidence }),
         (attempt, code, any::<u32>()).prop_map(|(attempt, code, retry_after)| {
             Message::Refuse(Refusal {
                 attempt,
