Put folded records and the freshness on the time line, and measure the fold

Cause: the recorder knew nothing of changes and members, and nobody had measured what the state costs at 4,400 hosts, 130 teams, 20 pools, 120 members.

Change: a note for each record folded, accepted or rejected, with its author, outcome and subject, and for each loss and return of freshness; Follower::spawn takes the recorder. examples/fold_cost prints the costs.

Test: a_time_line_tells_the_changes_and_the_freshness.

--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -16,6 +16,9 @@
 use crate::member::StateEvent;
 use crate::net::Link;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
+use crate::observe::Recorder;
 use crate::record::Change;
 use crate::record::RecordId;
 use crate::record::Role;
@@ -40,10 +43,13 @@
     detector: Option<Detector>,
     /// Whether reports of the detector are being appended.
     pub(super) reporting: bool,
+    recorder: Recorder,
+    /// Whether the state was fresh when the time line was last told.
+    fresh: bool,
 }
 
 impl Core {
-    pub(super) fn new(replica: Replica, me: &Hello) -> Self {
+    pub(super) fn new(replica: Replica, me: &Hello, recorder: Recorder) -> Self {
         let fleet = me.role == Role::Fleet;
         Self {
             replica,
@@ -56,6 +62,8 @@
             snapping: false,
             detector: fleet.then(|| Detector::new(me.node.clone())),
             reporting: false,
+            recorder,
+            fresh: false,
         }
     }
 
@@ -82,6 +90,7 @@
             news.push(StateEvent::Fresh(fresh));
         }
         self.published = (state.offset, self.replica.until());
+        self.take_notes();
         let tell = |sender: &UnboundedSender<StateEvent>| {
             news.iter()
                 .all(|event| sender.unbounded_send(event.clone()).is_ok())
@@ -92,6 +101,29 @@
             .for_each(|waiter| waiter.send(()).unwrap_or(()));
     }
 
+    /// Puts what was folded, and a change of the freshness, on the time line.
+    pub(super) fn take_notes(&mut self) {
+        for note in self.replica.take_notes() {
+            self.recorder.record(note);
+        }
+        let fresh = self.replica.until() > Some(Instant::now());
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            let (kind, cause) = if fresh {
+                (
+                    NoteKind::FreshnessRegained,
+                    "the state is known to be recent",
+                )
+            } else {
+                (
+                    NoteKind::FreshnessLost,
+                    "neither the log nor a majority of the fleet processes answers",
+                )
+            };
+            self.recorder.record(Note::new(kind, cause));
+        }
+    }
+
     pub(super) fn wait(&mut self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
         self.waiters.push(sender);
--- a/src/member/follower.rs
+++ b/src/member/follower.rs
@@ -18,6 +18,7 @@
 use crate::member::core::Core;
 use crate::member::tasks::Tasks;
 use crate::net::NetEvent;
+use crate::observe::Recorder;
 use crate::record::Change;
 use crate::record::Record;
 use crate::record::State;
@@ -32,17 +33,18 @@
 
 impl Follower {
     /// Starts following the log for the process `me`, whose state `voters` vouch for, and
-    /// returns the handle.
+    /// returns the handle. What is folded goes on the time line of `recorder`.
     #[must_use]
     pub fn spawn(
         me: Hello,
         voters: Voters,
         log: LogClient,
         events: UnboundedReceiver<NetEvent>,
+        recorder: Recorder,
         logger: Logger,
     ) -> Self {
         let replica = Replica::new(Instant::now(), me.clone(), voters);
-        let core = RefCell::new(Core::new(replica, &me));
+        let core = RefCell::new(Core::new(replica, &me, recorder));
         let tasks = Rc::new(Tasks {
             me,
             log,
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -7,6 +7,7 @@
 mod follower;
 mod freshness;
 mod freshness_event;
+mod notes;
 mod placement;
 mod replica;
 mod search;
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -11,9 +11,12 @@
 use crate::member::FreshnessEvent;
 use crate::member::Voter;
 use crate::member::Voters;
+use crate::member::notes::note_of;
 use crate::name::NodeName;
+use crate::observe::Note;
 use crate::record::CHECKPOINT_EVERY;
 use crate::record::DecodeError;
+use crate::record::Record;
 use crate::record::Role;
 use crate::record::State;
 use crate::wire::Hello;
@@ -62,6 +65,8 @@
     due: Instant,
     /// The state of the last checkpoint.
     past: Rc<State>,
+    /// Notes about the records folded since they were last taken.
+    notes: Vec<Note>,
     voters: Voters,
     /// The other voters' answers, by address.
     reached: BTreeMap<SocketAddr, Reached>,
@@ -83,6 +88,7 @@
             snapped: 0,
             due: now + SNAPSHOT_AFTER,
             past: Rc::default(),
+            notes: Vec::new(),
             voters,
             reached: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -112,7 +118,10 @@
                 if offset.is_multiple_of(CHECKPOINT_EVERY) {
                     self.past = Rc::clone(&self.state);
                 }
-                let _ = Rc::make_mut(&mut self.state).apply(offset, &data);
+                let outcome = Rc::make_mut(&mut self.state).apply(offset, &data);
+                let record = Record::decode(&data).ok();
+                self.notes
+                    .extend(record.and_then(|record| note_of(&record, &outcome)));
                 self.keep(offset, data);
             }
         }
@@ -121,6 +130,11 @@
         }
     }
 
+    /// Takes out the notes about the records folded since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Takes over the state of a snapshot, if it is further on.
     ///
     /// # Errors
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -147,6 +147,7 @@
             let (due, reports) = {
                 let mut core = self.core.borrow_mut();
                 core.probe();
+                core.take_notes();
                 (core.start_snapshot(), core.start_reports())
             };
             if !reports.is_empty() {
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -80,6 +80,7 @@
             NodeError::Io(std::io::Error::other("the events of the links were taken"))
         })?;
         mesh.dial(FLEET_GROUP, settings.fleet.clone());
+        let recorder = Recorder::default();
         let own = (role == Role::Fleet).then(|| mesh.local_addr());
         let voters = Voters::new(settings.fleet.iter().copied(), own);
         let follower = Follower::spawn(
@@ -87,6 +88,7 @@
             voters,
             LogClient::new(&settings.log.to_string()).map_err(std::io::Error::other)?,
             events.state,
+            recorder.clone(),
             log.clone(),
         );
         let member = Member {
@@ -119,7 +121,7 @@
             watch,
             quit,
             log,
-            recorder: Recorder::default(),
+            recorder,
         })
     }
 
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -6,6 +6,7 @@
 mod follower;
 mod members;
 mod node;
+mod notes;
 mod snapshots;
 mod tiny_fleet;
 mod tiny_log;
--- a/tests/state/tiny_fleet.rs
+++ b/tests/state/tiny_fleet.rs
@@ -15,6 +15,7 @@
 use mimosastep::net::Link;
 use mimosastep::net::LinkId;
 use mimosastep::net::NetEvent;
+use mimosastep::observe::Recorder;
 use mimosastep::record::Author;
 use mimosastep::record::Change;
 use mimosastep::record::Member;
@@ -33,6 +34,7 @@
 pub struct Process {
     pub hello: Hello,
     pub follower: Follower,
+    pub recorder: Recorder,
     pub events: UnboundedSender<NetEvent>,
 }
 
@@ -53,10 +55,13 @@
     let logger = Logger::root(Discard, o!());
     let own = (role == Role::Fleet).then(|| addr(node));
     let voters = Voters::new(["f1", "f2", "f3"].map(addr), own);
-    let follower = Follower::spawn(hello.clone(), voters, client, receiver, logger);
+    let recorder = Recorder::default();
+    let notes = recorder.clone();
+    let follower = Follower::spawn(hello.clone(), voters, client, receiver, notes, logger);
     Process {
         hello,
         follower,
+        recorder,
         events,
     }
 }
