--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -185,6 +185,15 @@
     assert!(voter.until() < Some(woken));
 }
 
+#[test]
+fn counting_from_the_answer_would_wake_a_frozen_process_fresh() {
+    let start = Instant::now();
+    let mut gate = process("g", start);
+    let woken = start + Duration::from_secs(60);
+    gate.observe(woken, FreshnessEvent::Head { asked: woken });
+    assert!(gate.until() > Some(woken));
+}
+
 /// What a gate may use, by time since the start in milliseconds.
 struct World {
     log_up: fn(u64) -> bool,
@@ -308,3 +317,19 @@
     let started = CUT.wrongly_started(|at, fresh| fresh || any_voter(at));
     assert_eq!(started.last(), Some(&(20_000 - STEP)));
 }
+
+#[test]
+fn stopping_whenever_the_log_is_down_would_refuse_all_work() {
+    let down = World {
+        log_up: |at| at < 5000,
+        ..HEALTHY
+    };
+    let late = 5000 + FRESH_FOR.as_millis() as u64;
+    assert_eq!(down.fresh_from(late), ALWAYS);
+    let (_, some) = World {
+        back: |_, _| false,
+        ..down
+    }
+    .fresh_from(late);
+    assert!(!some, "without the voters' word nothing runs");
+}
--- a/tests/record_fold.rs
+++ b/tests/record_fold.rs
@@ -149,6 +149,8 @@
     let lost = state.apply(4, &record(2, base, table(second, 7)));
     assert_eq!(won, Outcome::Accepted { revision: 4 });
     assert_eq!(lost, Outcome::Rejected(Reject::StaleBase(4)));
+    let blind = state.clone().apply(5, &record(3, None, table(second, 7)));
+    assert_eq!(blind.settled(), Ok(5), "without a base both would win");
     assert_eq!(state.teams.keys().collect::<Vec<_>>(), [&name(first)]);
 }
 
@@ -376,6 +378,9 @@
         incarnation: 1,
         by,
     };
+    let mut broken = state.clone();
+    suspect(&mut broken, "g1", "f2").unwrap();
+    assert!(!broken.members.contains_key("g1"), "if it stood for good");
     put(&mut state, trust).unwrap();
     assert!(state.suspicions.is_empty());
     suspect(&mut state, "g1", "f2").unwrap();
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -7,6 +7,7 @@
 mod members;
 mod node;
 mod notes;
+mod race;
 mod snapshots;
 mod tiny_fleet;
 mod tiny_log;
--- a/tests/state/node.rs
+++ b/tests/state/node.rs
@@ -26,12 +26,12 @@
 /// Ends before an idle connection would be given up.
 const PROMPT: Duration = Duration::from_millis(1_000);
 
-fn free_addr() -> SocketAddr {
+pub fn free_addr() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
     socket.local_addr().expect("an address")
 }
 
-fn settings(
+pub fn settings(
     authority: &Authority,
     log: &TinyLog,
     number: usize,
--- a/tests/state_voters.rs
+++ b/tests/state_voters.rs
@@ -82,18 +82,28 @@
 #[test]
 fn a_chain_of_membership_changes_does_not_split_the_vote() {
     let start = Instant::now();
+    let later = start + Duration::from_secs(60);
     let mut gate = Replica::new(start, hello("g", Role::Gate), voters(None));
     gate.fold(start, (1..=3).map(|node| join(u64::from(node) - 1, node)));
     let mut writer = Replica::new(start, hello("f4", Role::Fleet), voters(Some(4)));
+    let members = Voters::new((4..=6).map(addr), Some(addr(4)));
+    let mut broken = Replica::new(start, hello("f4", Role::Fleet), members);
+    for writer in [&mut writer, &mut broken] {
+        take_over(writer, start, later);
+    }
+    vouch(&mut gate, later, &[1, 2], 3);
+    assert!(gate.until() > Some(later), "the gate is fresh");
+    assert_eq!(writer.holders(9), None, "and the change is not in force");
+    assert!(broken.holders(9).is_some(), "by the membership it would be");
+}
+
+/// Folds the membership from f1 to f3 over to f4 to f6 and a change that these hold.
+fn take_over(writer: &mut Replica, start: Instant, later: Instant) {
     writer.fold(start, (1..=6).map(|node| join(u64::from(node) - 1, node)));
     writer.fold(start, (1..=3).map(|node| end(u64::from(node) + 5, node)));
     writer.fold(start, [encode(9, Change::Table(Vec::new()))]);
-    let later = start + Duration::from_secs(60);
     writer.head(later, later, 10);
-    vouch(&mut writer, later, &[5, 6], 10);
-    vouch(&mut gate, later, &[1, 2], 3);
-    assert!(gate.until() > Some(later), "the gate is fresh");
-    assert_eq!(writer.holders(9), None, "and the change is not in force");
+    vouch(writer, later, &[5, 6], 10);
 }
 
 fn vouch(replica: &mut Replica, now: Instant, by: &[u8], offset: u64) {
