--- /dev/null
+++ b/scenarios/src/bin/hot_path.rs
@@ -0,0 +1,141 @@
+//! Measures the way of a request: straight to a backend server, and through the whole system.
+
+use std::error::Error;
+use std::fs;
+use std::process::Command;
+use std::process::ExitCode;
+
+use serde_json::Value;
+
+use scenarios::layout::Layout;
+use scenarios::process::beside;
+use scenarios::site::Site;
+
+/// Numbers of callers that are measured.
+const CALLERS: [u32; 3] = [1, 16, 64];
+/// Callers of the measurement of the greatest rate.
+const MANY_CALLERS: u32 = 288;
+/// Length of one measurement, in seconds.
+const SECONDS: &str = "4";
+/// Bound on the latency added at the median, in milliseconds.
+const P50_BOUND_MS: f64 = 0.3;
+/// Bound on the latency added at the 99th percentile, in milliseconds.
+const P99_BOUND_MS: f64 = 3.0;
+/// Requests a second that the nine gates should reach together.
+const RATE_BOUND: f64 = 20_000.0;
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS: f64 = 100.0;
+
+type Fallible<T> = Result<T, Box<dyn Error>>;
+
+struct Sample {
+    rate: f64,
+    p50: f64,
+    p99: f64,
+    cores: f64,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("hot_path: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Fallible<bool> {
+    let mut layout = Layout::today();
+    layout.run_ms = 0;
+    let site = Site::spawn(layout)?;
+    println!(
+        "| callers | way | requests/s | p50 ms | p99 ms | cores of the system | requests/s a core |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    let mut met = true;
+    for callers in CALLERS {
+        let direct = measure(&site, callers, direct_args(&site))?;
+        print(callers, "direct", &direct);
+        let through = measure(&site, callers, site.load_args())?;
+        print(callers, "through", &through);
+        let (p50, p99) = (through.p50 - direct.p50, through.p99 - direct.p99);
+        let within = p50 <= P50_BOUND_MS && p99 <= P99_BOUND_MS;
+        println!(
+            "| {callers} | added | | {p50:.3} | {p99:.3} | | {} |",
+            mark(within)
+        );
+        met &= within;
+    }
+    let most = measure(&site, MANY_CALLERS, site.load_args())?;
+    print(MANY_CALLERS, "through", &most);
+    println!(
+        "\nrate of {RATE_BOUND} a second: {}",
+        mark(most.rate >= RATE_BOUND)
+    );
+    Ok(met && most.rate >= RATE_BOUND)
+}
+
+fn direct_args(site: &Site) -> Vec<String> {
+    let targets = site.backends.iter();
+    let targets = targets.flat_map(|addr| ["--target".to_owned(), addr.to_string()]);
+    targets.chain(["--direct".to_owned()]).collect()
+}
+
+fn measure(site: &Site, callers: u32, args: Vec<String>) -> Fallible<Sample> {
+    let before = ticks(site)?;
+    let output = Command::new(beside("standin-load")?)
+        .args([
+            "--json",
+            "--seconds",
+            SECONDS,
+            "--callers",
+            &callers.to_string(),
+        ])
+        .args(args)
+        .output()?;
+    let used = ticks(site)? - before;
+    let report: Value = serde_json::from_slice(&output.stdout)?;
+    let figure = |name: &str| report[name].as_f64().unwrap_or(f64::NAN);
+    let answered = figure("answered");
+    if figure("wrong") + figure("failed") > 0.0 || report["refused"] != serde_json::json!({}) {
+        return Err(format!("not all were answered: {report}").into());
+    }
+    let seconds = figure("seconds");
+    Ok(Sample {
+        rate: answered / seconds,
+        p50: figure("p50_ms"),
+        p99: figure("p99_ms"),
+        cores: used / TICKS / seconds,
+    })
+}
+
+/// Processor time that the system's own processes have used, in ticks.
+fn ticks(site: &Site) -> Fallible<f64> {
+    site.own_ids().iter().map(|id| process_ticks(*id)).sum()
+}
+
+fn process_ticks(id: u32) -> Fallible<f64> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let field = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
+    Ok(field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0))
+}
+
+fn print(callers: u32, way: &str, sample: &Sample) {
+    let core = if sample.cores > 0.0 {
+        sample.rate / sample.cores
+    } else {
+        0.0
+    };
+    println!(
+        "| {callers} | {way} | {:.0} | {:.3} | {:.3} | {:.2} | {core:.0} |",
+        sample.rate, sample.p50, sample.p99, sample.cores
+    );
+}
+
+const fn mark(met: bool) -> &'static str {
+    if met { "met" } else { "not met" }
+}
--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -142,6 +142,16 @@
         self.processes.iter().map(Process::id).collect()
     }
 
+    /// Ids of the system's own processes.
+    #[must_use]
+    pub fn own_ids(&self) -> Vec<u32> {
+        let own = self
+            .processes
+            .iter()
+            .filter(|process| process.name().starts_with("entry-"));
+        own.map(Process::id).collect()
+    }
+
     /// Addresses of the gates for callers.
     #[must_use]
     pub fn gates(&self) -> Vec<SocketAddr> {
