--- a/tests/state_voters.rs
+++ b/tests/state_voters.rs
@@ -1,5 +1,6 @@
 //! Who vouches for the state is fixed by the settings, whatever the membership says.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +14,7 @@
 use mimosastep::record::RecordId;
 use mimosastep::record::Role;
 use mimosastep::wire::Hello;
+use test_case::test_case;
 
 fn addr(number: u8) -> SocketAddr {
     ([127, 0, 0, number], 1).into()
@@ -177,3 +179,15 @@
     assert!(!writer.confirmed(&holders, since + Duration::from_millis(1)));
     assert!(writer.confirmed(&holders, since));
 }
+
+#[test_case(&[1, 2, 3], &[1, 2, 3, 4], true; "one is added to three")]
+#[test_case(&[1, 2, 3, 4], &[1, 2, 3], true; "one is removed from four")]
+#[test_case(&[1, 2, 3, 4, 5, 6, 7, 8, 9], &[1, 2, 3, 4, 5, 6, 7, 8], true; "one is removed from nine")]
+#[test_case(&[1, 2, 3], &[1, 2, 4], false; "one is replaced")]
+#[test_case(&[1, 2, 3], &[1, 2, 3, 4, 5], false; "two are added")]
+fn majorities_meet_across_one_change(before: &[u8], after: &[u8], meet: bool) {
+    let sets = [before, after].map(|set| Voters::new(set.iter().copied().map(addr), None));
+    let all = before.iter().chain(after).collect::<BTreeSet<_>>().len();
+    let majorities: usize = sets.iter().map(Voters::majority).sum();
+    assert_eq!(majorities > all, meet);
+}
