Search random faults for a fresh process without a change in force

Change: a simulation of three voters and two gates around the real Replica, with cuts, freezes, restarts, outages of the log and late messages.

--- /dev/null
+++ b/tests/state_model.rs
@@ -0,0 +1,341 @@
+//! No process is fresh without a change in force, whatever fails; time and network are simulated.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use mimosastep::member::FRESH_FOR;
+use mimosastep::member::Replica;
+use mimosastep::member::Voter;
+use mimosastep::member::Voters;
+use mimosastep::record::Author;
+use mimosastep::record::Change;
+use mimosastep::record::Record;
+use mimosastep::record::RecordId;
+use mimosastep::record::Role;
+use mimosastep::wire::Hello;
+use mimosastep::wire::Message;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use test_case::test_case;
+
+const VOTERS: usize = 3;
+const NODES: usize = 5;
+const STEP: Duration = Duration::from_millis(100);
+const STEPS: u32 = 400;
+const SEEDS: u64 = 300;
+const LONGEST_DELAY: u32 = 4;
+
+/// A rule that is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Break {
+    None,
+    /// A restarted voter vouches at once.
+    NoRecovery,
+    /// A vouch counts from its answer on.
+    AnswerTime,
+    /// One voter is enough for a gate.
+    OneVoter,
+}
+
+struct Node {
+    hello: Hello,
+    replica: Replica,
+    probes: BTreeMap<u64, Instant>,
+    frozen: u32,
+    reads: bool,
+}
+
+/// A change on its way to be in force.
+struct Pending {
+    writer: usize,
+    offset: u64,
+    held: Option<(Vec<Voter>, Instant)>,
+}
+
+/// A message under way.
+struct Parcel {
+    arrives: u32,
+    to: usize,
+    from: usize,
+    peer: Hello,
+    message: Message,
+}
+
+struct World {
+    rng: StdRng,
+    broken: Break,
+    now: Instant,
+    step: u32,
+    nodes: Vec<Node>,
+    log: Vec<Vec<u8>>,
+    up: bool,
+    cut: [[bool; NODES]; NODES],
+    parcels: Vec<Parcel>,
+    pending: Vec<Pending>,
+    /// Changes in force, since when.
+    forced: Vec<(u64, Instant)>,
+}
+
+fn addr(node: usize) -> SocketAddr {
+    ([10, 0, 0, node as u8], 1).into()
+}
+
+fn node(number: usize, incarnation: u64, now: Instant, broken: Break) -> Node {
+    let voter = number < VOTERS;
+    let role = if voter { Role::Fleet } else { Role::Gate };
+    let name = format!("n{number}").parse().expect("a name");
+    let hello = Hello {
+        node: name,
+        incarnation,
+        role,
+    };
+    let known = if broken == Break::OneVoter && !voter {
+        1
+    } else {
+        VOTERS
+    };
+    let voters = Voters::new((0..known).map(addr), voter.then(|| addr(number)));
+    Node {
+        replica: Replica::new(now, hello.clone(), voters),
+        hello,
+        probes: BTreeMap::new(),
+        frozen: 0,
+        reads: true,
+    }
+}
+
+impl World {
+    fn new(seed: u64, broken: Break) -> Self {
+        let now = Instant::now();
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            broken,
+            now,
+            step: 0,
+            nodes: (0..NODES)
+                .map(|number| node(number, 1, now, broken))
+                .collect(),
+            log: Vec::new(),
+            up: true,
+            cut: [[false; NODES]; NODES],
+            parcels: Vec::new(),
+            pending: Vec::new(),
+            forced: Vec::new(),
+        }
+    }
+
+    fn chance(&mut self, of_thousand: u32) -> bool {
+        self.rng.random_range(0..1000) < of_thousand
+    }
+
+    /// Steps at which a process was fresh without a change in force for long enough.
+    fn run(mut self) -> u32 {
+        let mut wrong = 0;
+        while self.step < STEPS {
+            self.step += 1;
+            self.now += STEP;
+            self.fail();
+            self.deliver();
+            (0..NODES).for_each(|node| self.act(node));
+            self.settle();
+            wrong += u32::from(self.is_wrong());
+        }
+        wrong
+    }
+
+    fn fail(&mut self) {
+        if self.chance(20) {
+            self.up = !self.up;
+        }
+        let (one, other) = (
+            self.rng.random_range(0..NODES),
+            self.rng.random_range(0..NODES),
+        );
+        if self.chance(80) {
+            self.cut[one][other] ^= true;
+        }
+        if self.chance(100) {
+            self.nodes[one].reads ^= true;
+        }
+        if self.chance(15) {
+            self.nodes[one].frozen = self.rng.random_range(5..60);
+        }
+        if self.chance(40) {
+            let incarnation = self.nodes[one].hello.incarnation + 1;
+            self.nodes[one] = node(one, incarnation, self.now, self.broken);
+            self.pending.retain(|pending| pending.writer != one);
+            self.parcels.retain(|parcel| parcel.to != one);
+        }
+        if self.up && self.chance(300) {
+            self.append(one);
+        }
+    }
+
+    fn append(&mut self, writer: usize) {
+        if !self.nodes[writer].reads || self.nodes[writer].frozen > 0 {
+            return;
+        }
+        let offset = self.log.len() as u64;
+        let record = Record {
+            id: RecordId(offset.into()),
+            base: None,
+            author: Author::Operator("test".to_owned()),
+            at: 0,
+            change: Change::Table(Vec::new()),
+        };
+        let data = record.encode();
+        self.log.push(data.clone());
+        self.nodes[writer]
+            .replica
+            .fold(self.now, [(offset, data.clone())]);
+        (0..VOTERS)
+            .for_each(|to| self.send(writer, to, Message::Records(vec![(offset, data.clone())])));
+        let held = None;
+        self.pending.push(Pending {
+            writer,
+            offset,
+            held,
+        });
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if from != to && !self.cut[from][to] {
+            let delay = self.rng.random_range(0..LONGEST_DELAY);
+            self.parcels.push(Parcel {
+                arrives: self.step + delay,
+                to,
+                from,
+                peer: self.nodes[from].hello.clone(),
+                message,
+            });
+        }
+    }
+
+    fn deliver(&mut self) {
+        let (step, nodes) = (self.step, &self.nodes);
+        let due = |parcel: &mut Parcel| parcel.arrives <= step && nodes[parcel.to].frozen == 0;
+        let due: Vec<Parcel> = self.parcels.extract_if(.., due).collect();
+        due.into_iter().for_each(|parcel| self.receive(parcel));
+    }
+
+    fn receive(&mut self, parcel: Parcel) {
+        let Parcel {
+            to,
+            from,
+            peer,
+            message,
+            ..
+        } = parcel;
+        let now = self.now;
+        let node = &mut self.nodes[to];
+        match message {
+            Message::Probe { nonce, .. } => {
+                let offset = node.replica.state().offset;
+                let at_once = (self.broken == Break::NoRecovery).then_some(Message::Vouch {
+                    nonce,
+                    offset,
+                    age: None,
+                });
+                let vouch = node.replica.vouch(now, nonce).or(at_once);
+                vouch
+                    .into_iter()
+                    .for_each(|vouch| self.send(to, from, vouch));
+            }
+            Message::Vouch { nonce, offset, age } => {
+                let Some(asked) = node.probes.get(&nonce).copied() else {
+                    return;
+                };
+                let asked = if self.broken == Break::AnswerTime {
+                    now
+                } else {
+                    asked
+                };
+                let by = (&peer, Some(addr(from)));
+                node.replica.vouched(now, by, asked, offset, age);
+                if node.replica.is_behind(&peer) {
+                    let from_offset = node.replica.state().offset;
+                    self.send(to, from, Message::Fetch { from: from_offset });
+                }
+            }
+            Message::Fetch { from: first } => {
+                let records = node.replica.records(first);
+                self.send(to, from, records);
+            }
+            Message::Records(records) => node.replica.fold(now, records),
+            Message::Snapshot { offset, state } => node.replica.adopt(now, offset, &state).unwrap(),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, of: usize) {
+        let (now, step) = (self.now, self.step);
+        let node = &mut self.nodes[of];
+        if node.frozen > 0 {
+            node.frozen -= 1;
+            return;
+        }
+        if self.up && node.reads {
+            let records = (0..).zip(self.log.iter().cloned());
+            node.replica
+                .fold(now, records.skip(node.replica.state().offset as usize));
+            node.replica.head(now, now, self.log.len() as u64);
+        }
+        if step.is_multiple_of(3) {
+            let nonce = u64::from(step);
+            node.probes.insert(nonce, now);
+            let offset = node.replica.state().offset;
+            (0..VOTERS).for_each(|to| self.send(of, to, Message::Probe { nonce, offset }));
+        }
+    }
+
+    fn settle(&mut self) {
+        let now = self.now;
+        for pending in &mut self.pending {
+            let writer = &self.nodes[pending.writer];
+            if writer.frozen > 0 {
+                continue;
+            }
+            let held = pending.held.take();
+            pending.held = held.or_else(|| Some((writer.replica.holders(pending.offset)?, now)));
+        }
+        let nodes = &self.nodes;
+        let in_force = |pending: &Pending| {
+            pending.held.as_ref().is_some_and(|(holders, since)| {
+                let replica = &nodes[pending.writer].replica;
+                replica.confirmed(holders, *since)
+            })
+        };
+        let forced = self.pending.extract_if(.., |pending| in_force(pending));
+        self.forced
+            .extend(forced.map(|pending| (pending.offset, now)));
+    }
+
+    fn is_wrong(&self) -> bool {
+        let old = self
+            .forced
+            .iter()
+            .filter(|(_, since)| *since + FRESH_FOR <= self.now);
+        let needed = old.map(|(offset, _)| offset + 1).max().unwrap_or(0);
+        self.nodes.iter().any(|node| {
+            node.replica.until() > Some(self.now) && node.replica.state().offset < needed
+        })
+    }
+}
+
+#[test_case(Break::None => false; "all rules kept")]
+#[test_case(Break::NoRecovery => true; "no recovery")]
+#[test_case(Break::AnswerTime => true; "counted from the answer")]
+#[test_case(Break::OneVoter => true; "one voter for a majority")]
+fn some_process_is_fresh_without_a_change_in_force(broken: Break) -> bool {
+    let wrong = (0..SEEDS).filter(|seed| World::new(*seed, broken).run() > 0);
+    let wrong: Vec<u64> = wrong.collect();
+    println!(
+        "{broken:?}: {} of {SEEDS} seeds, first {:?}",
+        wrong.len(),
+        wrong.first()
+    );
+    !wrong.is_empty()
+}
