Move permits of team limits between schedulers by escrow

Cause: a team's limit was divided statically over the services, so a team that works for one service got a fifth of its limit, and nothing kept a scheduler's successor from starting beside work that it had not heard of.

Change: the ledger of a team, placed like a service, moves permits between the schedulers that hold them. It raises its count of a holder before it sends permits and lowers it only by a report that counts all that were sent. A new ledger waits for a report of every scheduler, and counts ended ones for 10 s and until every scheduler has adopted what gates still run. Under a lowered limit nothing starts until the ledger has told new targets. Schedulers dial each other. Queue and slots keep indexes in place of scans.

Ruled out: terms in place of the epoch heard, since a ledger that comes back goes on numbering; cutting permits in proportion when a limit is lowered, since others may still run more than their part.

--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -1,6 +1,7 @@
 //! The decisions of a gate.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +26,7 @@
 use crate::wire::AttemptId;
 use crate::wire::Grant;
 use crate::wire::Message;
+use crate::wire::Peer;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
 use crate::wire::RequestId;
@@ -38,6 +40,8 @@
 /// State and events in, actions out.
 #[derive(Debug, Default)]
 pub struct Gate {
+    /// This process; none in tests of a gate alone.
+    me: Option<Peer>,
     state: Rc<State>,
     fresh: Option<Instant>,
     stopping: bool,
@@ -47,6 +51,15 @@
 }
 
 impl Gate {
+    /// A gate that knows no state yet.
+    #[must_use]
+    pub fn new(me: Peer) -> Self {
+        Self {
+            me: Some(me),
+            ..Self::default()
+        }
+    }
+
     /// Takes an event in and adds what follows from it to `out`.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -84,8 +97,11 @@
         !self.stopping && self.is_fresh(now) && !self.links.is_empty()
     }
 
+    /// Whether it may start and keep work: its state is recent and shows no end of its membership.
+    /// Others count the work of a gate that was ended as over once its task leases are.
     fn is_fresh(&self, now: Instant) -> bool {
-        self.fresh.is_some_and(|until| now < until)
+        let ended = self.me.as_ref().is_some_and(|me| self.state.has_ended(me));
+        self.fresh.is_some_and(|until| now < until) && !ended
     }
 
     fn update(&mut self, now: Instant, state: Rc<State>, out: &mut Vec<Action>) {
@@ -241,8 +257,8 @@
         let Phase::Running { host, link, .. } = phase else {
             return;
         };
-        let owner = owner(&self.state, &self.links, &pending.submission.service);
-        out.extend(release(attempt, ended.healthy(), link, owner));
+        let informed = informed(&self.state, &self.links, pending, link);
+        out.extend(release(attempt, ended.healthy(), informed));
         match ended {
             Ended::Answered { .. } => {
                 self.requests.remove(&attempt.request);
@@ -284,9 +300,9 @@
             Phase::Unplaced => {}
             Phase::Asked(link) => out.push(Action::Send(link, Message::Cancel(attempt))),
             Phase::Running { addr, link, .. } => {
-                let owner = owner(&self.state, &self.links, &pending.submission.service);
                 out.push(Action::Cancel(addr, vec![attempt]));
-                out.extend(release(attempt, true, link, owner));
+                let informed = informed(&self.state, &self.links, &pending, link);
+                out.extend(release(attempt, true, informed));
             }
         }
     }
@@ -329,7 +345,11 @@
             .collect()
     }
 
-    fn report(&self, link: LinkId) -> Action {
+    /// Tells a scheduler what runs; the ends of all that is said go to every scheduler.
+    fn report(&mut self, link: LinkId) -> Action {
+        for pending in self.requests.values_mut() {
+            pending.reported = true;
+        }
         let message = Message::Report {
             epoch: self.state.epoch,
             running: self
@@ -362,19 +382,29 @@
     }
 }
 
-/// Tells the scheduler that granted the slot, and the one in charge if that is another by now,
-/// that the slot is free.
+/// The schedulers that may count a slot: the one that granted it, the one in charge if that is
+/// another by now, and all if they have been told that it runs.
+fn informed(
+    state: &State,
+    links: &BTreeMap<NodeName, (LinkId, u64)>,
+    pending: &Pending,
+    granter: LinkId,
+) -> BTreeSet<LinkId> {
+    let all = links.values().map(|(link, _)| *link);
+    let owner = owner(state, links, &pending.submission.service);
+    all.filter(|link| pending.reported || Some(*link) == owner)
+        .chain([granter])
+        .collect()
+}
+
+/// Tells schedulers that a slot is free.
 fn release(
     attempt: AttemptId,
     healthy: bool,
-    granter: LinkId,
-    owner: Option<LinkId>,
+    informed: BTreeSet<LinkId>,
 ) -> impl Iterator<Item = Action> {
-    owner
-        .filter(|owner| *owner != granter)
-        .into_iter()
-        .chain([granter])
-        .map(move |link| Action::Send(link, finished(attempt, healthy)))
+    let links = informed.into_iter();
+    links.map(move |link| Action::Send(link, finished(attempt, healthy)))
 }
 
 const fn finished(attempt: AttemptId, healthy: bool) -> Message {
--- a/src/gate/pending.rs
+++ b/src/gate/pending.rs
@@ -47,6 +47,8 @@
     pub phase: Phase,
     /// Hosts that have failed it.
     pub avoid: Vec<HostName>,
+    /// Whether schedulers that did not grant it may have been told of it.
+    pub reported: bool,
     /// What is known of the earlier attempts together.
     pub verdict: Verdict,
 }
@@ -63,6 +65,7 @@
             number: 1,
             phase: Phase::Unplaced,
             avoid: Vec::new(),
+            reported: false,
             verdict: Verdict::NotRun,
         }
     }
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -15,6 +15,7 @@
 
 use crate::gate::Failure;
 use crate::gate::FailureCode;
+use crate::gate::Gate;
 use crate::gate::handler;
 use crate::gate::step::Input;
 use crate::gate::task::GateTask;
@@ -27,6 +28,7 @@
 use crate::node::probe;
 use crate::record::Role;
 use crate::settings::GateSettings;
+use crate::wire::Peer;
 
 /// Prefix of callers' paths.
 const SERVICES: &str = "/v1/services/";
@@ -57,7 +59,12 @@
         let (inputs, received) = unbounded();
         let ready = Rc::new(Cell::new(false));
         let pending = Rc::new(Cell::new(0));
+        let gate = Gate::new(Peer {
+            node: node.name().clone(),
+            incarnation: node.incarnation(),
+        });
         GateTask::spawn(
+            gate,
             node.take_events(),
             node.subscribe(),
             received,
--- a/src/gate/task.rs
+++ b/src/gate/task.rs
@@ -70,6 +70,7 @@
 impl GateTask {
     /// Starts the task.
     pub fn spawn(
+        gate: Gate,
         net: UnboundedReceiver<NetEvent>,
         state: UnboundedReceiver<StateEvent>,
         inputs: UnboundedReceiver<Input>,
@@ -84,7 +85,7 @@
             ticks().map(|()| Source::Tick).boxed_local(),
         ]);
         let task = Self {
-            gate: Gate::default(),
+            gate,
             links: HashMap::new(),
             steps: HashMap::new(),
             idle: HashMap::new(),
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -230,7 +230,7 @@
         let fleet = addresses(state, Role::Fleet);
         self.mesh
             .dial(FLEET_GROUP, [fleet, self.seeds.clone()].concat());
-        if self.hello.role == Role::Gate {
+        if self.hello.role != Role::Fleet {
             self.mesh.dial(SCHED_GROUP, addresses(state, Role::Sched));
         }
     }
--- a/src/queue/lanes.rs
+++ b/src/queue/lanes.rs
@@ -1,6 +1,7 @@
 //! The waiting requests of one service.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Instant;
 
@@ -8,87 +9,135 @@
 use crate::net::LinkId;
 use crate::queue::Waiting;
 use crate::queue::lane::Lane;
+use crate::queue::lane::Place;
 use crate::wire::AttemptId;
 
-/// Waiting requests in one lane a team.
+#[derive(Debug)]
+struct Entry {
+    place: Place,
+    waiting: Waiting,
+}
+
+/// Waiting requests in one lane a team; every operation costs the logarithm of their number.
 #[derive(Debug, Default)]
 pub struct Queue {
     lanes: BTreeMap<TeamName, Lane>,
-    waiting: HashMap<AttemptId, Waiting>,
+    entries: HashMap<AttemptId, Entry>,
+    deadlines: BTreeSet<(Instant, AttemptId)>,
+    links: BTreeSet<(LinkId, AttemptId)>,
+    pushed: u64,
 }
 
 impl Queue {
-    /// Adds a request.
+    /// Adds a request; one that waits already keeps its place.
     pub fn push(&mut self, waiting: Waiting) {
+        if self.entries.contains_key(&waiting.attempt) {
+            return;
+        }
+        self.pushed += 1;
+        let place = (waiting.since, self.pushed);
         let lane = self.lanes.entry(waiting.team.clone()).or_default();
-        lane.push(waiting.attempt, waiting.urgent);
-        self.waiting.insert(waiting.attempt, waiting);
+        lane.insert(waiting.urgent, place, waiting.attempt);
+        self.deadlines.insert((waiting.deadline, waiting.attempt));
+        self.links.insert((waiting.link, waiting.attempt));
+        self.entries
+            .insert(waiting.attempt, Entry { place, waiting });
     }
 
     /// Takes a request out.
     pub fn remove(&mut self, attempt: &AttemptId) -> Option<Waiting> {
-        self.waiting.remove(attempt)
+        let Entry { place, waiting } = self.entries.remove(attempt)?;
+        if let Some(lane) = self.lanes.get_mut(&waiting.team) {
+            lane.remove(waiting.urgent, &place);
+            if lane.is_empty() {
+                self.lanes.remove(&waiting.team);
+            }
+        }
+        self.deadlines.remove(&(waiting.deadline, *attempt));
+        self.links.remove(&(waiting.link, *attempt));
+        Some(waiting)
     }
 
-    /// Takes out every request for which `gone` holds.
-    pub fn remove_where(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
-        let attempts: Vec<AttemptId> = self
-            .waiting
-            .values()
-            .filter(|waiting| gone(waiting))
-            .map(|waiting| waiting.attempt)
-            .collect();
-        attempts
-            .iter()
-            .filter_map(|attempt| self.waiting.remove(attempt))
-            .collect()
+    /// Takes out everything.
+    pub fn remove_all(&mut self) -> Vec<Waiting> {
+        let all = std::mem::take(self).entries.into_values();
+        all.map(|entry| entry.waiting).collect()
     }
 
     /// Takes out every request whose deadline has passed.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<Waiting> {
-        self.remove_where(|waiting| waiting.deadline <= now)
+        let deadlines = self.deadlines.iter();
+        let expired: Vec<AttemptId> = deadlines
+            .take_while(|(deadline, _)| *deadline <= now)
+            .map(|(_, attempt)| *attempt)
+            .collect();
+        self.remove_each(&expired)
     }
 
     /// Takes out every request of a link.
     pub fn remove_link(&mut self, link: LinkId) -> Vec<Waiting> {
-        self.remove_where(|waiting| waiting.link == link)
+        let first = AttemptId::MIN;
+        let of_link: Vec<AttemptId> = self
+            .links
+            .range((link, first)..)
+            .take_while(|(of, _)| *of == link)
+            .map(|(_, attempt)| *attempt)
+            .collect();
+        self.remove_each(&of_link)
     }
 
-    /// The request that should start next. `usage` gives a team's running slots divided by its
-    /// weight, or none if the team may not start any; the least usage goes first, urgent requests
-    /// before all others.
-    pub fn next(&mut self, usage: impl Fn(&TeamName) -> Option<f64>) -> Option<&Waiting> {
+    /// The request that should start next. `rank` gives a team's occupied slots divided by its
+    /// weight, or none if the team may not start such a request; the least goes first, urgent
+    /// requests before all others.
+    pub fn next(&self, rank: impl Fn(&TeamName, bool) -> Option<f64>) -> Option<&Waiting> {
         let attempt = self
-            .first(true, &usage)
-            .or_else(|| self.first(false, &usage))?;
-        self.waiting.get(&attempt)
+            .first(true, &rank)
+            .or_else(|| self.first(false, &rank))?;
+        self.entries.get(&attempt).map(|entry| &entry.waiting)
+    }
+
+    /// Teams that have requests waiting, and how many.
+    pub fn teams(&self) -> impl Iterator<Item = (&TeamName, usize)> {
+        self.lanes.iter().map(|(team, lane)| (team, lane.len()))
+    }
+
+    /// Requests of a team that wait.
+    #[must_use]
+    pub fn len_of(&self, team: &TeamName) -> usize {
+        self.lanes.get(team).map_or(0, Lane::len)
     }
 
     /// Requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.entries.len()
     }
 
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.entries.is_empty()
     }
 
     fn first(
-        &mut self,
+        &self,
         urgent: bool,
-        usage: &impl Fn(&TeamName) -> Option<f64>,
+        rank: &impl Fn(&TeamName, bool) -> Option<f64>,
     ) -> Option<AttemptId> {
-        let waiting = &self.waiting;
         self.lanes
-            .iter_mut()
+            .iter()
             .filter_map(|(team, lane)| {
-                let attempt = lane.front(urgent, |attempt| !waiting.contains_key(attempt))?;
-                Some((usage(team)?, attempt))
+                let attempt = lane.front(urgent)?;
+                Some((rank(team, urgent)?, attempt))
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, attempt)| attempt)
     }
+
+    fn remove_each(&mut self, attempts: &[AttemptId]) -> Vec<Waiting> {
+        attempts
+            .iter()
+            .filter_map(|attempt| self.remove(attempt))
+            .collect()
+    }
 }
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -16,6 +16,7 @@
 use crate::record::Recent;
 use crate::record::Role;
 use crate::record::Team;
+use crate::wire::Peer;
 
 /// Everything that the processes agree on; equal at equal offsets.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -90,6 +91,20 @@
         of_pool.filter(|host| !self.usable(host)).count()
     }
 
+    /// Whether a process is a member.
+    #[must_use]
+    pub fn has_member(&self, peer: &Peer) -> bool {
+        let member = self.members.get(&peer.node);
+        member.is_some_and(|member| member.incarnation == peer.incarnation)
+    }
+
+    /// Whether a process was a member and no longer is.
+    #[must_use]
+    pub fn has_ended(&self, peer: &Peer) -> bool {
+        let last = self.incarnations.get(&peer.node);
+        last.is_some_and(|last| *last >= peer.incarnation) && !self.has_member(peer)
+    }
+
     /// Members of a role, the leaving ones included.
     pub fn members_of(&self, role: Role) -> impl Iterator<Item = (&NodeName, &Member)> {
         self.members
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -1,11 +1,9 @@
 //! One service: its queue, its slots and the decision what starts next.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::limit::divide;
 use crate::name::ServiceName;
 use crate::name::TeamName;
 use crate::net::LinkId;
@@ -14,11 +12,14 @@
 use crate::record::State;
 use crate::sched::Action;
 use crate::sched::held::Held;
+use crate::sched::quota::Quotas;
+use crate::sched::roster::Roster;
 use crate::sched::slots::Slots;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
 use crate::wire::Message;
+use crate::wire::Peer;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
 use crate::wire::Running;
@@ -27,45 +28,50 @@
 const QUEUE_PER_SLOT: usize = 32;
 /// How long a new scheduler waits for the reports of the gates, in milliseconds.
 const REPORT_MS: u64 = 400;
-/// How long a lost gate's slots stay occupied: a task lease and the time a state stays fresh, in
-/// milliseconds.
-const LOST_GATE_MS: u64 = 7_000;
 /// When to come back after the queue was full, in milliseconds.
 const RETRY_MS: u32 = 1_000;
+/// Permits are wanted for one slot more than can be had for each so many that run.
+const WANT_PART: u32 = 8;
 
 /// Decides for one service.
 #[derive(Debug)]
 pub struct Dispatcher {
     service: ServiceName,
-    state: Rc<State>,
     since: u64,
     opens: Instant,
-    reported: BTreeSet<LinkId>,
     queue: Queue,
     slots: Slots,
 }
 
 impl Dispatcher {
-    /// Takes a service over as of the state's epoch.
+    /// Takes a service over as of the state's epoch, with the slots that this scheduler still
+    /// counts from an earlier time and those that gates have reported.
     #[must_use]
-    pub fn open(service: ServiceName, state: Rc<State>, now: Instant) -> Self {
-        let mut slots = Slots::default();
-        slots.update(&state, &service);
+    pub fn open(
+        service: ServiceName,
+        state: &State,
+        now: Instant,
+        mut slots: Slots,
+        roster: &Roster,
+    ) -> Self {
+        slots.update(state, &service);
+        for (gate, run) in roster.running() {
+            if run.service == service {
+                slots.adopt(now, gate, run);
+            }
+        }
         Self {
             service,
             since: state.epoch,
-            state,
             opens: now + Duration::from_millis(REPORT_MS),
-            reported: BTreeSet::new(),
             queue: Queue::default(),
             slots,
         }
     }
 
     /// Goes on under a newer state.
-    pub fn update(&mut self, state: Rc<State>) {
-        self.slots.update(&state, &self.service);
-        self.state = state;
+    pub fn update(&mut self, state: &Rc<State>) {
+        self.slots.update(state, &self.service);
     }
 
     /// Queues a request, or refuses it at once.
@@ -94,39 +100,25 @@
     }
 
     /// Adopts what a gate has running.
-    pub fn report(&mut self, link: LinkId, epoch: u64, running: &[Running]) {
-        let named = |attempt: &AttemptId| running.iter().any(|run| run.attempt == *attempt);
-        for attempt in self.slots.attempts_of(link) {
-            if !named(&attempt) {
-                self.slots.release(&attempt);
-            }
-        }
+    pub fn report(&mut self, now: Instant, gate: &Peer, link: LinkId, running: &[Running]) {
+        self.slots.confirm(gate, link, running);
         for run in running.iter().filter(|run| run.service == self.service) {
-            self.slots.release(&run.attempt);
-            let held = Held {
-                host: run.host.clone(),
-                team: run.team.clone(),
-                link,
-                expires: None,
-            };
-            self.slots.occupy(run.attempt, held);
-        }
-        if epoch >= self.since {
-            self.reported.insert(link);
+            self.slots.adopt(now, gate, run);
         }
     }
 
-    /// Drops a gate's requests; its slots stay occupied until its tasks have surely ended.
-    pub fn lose(&mut self, now: Instant, link: LinkId) {
+    /// Drops the requests of a lost link; the slots of its gate stay occupied.
+    pub fn lose(&mut self, link: LinkId) {
         self.queue.remove_link(link);
-        self.slots
-            .expire_link(link, now + Duration::from_millis(LOST_GATE_MS));
-        self.reported.remove(&link);
     }
 
-    /// Refuses what can no longer start in time and frees slots of lost gates.
+    /// Frees the slots of a gate whose tasks are surely over.
+    pub fn release_gate(&mut self, gate: &Peer) {
+        self.slots.release_gate(gate);
+    }
+
+    /// Refuses what can no longer start in time.
     pub fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
-        self.slots.release_expired(now);
         let expired = self.queue.remove_expired(now);
         out.extend(
             expired
@@ -136,36 +128,89 @@
     }
 
     /// Grants slots until none is free or nothing may start.
-    pub fn grant(&mut self, now: Instant, gates: usize, out: &mut Vec<Action>) {
-        if self.reported.len() < gates && now < self.opens {
+    pub fn grant(
+        &mut self,
+        now: Instant,
+        state: &State,
+        roster: &Roster,
+        quotas: &mut Quotas,
+        out: &mut Vec<Action>,
+    ) {
+        if self.queue.is_empty() || self.slots.vacant() == 0 {
+            return;
+        }
+        if now < self.opens && !roster.is_complete(state, self.since) {
             return;
         }
-        while let Some(action) = self.grant_one() {
+        while let Some(action) = self.grant_one(now, roster, quotas) {
             out.push(action);
         }
     }
 
-    /// Refuses everything that waits, because another process serves the service now.
-    pub fn close(mut self, out: &mut Vec<Action>) {
-        let left = self.queue.remove_where(|_| true);
+    /// Refuses everything that waits, because another process serves the service now, and gives
+    /// what still runs.
+    pub fn close(mut self, out: &mut Vec<Action>) -> Slots {
+        let left = self.queue.remove_all();
         out.extend(
             left.into_iter()
                 .map(|w| refuse(w.link, w.attempt, RefusalCode::Unavailable)),
         );
+        self.slots
     }
 
-    fn grant_one(&mut self) -> Option<Action> {
-        let usage = |team: &TeamName| usage(&self.state, &self.service, &self.slots, team);
-        let waiting = self.queue.next(usage)?;
+    /// The slots.
+    #[must_use]
+    pub const fn slots(&self) -> &Slots {
+        &self.slots
+    }
+
+    /// Slots that a team could occupy beside those that it does: the free ones, or the rest of its
+    /// share if that is more. `total` is the weight of all teams that have requests here.
+    #[must_use]
+    pub fn wanted(&self, team: &TeamName, weight: u32, total: u64) -> u32 {
+        let waiting = u32::try_from(self.queue.len_of(team)).unwrap_or(u32::MAX);
+        if waiting == 0 {
+            return 0;
+        }
+        let running = self.slots.running(team);
+        let share = u64::from(self.slots.capacity()) * u64::from(weight);
+        let share = u32::try_from(share.div_ceil(total.max(1))).unwrap_or(u32::MAX);
+        let room = self.slots.vacant().max(share.saturating_sub(running));
+        waiting.min(room + 1 + running / WANT_PART)
+    }
+
+    /// Weight of all teams that have requests waiting or running.
+    #[must_use]
+    pub fn weight(&self, quotas: &Quotas) -> u64 {
+        let idle = |team: &&TeamName| self.queue.len_of(team) == 0;
+        let running = self.slots.teams().map(|(team, _)| team).filter(idle);
+        let teams = self.queue.teams().map(|(team, _)| team).chain(running);
+        teams
+            .filter_map(|team| quotas.get(team))
+            .map(|quota| u64::from(quota.weight))
+            .sum()
+    }
+
+    fn grant_one(&mut self, now: Instant, roster: &Roster, quotas: &mut Quotas) -> Option<Action> {
+        let rank = |team: &TeamName, urgent| {
+            let quota = quotas.get(team).filter(|quota| quota.may_start(urgent))?;
+            Some(f64::from(self.slots.running(team)) / f64::from(quota.weight))
+        };
+        let waiting = self.queue.next(rank)?;
         let (host, placed) = self.slots.pick(&waiting.avoid)?;
         let (host, addr) = (host.clone(), placed.addr);
         let attempt = waiting.attempt;
+        let gate = roster.gate(waiting.link)?.clone();
         let waiting = self.queue.remove(&attempt)?;
+        if let Some(quota) = quotas.get_mut(&waiting.team) {
+            quota.running += 1;
+        }
         let held = Held {
             host: host.clone(),
             team: waiting.team,
-            link: waiting.link,
-            expires: None,
+            gate,
+            granted: Some(waiting.link),
+            since: now,
         };
         self.slots.occupy(attempt, held);
         let grant = Grant {
@@ -188,16 +233,6 @@
     }
 }
 
-/// Running slots of a team divided by its weight, or none if it is at its limit.
-fn usage(state: &State, service: &ServiceName, slots: &Slots, team: &TeamName) -> Option<f64> {
-    let row = state.teams.get(team)?;
-    let services = state.services();
-    let index = services.iter().position(|name| name == service)?;
-    let permits = divide(row.limit, services.len() as u32, index as u32);
-    let running = slots.running(team);
-    (running < permits).then(|| f64::from(running) / f64::from(row.weight))
-}
-
 fn refuse(link: LinkId, attempt: AttemptId, code: RefusalCode) -> Action {
     let refusal = Refusal {
         attempt,
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -7,6 +7,8 @@
 use crate::record::State;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Message;
+use crate::wire::Peer;
 use crate::wire::Running;
 
 /// An input of [`crate::sched::Scheduler`].
@@ -16,14 +18,18 @@
     State(Rc<State>),
     /// The state is known to be recent until then.
     Fresh(Instant),
+    /// A link to a gate is there.
+    Up(LinkId, Peer),
     /// A link to a gate is lost.
     Down(LinkId),
     /// A gate wants a slot.
     Ask(LinkId, Ask),
     /// A gate no longer wants a slot.
-    Cancel(AttemptId),
+    Cancel(LinkId, AttemptId),
     /// An attempt is over.
     Finished {
+        /// Link to the gate.
+        link: LinkId,
         /// The attempt.
         attempt: AttemptId,
         /// Whether the backend server answered as it should.
@@ -38,6 +44,8 @@
         /// What it has running.
         running: Vec<Running>,
     },
+    /// Another scheduler speaks of permits.
+    Permits(Peer, Message),
     /// Time has passed.
     Tick,
 }
--- a/src/sched/held.rs
+++ b/src/sched/held.rs
@@ -5,6 +5,7 @@
 use crate::name::HostName;
 use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::wire::Peer;
 
 /// The occupant of a slot.
 #[derive(Debug, Clone)]
@@ -13,8 +14,10 @@
     pub host: HostName,
     /// Team that pays for it.
     pub team: TeamName,
-    /// Link to the gate that runs it.
-    pub link: LinkId,
-    /// When the slot is surely free, known once the gate's link is lost.
-    pub expires: Option<Instant>,
+    /// The gate that runs it.
+    pub gate: Peer,
+    /// Link on which it was granted, until the gate names it as running.
+    pub granted: Option<LinkId>,
+    /// When it was granted or adopted.
+    pub since: Instant,
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -2,8 +2,12 @@
 
 mod action;
 mod dispatcher;
+mod escrow;
 mod event;
 mod held;
+mod moves;
+mod quota;
+mod roster;
 mod scheduler;
 mod server;
 mod slots;
@@ -11,6 +15,7 @@
 
 pub use action::Action;
 pub use dispatcher::Dispatcher;
+pub use escrow::Escrow;
 pub use event::Event;
 pub use scheduler::Scheduler;
 pub use server::SchedServer;
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -4,20 +4,31 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use crate::limit::Need;
 use crate::member::place;
 use crate::name::NodeName;
 use crate::name::ServiceName;
+use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
 use crate::record::Role;
 use crate::record::State;
 use crate::sched::Action;
 use crate::sched::Dispatcher;
 use crate::sched::Event;
+use crate::sched::escrow::Escrow;
+use crate::sched::quota::Quota;
+use crate::sched::quota::Quotas;
+use crate::sched::roster::Roster;
+use crate::sched::slots::Slots;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Message;
+use crate::wire::Peer;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
+use crate::wire::Running;
 
 /// When to ask again after a scheduler could not take a request, in milliseconds.
 const RETRY_MS: u32 = 200;
@@ -25,23 +36,30 @@
 /// The decisions of a scheduler process: state and events in, actions out.
 #[derive(Debug)]
 pub struct Scheduler {
-    node: NodeName,
-    incarnation: u64,
+    me: Peer,
     state: Rc<State>,
     fresh: Option<Instant>,
+    roster: Roster,
+    escrow: Escrow,
     services: BTreeMap<ServiceName, Dispatcher>,
+    /// What still runs of services that are placed elsewhere now; it occupies this scheduler's
+    /// permits until it ends.
+    closed: BTreeMap<ServiceName, Slots>,
 }
 
 impl Scheduler {
     /// A scheduler that knows no state yet.
     #[must_use]
     pub fn new(node: NodeName, incarnation: u64) -> Self {
+        let me = Peer { node, incarnation };
         Self {
-            node,
-            incarnation,
+            escrow: Escrow::new(me.clone()),
+            me,
             state: Rc::default(),
             fresh: None,
+            roster: Roster::default(),
             services: BTreeMap::new(),
+            closed: BTreeMap::new(),
         }
     }
 
@@ -50,62 +68,142 @@
         match event {
             Event::State(state) => self.update(now, state, out),
             Event::Fresh(until) => self.fresh = Some(until),
-            Event::Down(link) => self.services.values_mut().for_each(|d| d.lose(now, link)),
+            Event::Up(link, gate) => self.roster.up(link, gate),
+            Event::Down(link) => {
+                self.services.values_mut().for_each(|d| d.lose(link));
+                self.roster.down(link);
+            }
             Event::Ask(link, ask) => self.ask(now, link, ask, out),
-            Event::Cancel(attempt) | Event::Finished { attempt, .. } => self.forget(&attempt),
+            Event::Cancel(link, attempt) | Event::Finished { link, attempt, .. } => {
+                self.forget(link, &attempt);
+            }
             Event::Report {
                 link,
                 epoch,
                 running,
-            } => {
-                self.services
-                    .values_mut()
-                    .for_each(|d| d.report(link, epoch, &running));
-            }
-            Event::Tick => self.services.values_mut().for_each(|d| d.expire(now, out)),
+            } => self.report(now, link, epoch, &running),
+            Event::Permits(from, message) => self.escrow.receive(&from, &message),
+            Event::Tick => self.tick(now, out),
         }
     }
 
-    /// Grants whatever may start now; to be called after a batch of events.
+    /// Grants whatever may start now, and moves permits; to be called after a batch of events.
     pub fn grant(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut quotas = self.quotas();
+        self.grant_services(now, &mut quotas, out);
+        if self.settle(now, &quotas, out) {
+            let mut quotas = self.quotas();
+            self.grant_services(now, &mut quotas, out);
+        }
+    }
+
+    /// The permits of all teams.
+    #[must_use]
+    pub const fn escrow(&self) -> &Escrow {
+        &self.escrow
+    }
+
+    /// Slots that a team occupies on this scheduler.
+    #[must_use]
+    pub fn running(&self, team: &TeamName) -> u32 {
+        self.all_slots().map(|slots| slots.running(team)).sum()
+    }
+
+    fn grant_services(&mut self, now: Instant, quotas: &mut Quotas, out: &mut Vec<Action>) {
         if !self.may_grant(now) {
             return;
         }
-        let gates = self.state.members_of(Role::Gate).count();
         for dispatcher in self.services.values_mut() {
-            dispatcher.grant(now, gates, out);
+            dispatcher.grant(now, &self.state, &self.roster, quotas, out);
         }
     }
 
     fn may_grant(&self, now: Instant) -> bool {
-        let member = self.state.members.get(&self.node);
-        self.fresh.is_some_and(|until| now < until)
-            && member.is_some_and(|m| m.incarnation == self.incarnation)
+        self.fresh.is_some_and(|until| now < until) && self.state.has_member(&self.me)
+    }
+
+    fn settle(&mut self, now: Instant, quotas: &Quotas, out: &mut Vec<Action>) -> bool {
+        let adopted = self.roster.adopted(now, &self.state);
+        let services: Vec<(&Dispatcher, u64)> = self
+            .services
+            .values()
+            .map(|dispatcher| (dispatcher, dispatcher.weight(quotas)))
+            .collect();
+        let need = |team: &TeamName| {
+            let quota = quotas.get(team).copied().unwrap_or_default();
+            let wanted = services
+                .iter()
+                .map(|(dispatcher, total)| dispatcher.wanted(team, quota.weight, *total));
+            Need {
+                running: quota.running,
+                wanted: quota.running + wanted.sum::<u32>(),
+                adopted,
+            }
+        };
+        self.escrow.step(now, need, out)
+    }
+
+    fn quotas(&self) -> Quotas {
+        let mut quotas: Quotas = self
+            .state
+            .teams
+            .iter()
+            .map(|(team, row)| {
+                let quota = Quota {
+                    running: 0,
+                    allowed: self.escrow.allowed(team),
+                    weight: row.weight,
+                    urgent: row.urgent,
+                };
+                (team.clone(), quota)
+            })
+            .collect();
+        for (team, running) in self.all_slots().flat_map(Slots::teams) {
+            quotas.entry(team.clone()).or_default().running += running;
+        }
+        quotas
+    }
+
+    fn all_slots(&self) -> impl Iterator<Item = &Slots> {
+        let open = self.services.values().map(Dispatcher::slots);
+        open.chain(self.closed.values())
     }
 
     fn update(&mut self, now: Instant, state: Rc<State>, out: &mut Vec<Action>) {
         self.state = state;
+        self.roster.update(now, &self.state);
+        self.escrow.update(now, self.state.clone());
         let mut before = std::mem::take(&mut self.services);
         for service in self.state.services() {
-            if place(&self.state, Role::Sched, service.as_str().as_bytes()) != Some(&self.node) {
+            if place(&self.state, Role::Sched, service.as_str().as_bytes()) != Some(&self.me.node) {
                 continue;
             }
             let dispatcher = match before.remove(&service) {
                 Some(mut dispatcher) => {
-                    dispatcher.update(self.state.clone());
+                    dispatcher.update(&self.state);
                     dispatcher
                 }
-                None => Dispatcher::open(service.clone(), self.state.clone(), now),
+                None => self.open(&service, now, out),
             };
             self.services.insert(service, dispatcher);
         }
-        before
-            .into_values()
-            .for_each(|dispatcher| dispatcher.close(out));
+        for (service, dispatcher) in before {
+            out.push(note(NoteKind::ServiceGiven, &service, &self.state));
+            self.closed.insert(service, dispatcher.close(out));
+        }
+    }
+
+    fn open(&mut self, service: &ServiceName, now: Instant, out: &mut Vec<Action>) -> Dispatcher {
+        out.push(note(NoteKind::ServiceTaken, service, &self.state));
+        let slots = self.closed.remove(service).unwrap_or_default();
+        Dispatcher::open(service.clone(), &self.state, now, slots, &self.roster)
     }
 
     fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
-        let Some(dispatcher) = self.services.get_mut(&ask.service) else {
+        let gate = self.roster.gate(link);
+        let ended = gate.is_none_or(|gate| self.state.has_ended(gate));
+        let dispatcher = self.services.get_mut(&ask.service);
+        let Some(dispatcher) = dispatcher.filter(|_| !ended) else {
             let refusal = Refusal {
                 attempt: ask.attempt,
                 code: RefusalCode::Unavailable,
@@ -117,9 +215,47 @@
         dispatcher.ask(now, link, ask, out);
     }
 
-    fn forget(&mut self, attempt: &AttemptId) {
-        self.services
-            .values_mut()
-            .for_each(|dispatcher| dispatcher.forget(attempt));
+    fn forget(&mut self, link: LinkId, attempt: &AttemptId) {
+        self.roster.finish(link, attempt);
+        for dispatcher in self.services.values_mut() {
+            dispatcher.forget(attempt);
+        }
+        for slots in self.closed.values_mut() {
+            slots.release(attempt);
+        }
     }
+
+    fn report(&mut self, now: Instant, link: LinkId, epoch: u64, running: &[Running]) {
+        let Some(gate) = self.roster.gate(link).cloned() else {
+            return;
+        };
+        self.roster.report(&gate, epoch, running);
+        for dispatcher in self.services.values_mut() {
+            dispatcher.report(now, &gate, link, running);
+        }
+        for slots in self.closed.values_mut() {
+            slots.confirm(&gate, link, running);
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for gate in self.roster.remove_over(now) {
+            for dispatcher in self.services.values_mut() {
+                dispatcher.release_gate(&gate);
+            }
+            for slots in self.closed.values_mut() {
+                slots.release_gate(&gate);
+            }
+        }
+        self.closed.retain(|_, slots| !slots.is_empty());
+        for dispatcher in self.services.values_mut() {
+            dispatcher.expire(now, out);
+        }
+    }
+}
+
+fn note(kind: NoteKind, service: &ServiceName, state: &State) -> Action {
+    let schedulers = state.members_of(Role::Sched).count();
+    let cause = format!("epoch {} with {schedulers} schedulers", state.epoch);
+    Action::Note(Box::new(Note::new(kind, cause).service(service)))
 }
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -1,6 +1,7 @@
 //! The slots of one service's hosts.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Instant;
 
@@ -12,14 +13,22 @@
 use crate::record::State;
 use crate::sched::held::Held;
 use crate::wire::AttemptId;
+use crate::wire::Peer;
+use crate::wire::Running;
 
-/// Which slots are in use, and by whom.
+/// Which slots are in use, and by whom; every operation costs the logarithm of the hosts at most,
+/// but for those that replace the hosts or a gate's report.
 #[derive(Debug, Default)]
 pub struct Slots {
     hosts: BTreeMap<HostName, Host>,
     used: HashMap<HostName, u32>,
+    /// Usable hosts that have free slots, by the number of these.
+    free: BTreeSet<(u32, HostName)>,
     held: HashMap<AttemptId, Held>,
+    gates: BTreeMap<Peer, BTreeSet<AttemptId>>,
     teams: BTreeMap<TeamName, u32>,
+    capacity: u32,
+    vacant: u32,
 }
 
 impl Slots {
@@ -30,6 +39,13 @@
             .filter(|(_, host)| state.usable(host))
             .map(|(name, host)| (name.clone(), host.clone()))
             .collect();
+        self.capacity = self.hosts.values().map(|host| host.slots).sum();
+        let hosts = self.hosts.iter();
+        self.free = hosts
+            .map(|(name, host)| (host.slots.saturating_sub(self.in_use(name)), name.clone()))
+            .filter(|(free, _)| *free > 0)
+            .collect();
+        self.vacant = self.free.iter().map(|(free, _)| free).sum();
     }
 
     /// Occupies a slot.
@@ -37,62 +53,83 @@
         if self.held.contains_key(&attempt) {
             return;
         }
-        *self.used.entry(held.host.clone()).or_default() += 1;
+        self.change_used(&held.host, |used| used + 1);
         *self.teams.entry(held.team.clone()).or_default() += 1;
+        let gate = self.gates.entry(held.gate.clone()).or_default();
+        gate.insert(attempt);
         self.held.insert(attempt, held);
     }
 
     /// Frees the slot of an attempt.
     pub fn release(&mut self, attempt: &AttemptId) -> Option<Held> {
         let held = self.held.remove(attempt)?;
-        if let Some(used) = self.used.get_mut(&held.host) {
-            *used -= 1;
-        }
+        self.change_used(&held.host, |used| used - 1);
         if let Some(running) = self.teams.get_mut(&held.team) {
             *running -= 1;
+            if *running == 0 {
+                self.teams.remove(&held.team);
+            }
+        }
+        if let Some(gate) = self.gates.get_mut(&held.gate) {
+            gate.remove(attempt);
         }
         Some(held)
     }
 
-    /// Sets when the slots of a lost link are surely free.
-    pub fn expire_link(&mut self, link: LinkId, expires: Instant) {
-        self.held
-            .values_mut()
-            .filter(|held| held.link == link)
-            .for_each(|held| held.expires = Some(expires));
+    /// Frees every slot of a gate.
+    pub fn release_gate(&mut self, gate: &Peer) {
+        let attempts = self.gates.remove(gate).unwrap_or_default();
+        for attempt in attempts {
+            self.release(&attempt);
+        }
     }
 
-    /// Frees the slots whose time has come.
-    pub fn release_expired(&mut self, now: Instant) {
-        let over: Vec<AttemptId> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.expires.is_some_and(|expires| expires <= now))
-            .map(|(attempt, _)| *attempt)
+    /// Takes in what a gate names as running on a link. What it does not name is over, but for
+    /// grants on the same link, which it had not received.
+    pub fn confirm(&mut self, gate: &Peer, link: LinkId, running: &[Running]) {
+        for run in running {
+            if let Some(held) = self.held.get_mut(&run.attempt) {
+                held.granted = None;
+            }
+        }
+        let named: BTreeSet<AttemptId> = running.iter().map(|run| run.attempt).collect();
+        let on_its_way = |attempt: &AttemptId| {
+            let held = self.held.get(attempt);
+            held.is_some_and(|held| held.granted == Some(link))
+        };
+        let attempts = self.gates.get(gate);
+        let over: Vec<AttemptId> = attempts
+            .into_iter()
+            .flat_map(|attempts| attempts.difference(&named))
+            .filter(|attempt| !on_its_way(attempt))
+            .copied()
             .collect();
         for attempt in over {
             self.release(&attempt);
         }
     }
 
-    /// The attempts that occupy slots for a gate's link.
-    #[must_use]
-    pub fn attempts_of(&self, link: LinkId) -> Vec<AttemptId> {
-        self.held
-            .iter()
-            .filter(|(_, held)| held.link == link)
-            .map(|(attempt, _)| *attempt)
-            .collect()
+    /// Occupies the slot of an attempt that a gate has running.
+    pub fn adopt(&mut self, now: Instant, gate: &Peer, run: &Running) {
+        let held = Held {
+            host: run.host.clone(),
+            team: run.team.clone(),
+            gate: gate.clone(),
+            granted: None,
+            since: now,
+        };
+        self.occupy(run.attempt, held);
     }
 
-    /// The usable host with the most free slots, `avoid` only if nothing else is free.
+    /// The usable host with the most free slots, one of `avoid` only if nothing else is free.
     #[must_use]
     pub fn pick(&self, avoid: &[HostName]) -> Option<(&HostName, &Host)> {
-        let free = |name: &HostName, host: &Host| host.slots.saturating_sub(self.in_use(name));
-        self.hosts
-            .iter()
-            .filter(|(name, host)| free(name, host) > 0)
-            .max_by_key(|(name, host)| (!avoid.contains(name), free(name, host)))
+        let mut by_free = self.free.iter().rev().map(|(_, name)| name);
+        let name = by_free
+            .clone()
+            .find(|name| !avoid.contains(name))
+            .or_else(|| by_free.next())?;
+        self.hosts.get_key_value(name)
     }
 
     /// Slots that a team occupies.
@@ -101,13 +138,51 @@
         self.teams.get(team).copied().unwrap_or(0)
     }
 
+    /// Teams that occupy slots, and how many.
+    pub fn teams(&self) -> impl Iterator<Item = (&TeamName, u32)> {
+        self.teams.iter().map(|(team, running)| (team, *running))
+    }
+
     /// Slots of all usable hosts.
     #[must_use]
-    pub fn capacity(&self) -> u32 {
-        self.hosts.values().map(|host| host.slots).sum()
+    pub const fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    /// Slots of usable hosts that are free.
+    #[must_use]
+    pub const fn vacant(&self) -> u32 {
+        self.vacant
+    }
+
+    /// Whether nothing occupies a slot.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
     }
 
     fn in_use(&self, host: &HostName) -> u32 {
         self.used.get(host).copied().unwrap_or(0)
     }
+
+    fn change_used(&mut self, name: &HostName, change: impl Fn(u32) -> u32) {
+        let before = self.in_use(name);
+        let after = change(before);
+        if after == 0 {
+            self.used.remove(name);
+        } else {
+            self.used.insert(name.clone(), after);
+        }
+        let Some(host) = self.hosts.get(name) else {
+            return;
+        };
+        let free = host.slots.saturating_sub(before);
+        self.vacant -= free;
+        self.free.remove(&(free, name.clone()));
+        let free = host.slots.saturating_sub(after);
+        self.vacant += free;
+        if free > 0 {
+            self.free.insert((free, name.clone()));
+        }
+    }
 }
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -20,6 +20,7 @@
 use crate::sched::Event;
 use crate::sched::Scheduler;
 use crate::wire::Message;
+use crate::wire::Peer;
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 20;
@@ -32,7 +33,7 @@
     Tick,
 }
 
-/// Owns the scheduler's decisions and the links to gates.
+/// Owns the scheduler's decisions and the links to gates and other schedulers.
 pub struct SchedTask {
     scheduler: Scheduler,
     links: HashMap<LinkId, Link>,
@@ -94,30 +95,22 @@
 
     fn net_event(&mut self, event: NetEvent) -> Option<Event> {
         match event {
-            NetEvent::Up { link } => {
-                if link.peer().role == Role::Gate {
-                    self.links.insert(link.id(), link);
-                }
-                None
-            }
+            NetEvent::Up { link } => self.link_up(link),
             NetEvent::Down { link } => {
-                self.links.remove(&link)?;
-                Some(Event::Down(link))
+                let peer = self.links.remove(&link)?;
+                (peer.peer().role == Role::Gate).then_some(Event::Down(link))
             }
-            NetEvent::Message { link, message } => match message {
-                Message::Ask(ask) => Some(Event::Ask(link.id(), ask)),
-                Message::Cancel(attempt) => Some(Event::Cancel(attempt)),
-                Message::Finished { attempt, healthy } => {
-                    Some(Event::Finished { attempt, healthy })
-                }
-                Message::Report { epoch, running } => Some(Event::Report {
-                    link: link.id(),
-                    epoch,
-                    running,
-                }),
-                _ => None,
-            },
+            NetEvent::Message { link, message } => told(&link, message),
+        }
+    }
+
+    fn link_up(&mut self, link: Link) -> Option<Event> {
+        let (id, peer) = (link.id(), Peer::from(link.peer()));
+        let role = link.peer().role;
+        if role != Role::Fleet {
+            self.links.insert(id, link);
         }
+        (role == Role::Gate).then_some(Event::Up(id, peer))
     }
 
     fn carry_out(&self, action: Action) {
@@ -127,7 +120,41 @@
                     link.send(message);
                 }
             }
+            Action::Peer(peer, message) => {
+                if let Some(link) = self.link_to(&peer) {
+                    link.send(message);
+                }
+            }
             Action::Note(note) => self.recorder.record(*note),
         }
     }
+
+    /// The youngest link to another scheduler: two that dial each other have two.
+    fn link_to(&self, peer: &Peer) -> Option<&Link> {
+        let links = self.links.values();
+        links
+            .filter(|link| link.peer().role == Role::Sched && Peer::from(link.peer()) == *peer)
+            .max_by_key(|link| link.id())
+    }
+}
+
+fn told(link: &Link, message: Message) -> Option<Event> {
+    match message {
+        Message::Ask(ask) => Some(Event::Ask(link.id(), ask)),
+        Message::Cancel(attempt) => Some(Event::Cancel(link.id(), attempt)),
+        Message::Finished { attempt, healthy } => Some(Event::Finished {
+            link: link.id(),
+            attempt,
+            healthy,
+        }),
+        Message::Report { epoch, running } => Some(Event::Report {
+            link: link.id(),
+            epoch,
+            running,
+        }),
+        Message::Permits(_) | Message::Permit(_) if link.peer().role == Role::Sched => {
+            Some(Event::Permits(Peer::from(link.peer()), message))
+        }
+        _ => None,
+    }
 }
--- a/src/wire/attempt_id.rs
+++ b/src/wire/attempt_id.rs
@@ -14,6 +14,14 @@
     pub number: u32,
 }
 
+impl AttemptId {
+    /// The least of all, in their order.
+    pub const MIN: Self = Self {
+        request: crate::wire::RequestId(0),
+        number: 0,
+    };
+}
+
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.request, self.number)
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -3,11 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::name::TeamName;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
 use crate::wire::Hello;
+use crate::wire::Permit;
+use crate::wire::Permits;
 use crate::wire::Refusal;
 use crate::wire::Running;
 
@@ -69,28 +70,10 @@
         /// The state in the snapshot's encoding.
         state: Vec<u8>,
     },
-    /// Holder to ledger: permits of a team that it holds and could use.
-    Permits {
-        /// The team.
-        team: TeamName,
-        /// Grants of the ledger that are counted in `held`.
-        seen: u64,
-        /// Permits held.
-        held: u32,
-        /// Permits that it could use now.
-        wanted: u32,
-    },
+    /// Holder to ledger: permits of a team.
+    Permits(Permits),
     /// Ledger to holder: further permits of a team.
-    Permit {
-        /// The team.
-        team: TeamName,
-        /// Number of this message for the pair of ledger and holder.
-        number: u64,
-        /// Permits added to what is held.
-        added: u32,
-        /// Most that the holder should keep; it hands back the rest as they come free.
-        target: u32,
-    },
+    Permit(Permit),
 }
 
 impl Message {
--- a/tests/wire_frames.rs
+++ b/tests/wire_frames.rs
@@ -7,6 +7,8 @@
 use mimosastep::net::encode;
 use mimosastep::wire::AttemptId;
 use mimosastep::wire::Message;
+use mimosastep::wire::Permit;
+use mimosastep::wire::Permits;
 use mimosastep::wire::Refusal;
 use mimosastep::wire::RefusalCode;
 use mimosastep::wire::RequestId;
@@ -50,14 +52,41 @@
         (any::<u64>(), any::<u64>(), any::<Option<u32>>())
             .prop_map(|(nonce, offset, age)| Message::Vouch { nonce, offset, age }),
         vec((any::<u64>(), vec(any::<u8>(), 0..40)), 0..8).prop_map(Message::Records),
-        ("[a-z0-9-]{1,64}", any::<[u32; 3]>(), any::<u64>()).prop_map(
-            |(team, [added, target, _], number)| Message::Permit {
-                team: TeamName::new(&team).expect("a name"),
-                number,
-                added,
-                target,
+        ("[a-z0-9-]{1,64}", any::<[u32; 3]>(), any::<[u64; 2]>()).prop_map(
+            |(team, [limit, added, target], [heard, number])| {
+                let team = TeamName::new(&team).expect("a name");
+                Message::Permit(Permit {
+                    team,
+                    heard,
+                    number,
+                    limit,
+                    added,
+                    target,
+                })
             }
         ),
+        (
+            "[a-z0-9-]{1,64}",
+            any::<[u32; 3]>(),
+            any::<[u64; 4]>(),
+            any::<bool>()
+        )
+            .prop_map(
+                |(team, [held, wanted, target], [epoch, number, seen, adopted], frozen)| {
+                    let team = TeamName::new(&team).expect("a name");
+                    Message::Permits(Permits {
+                        team,
+                        epoch,
+                        number,
+                        seen,
+                        held,
+                        wanted,
+                        adopted,
+                        target,
+                        frozen,
+                    })
+                }
+            ),
     ]
 }
 
