--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -25,6 +25,7 @@
 use crate::name::ServiceName;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::node::probe;
 use crate::record::Role;
 use crate::settings::GateSettings;
@@ -67,7 +68,7 @@
             gate,
             node.take_events(),
             node.subscribe(),
-            received,
+            (inputs.clone(), received),
             ready.clone(),
             pending.clone(),
             node.recorder(),
@@ -108,6 +109,12 @@
     }
 }
 
+impl Service for GateServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
 fn route(inputs: UnboundedSender<Input>, ready: Rc<Cell<bool>>, limit: usize) -> Handler {
     Rc::new(move |request: Request<Incoming>| {
         let path = request.uri().path();
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,6 +3,7 @@
 mod applied;
 mod change_error;
 mod core;
+mod detector;
 mod follower;
 mod freshness;
 mod freshness_event;
@@ -11,9 +12,14 @@
 mod state_event;
 mod tasks;
 mod voter;
+mod voters;
 
 pub use applied::Applied;
 pub use change_error::ChangeError;
+pub use detector::Detector;
+pub use detector::SUSPECT_AFTER;
+pub use detector::TICK_EVERY;
+pub use detector::TICK_LATE;
 pub use follower::Follower;
 pub use freshness::FRESH_FOR;
 pub use freshness::Freshness;
@@ -24,3 +30,4 @@
 pub use replica::SNAPSHOT_EVERY;
 pub use state_event::StateEvent;
 pub use voter::Voter;
+pub use voters::Voters;
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -24,6 +24,7 @@
 use crate::log::ReadError;
 use crate::member::Applied;
 use crate::member::ChangeError;
+use crate::member::TICK_EVERY;
 use crate::member::core::Core;
 use crate::net::NetEvent;
 use crate::record::Author;
@@ -46,15 +47,15 @@
 /// Shortest and longest pause after a failed request.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(500)];
 
-/// Time between probes.
-const PROBE_EVERY: Duration = Duration::from_millis(300);
-
 /// How long an append whose answer was lost is looked for.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
-/// How long an append waits for a majority of the fleet members to know it.
+/// How long an append waits for a majority of the voters to know it.
 const FORCE_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long the voters that hold a record have to say so again.
+const CONFIRM_LIMIT: Duration = Duration::from_secs(1);
+
 /// The tasks' common part.
 pub(super) struct Tasks {
     pub(super) me: Hello,
@@ -147,22 +148,39 @@
 
     pub(super) async fn tick(self: Rc<Self>) {
         loop {
-            let due = {
+            let (due, reports) = {
                 let mut core = self.core.borrow_mut();
                 core.probe();
-                core.start_snapshot()
+                (core.start_snapshot(), core.start_reports())
             };
+            if !reports.is_empty() {
+                let tasks = Rc::clone(&self);
+                spawn(async move { tasks.report(reports).await }).detach();
+            }
             if let Some(bytes) = due {
                 let tasks = Rc::clone(&self);
                 spawn(async move { tasks.snap(bytes).await }).detach();
             }
-            sleep(PROBE_EVERY).await;
+            sleep(TICK_EVERY).await;
+        }
+    }
+
+    /// Appends reports of silent members until one fails; those that still hold come again.
+    async fn report(&self, reports: Vec<Change>) {
+        for report in reports {
+            info!(self.logger, "reporting a member"; "report" => ?report);
+            if let Err(err) = self.settle(self.record(None, report)).await {
+                warn!(self.logger, "report not appended"; "error" => %err);
+                break;
+            }
         }
+        self.core.borrow_mut().reporting = false;
     }
 
     async fn snap(&self, bytes: Vec<u8>) {
-        let applied = self.append(None, Change::Snapshot(bytes)).await;
-        debug!(self.logger, "snapshot appended"; "result" => ?applied);
+        let record = self.record(None, Change::Snapshot(bytes));
+        let settled = self.settle(record).await;
+        debug!(self.logger, "snapshot appended"; "result" => ?settled);
         self.core.borrow_mut().snapping = false;
     }
 
@@ -171,21 +189,31 @@
         base: Option<u64>,
         change: Change,
     ) -> Result<Applied, ChangeError> {
-        let record = Record {
+        self.append_record(self.record(base, change)).await
+    }
+
+    fn record(&self, base: Option<u64>, change: Change) -> Record {
+        Record {
             id: RecordId::random(),
             base,
             author: Author::Node(self.me.node.clone()),
             at: unix_ms(),
             change,
-        };
-        self.append_record(record).await
+        }
     }
 
     pub(super) async fn append_record(&self, record: Record) -> Result<Applied, ChangeError> {
-        let (id, data) = (record.id, record.encode());
-        if let Some(known) = self.core.borrow().find(id) {
-            return Ok(self.repeated(known));
+        let known = self.core.borrow().find(record.id);
+        if let Some(known) = known {
+            return Ok(self.repeated(known).await);
         }
+        let settled = self.settle(record).await?;
+        Ok(self.applied(settled).await)
+    }
+
+    /// Appends a record whose id is new, and waits until it is folded here.
+    async fn settle(&self, record: Record) -> Result<Settled, ChangeError> {
+        let (id, data) = (record.id, record.encode());
         let deadline = Instant::now() + SETTLE_LIMIT;
         let answer = self
             .log
@@ -206,11 +234,11 @@
         if offset.is_none() && settled.result.is_ok() {
             self.core.borrow_mut().push(settled.offset, data);
         }
-        Ok(self.enforce(settled).await)
+        Ok(settled)
     }
 
-    fn repeated(&self, known: Settled) -> Applied {
-        let in_force = known.result.is_ok() && self.in_force(known.offset);
+    async fn repeated(&self, known: Settled) -> Applied {
+        let in_force = known.result.is_ok() && self.enforce(known.offset).await;
         let outcome = Outcome::Repeated {
             offset: known.offset,
             first: known.result,
@@ -218,23 +246,37 @@
         Applied { outcome, in_force }
     }
 
-    async fn enforce(&self, settled: Settled) -> Applied {
+    async fn applied(&self, settled: Settled) -> Applied {
         let Settled { offset, result, .. } = settled;
-        let accepted = result.is_ok();
-        let outcome = Outcome::from(result);
-        if accepted {
-            let bound = Instant::now() + FORCE_LIMIT;
-            let reached = |core: &Core| core.replica.in_force(offset).then_some(());
-            self.wait_for(bound, reached).await;
-        }
+        let in_force = result.is_ok() && self.enforce(offset).await;
         Applied {
-            in_force: accepted && self.in_force(offset),
-            outcome,
+            outcome: Outcome::from(result),
+            in_force,
         }
     }
 
-    fn in_force(&self, offset: u64) -> bool {
-        self.core.borrow().replica.in_force(offset)
+    /// Waits until the record at `offset` is in force; false if that can't be known in time.
+    async fn enforce(&self, offset: u64) -> bool {
+        let deadline = Instant::now() + FORCE_LIMIT;
+        while Instant::now() < deadline {
+            if self.confirm(offset, deadline).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Waits for a majority that holds the record, and then for its word once more.
+    async fn confirm(&self, offset: u64, deadline: Instant) -> bool {
+        let holders = |core: &Core| core.replica.holders(offset);
+        let Some(holders) = self.wait_for(deadline, holders).await else {
+            return false;
+        };
+        let since = Instant::now();
+        self.core.borrow_mut().probe();
+        let confirmed = |core: &Core| core.replica.confirmed(&holders, since).then_some(());
+        let round = deadline.min(since + CONFIRM_LIMIT);
+        self.wait_for(round, confirmed).await.is_some()
     }
 
     async fn wait_for<T>(
--- a/src/queue/lanes.rs
+++ b/src/queue/lanes.rs
@@ -114,6 +114,12 @@
         self.lanes.values().map(Lane::urgent_len).sum()
     }
 
+    /// Whether a request waits.
+    #[must_use]
+    pub fn contains(&self, attempt: &AttemptId) -> bool {
+        self.entries.contains_key(attempt)
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -16,7 +16,6 @@
 use crate::record::Recent;
 use crate::record::Role;
 use crate::record::Team;
-use crate::wire::Peer;
 
 /// Everything that the processes agree on; equal at equal offsets.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -91,18 +90,18 @@
         of_pool.filter(|host| !self.usable(host)).count()
     }
 
-    /// Whether a process is a member.
+    /// Whether this incarnation of a process is a member.
     #[must_use]
-    pub fn has_member(&self, peer: &Peer) -> bool {
-        let member = self.members.get(&peer.node);
-        member.is_some_and(|member| member.incarnation == peer.incarnation)
+    pub fn is_member(&self, node: &NodeName, incarnation: u64) -> bool {
+        let member = self.members.get(node);
+        member.is_some_and(|member| member.incarnation == incarnation)
     }
 
-    /// Whether a process was a member and no longer is.
+    /// Whether this incarnation of a process was a member and has been ended or replaced.
     #[must_use]
-    pub fn has_ended(&self, peer: &Peer) -> bool {
-        let last = self.incarnations.get(&peer.node);
-        last.is_some_and(|last| *last >= peer.incarnation) && !self.has_member(peer)
+    pub fn is_ended(&self, node: &NodeName, incarnation: u64) -> bool {
+        let last = self.incarnations.get(node);
+        last.is_some_and(|last| *last >= incarnation) && !self.is_member(node, incarnation)
     }
 
     /// Members of a role, the leaving ones included.
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -1,12 +1,18 @@
 //! One service: its queue, its slots and the decision what starts next.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::health::Health;
+use crate::health::HealthChange;
+use crate::name::HostName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::record::State;
@@ -21,6 +27,7 @@
 use crate::sched::slots::Slots;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Message;
 use crate::wire::Peer;
@@ -36,6 +43,9 @@
 const REPORT_MS: u64 = 400;
 /// When to come back if the drain rate is not known yet, in milliseconds.
 const RETRY_MS: u32 = 1_000;
+/// Part of its deadline that a request's predicted end must leave free, as a factor: what starts
+/// and is cut off at the deadline wastes a slot and counts against its host.
+const MARGIN: f64 = 1.25;
 /// Permits are wanted for one slot more than can be had for each so many that run.
 const WANT_PART: u32 = 8;
 
@@ -48,9 +58,12 @@
     queue: Queue,
     slots: Slots,
     drain: Drain,
+    /// The same by team, of those that have requests here.
+    drains: BTreeMap<TeamName, Drain>,
     refusals: Refusals,
     /// Whether a team that may use the service may mark requests as urgent.
     urgency: bool,
+    health: Health,
 }
 
 impl Dispatcher {
@@ -70,6 +83,8 @@
                 slots.adopt(now, gate, run);
             }
         }
+        let mut health = Health::default();
+        health.update(slots.hosts());
         Self {
             service,
             since: state.epoch,
@@ -77,18 +92,21 @@
             queue: Queue::default(),
             slots,
             drain: Drain::default(),
+            drains: BTreeMap::new(),
             refusals: Refusals::default(),
             urgency: has_urgency(state),
+            health,
         }
     }
 
     /// Goes on under a newer state.
     pub fn update(&mut self, state: &Rc<State>) {
         self.slots.update(state, &self.service);
+        self.health.update(self.slots.hosts());
         self.urgency = has_urgency(state);
     }
 
-    /// Queues a request, or refuses it at once.
+    /// Queues a request, or refuses it at once; a repeated question gets the same answer.
     pub fn ask(
         &mut self,
         now: Instant,
@@ -97,11 +115,19 @@
         quotas: &Quotas,
         out: &mut Vec<Action>,
     ) {
+        if self.queue.contains(&ask.attempt) {
+            return;
+        }
+        if self.slots.holds(&ask.attempt) {
+            let grant = self.slots.grant_of(&ask.attempt).map(Message::Grant);
+            out.extend(grant.map(|grant| Action::Send(link, grant)));
+            return;
+        }
         if ask.urgent {
             self.drain.ask_urgent(now);
         }
         let forecast = self.forecast(&ask.team, ask.urgent, quotas);
-        if let Some(code) = self.refusal(&ask, forecast) {
+        if let Some(code) = self.refusal(now, &ask, forecast) {
             out.push(self.refuse(now, link, &ask, code, forecast));
             return;
         }
@@ -119,10 +145,33 @@
     }
 
     /// Takes a request out of the queue and frees its slot.
-    pub fn forget(&mut self, now: Instant, attempt: &AttemptId) {
+    pub fn forget(&mut self, attempt: &AttemptId) {
+        self.queue.remove(attempt);
+        self.slots.release(attempt);
+    }
+
+    /// Frees the slot of an attempt and keeps what it says about its host.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        attempt: &AttemptId,
+        evidence: Evidence,
+        out: &mut Vec<Action>,
+    ) {
         self.queue.remove(attempt);
-        if let Some(held) = self.slots.release(attempt) {
-            self.drain.finish(now, held.since);
+        let Some(held) = self.slots.release(attempt) else {
+            return;
+        };
+        self.drain.finish(now, held.since);
+        let drain = self.drains.entry(held.team.clone()).or_default();
+        drain.finish(now, held.since);
+        let (host, team) = (&held.host, &held.team);
+        let change = self
+            .health
+            .record(now, host, team, attempt.request, evidence);
+        if let Some(change) = change {
+            let note = note(change).host(host).service(&self.service);
+            out.push(Action::Note(Box::new(note.request(attempt))));
         }
     }
 
@@ -146,7 +195,8 @@
 
     /// Refuses what can no longer start in time.
     pub fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
-        self.drain.observe(now, !self.queue.is_empty());
+        self.health.expire(now);
+        self.observe(now);
         self.refusals.take_due(now, &self.service, out);
         let expired = self.queue.remove_expired(now);
         out.extend(
@@ -236,7 +286,8 @@
             open.then(|| f64::from(self.slots.running(team)) / f64::from(quota.weight))
         };
         let waiting = self.queue.next(rank)?;
-        let (host, placed) = self.slots.pick(&waiting.avoid)?;
+        let admits = |host: &HostName, running| self.health.admits(now, host, running);
+        let (host, placed) = self.slots.pick(&waiting.avoid, admits)?;
         let (host, addr) = (host.clone(), placed.addr);
         let attempt = waiting.attempt;
         let gate = roster.gate(waiting.link)?.clone();
@@ -261,6 +312,22 @@
         Some(Action::Send(waiting.link, Message::Grant(grant)))
     }
 
+    /// Measures the drain rates.
+    fn observe(&mut self, now: Instant) {
+        self.drain.observe(now, !self.queue.is_empty());
+        for (team, _) in self.queue.teams() {
+            if !self.drains.contains_key(team) {
+                self.drains.insert(team.clone(), Drain::default());
+            }
+        }
+        let (queue, slots) = (&self.queue, &self.slots);
+        self.drains.retain(|team, drain| {
+            let waiting = queue.len_of(team) > 0;
+            drain.observe(now, waiting);
+            waiting || slots.running(team) > 0
+        });
+    }
+
     /// Slots kept free for urgent requests.
     fn reserve(&self, now: Instant) -> u32 {
         if !self.urgency {
@@ -270,47 +337,48 @@
         reserve(self.slots.capacity(), self.drain.gap(now), rate)
     }
 
-    /// What a further request has to expect, if the drain rate is known: requests are taken from
-    /// the lanes in proportion to the weights, until the team's lane is empty.
+    /// What a further request has to expect, if the drain rate is known. A team's requests start
+    /// as fast as they were seen to, or as its share among the teams that wait allows.
     fn forecast(&self, team: &TeamName, urgent: bool, quotas: &Quotas) -> Option<Forecast> {
         let capacity = self.slots.capacity();
         let (rate, run) = (self.drain.rate(capacity)?, self.drain.run()?);
         let weight = |team: &TeamName| quotas.get(team).map_or(1.0, |q| f64::from(q.weight));
-        let own = self.queue.len_of(team) as f64 + 1.0;
-        let rounds = own / weight(team);
         let others = self.queue.teams().filter(|(other, _)| *other != team);
-        let (mut ahead, mut total) = (own, weight(team));
-        for (other, waiting) in others {
-            ahead += (waiting as f64).min(weight(other) * rounds);
-            total += weight(other);
-        }
+        let total: f64 = others.map(|(other, _)| weight(other)).sum();
+        let share = rate * weight(team) / (weight(team) + total);
+        let seen = self.drains.get(team).and_then(Drain::seen);
+        let own = seen.unwrap_or(share);
+        let ahead = self.queue.len_of(team) as f64 + 1.0;
+        let free = self.slots.vacant() > 0 && self.queue.is_empty();
+        let mut wait = if free { 0.0 } else { ahead / own };
         if urgent {
             let part = f64::from(urgent_cap(capacity)) / f64::from(capacity.max(1));
-            ahead = ahead.min((self.queue.urgent_len() as f64 + 1.0) / part);
+            wait = wait.min((self.queue.urgent_len() as f64 + 1.0) / (rate * part));
         }
-        let allowed = quotas.get(team).map_or(0, |quota| quota.allowed);
-        let most = f64::from(allowed.max(1)) / run.max(0.001);
-        let free = self.slots.vacant() > 0 && self.queue.is_empty();
-        let wait = if free { 0.0 } else { ahead / rate };
+        let every = 1.0 / own;
         Some(Forecast {
-            wait: wait.max((own - f64::from(allowed)).max(0.0) / most),
+            wait,
             run,
-            every: 1.0 / (rate * weight(team) / total).min(most),
+            every,
             rate,
         })
     }
 
-    fn refusal(&self, ask: &Ask, forecast: Option<Forecast>) -> Option<RefusalCode> {
+    fn refusal(&self, now: Instant, ask: &Ask, forecast: Option<Forecast>) -> Option<RefusalCode> {
         let capacity = self.slots.capacity() as usize;
         if capacity == 0 {
             return Some(RefusalCode::NoCapacity);
         }
+        if self.health.is_culprit(now, ask.attempt.request) {
+            return Some(RefusalCode::JobFailing);
+        }
         if ask.remaining == 0 {
             return Some(RefusalCode::DeadlineTooClose);
         }
         let waiting = self.queue.len();
         let late = forecast.map_or(waiting >= capacity * QUEUE_PER_SLOT, |forecast| {
-            forecast.wait > 0.0 && forecast.wait + forecast.run > f64::from(ask.remaining) / 1e3
+            forecast.wait > 0.0
+                && (forecast.wait + forecast.run) * MARGIN > f64::from(ask.remaining) / 1e3
         });
         (late || waiting >= QUEUE_LIMIT).then_some(RefusalCode::Overloaded)
     }
@@ -364,3 +432,11 @@
     };
     Action::Send(link, Message::Refuse(refusal))
 }
+
+fn note(change: HealthChange) -> Note {
+    match change {
+        HealthChange::Ejected => Note::new(NoteKind::HostEjected, "fails every request"),
+        HealthChange::TrialFailed => Note::new(NoteKind::HostEjected, "failed its trial"),
+        HealthChange::Readmitted => Note::new(NoteKind::HostReadmitted, "passed its trial"),
+    }
+}
--- a/src/sched/drain.rs
+++ b/src/sched/drain.rs
@@ -91,6 +91,12 @@
         self.rate.or(by_run).filter(|rate| *rate > 0.0)
     }
 
+    /// Finishes a second while requests wait, if that was seen.
+    #[must_use]
+    pub fn seen(&self) -> Option<f64> {
+        self.rate.filter(|rate| *rate > 0.0)
+    }
+
     /// Mean run time in seconds.
     #[must_use]
     pub const fn run(&self) -> Option<f64> {
--- a/src/sched/escrow.rs
+++ b/src/sched/escrow.rs
@@ -169,7 +169,8 @@
 
     /// Notes which schedulers were ended, and gives when the last one surely runs nothing.
     fn note_ends(&mut self, now: Instant, state: &State) -> Instant {
-        let gone = schedulers(&self.state).any(|peer| !state.has_member(&peer));
+        let gone =
+            schedulers(&self.state).any(|peer| !state.is_member(&peer.node, peer.incarnation));
         let first = self.clear.is_none();
         // Every change of the membership counts, so this holds only if nobody was ever ended.
         let untouched = state.epoch == state.members.len() as u64;
--- a/src/sched/roster.rs
+++ b/src/sched/roster.rs
@@ -79,7 +79,7 @@
             self.gates.entry(Peer { node, incarnation }).or_default();
         }
         for (peer, gate) in &mut self.gates {
-            if state.has_ended(peer) {
+            if state.is_ended(&peer.node, peer.incarnation) {
                 gate.ends.get_or_insert(ends);
             }
         }
@@ -130,7 +130,9 @@
         let known = self
             .gates
             .iter()
-            .filter(|(peer, gate)| gate.ends.is_some() || state.has_member(peer))
+            .filter(|(peer, gate)| {
+                gate.ends.is_some() || state.is_member(&peer.node, peer.incarnation)
+            })
             .map(|(_, gate)| gate.reported.unwrap_or(0));
         known.min().unwrap_or(state.epoch).min(state.epoch)
     }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -77,8 +77,16 @@
                 self.roster.down(link);
             }
             Event::Ask(link, ask) => self.ask(now, link, ask, out),
-            Event::Cancel(link, attempt) | Event::Finished { link, attempt, .. } => {
-                self.forget(now, link, &attempt);
+            Event::Cancel(link, attempt) => self.forget(link, &attempt),
+            Event::Finished {
+                link,
+                attempt,
+                evidence,
+            } => {
+                for dispatcher in self.services.values_mut() {
+                    dispatcher.finish(now, &attempt, evidence, out);
+                }
+                self.forget(link, &attempt);
             }
             Event::Report {
                 link,
@@ -123,7 +131,8 @@
     }
 
     fn may_grant(&self, now: Instant) -> bool {
-        self.fresh.is_some_and(|until| now < until) && self.state.has_member(&self.me)
+        self.fresh.is_some_and(|until| now < until)
+            && self.state.is_member(&self.me.node, self.me.incarnation)
     }
 
     fn settle(&mut self, now: Instant, quotas: &Quotas, out: &mut Vec<Action>) -> bool {
@@ -205,7 +214,7 @@
 
     fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
         let gate = self.roster.gate(link);
-        let ended = gate.is_none_or(|gate| self.state.has_ended(gate));
+        let ended = gate.is_none_or(|gate| self.state.is_ended(&gate.node, gate.incarnation));
         let dispatcher = self.services.get_mut(&ask.service);
         let Some(dispatcher) = dispatcher.filter(|_| !ended) else {
             let refusal = Refusal {
@@ -219,10 +228,10 @@
         dispatcher.ask(now, link, ask, &self.quotas, out);
     }
 
-    fn forget(&mut self, now: Instant, link: LinkId, attempt: &AttemptId) {
+    fn forget(&mut self, link: LinkId, attempt: &AttemptId) {
         self.roster.finish(link, attempt);
         for dispatcher in self.services.values_mut() {
-            dispatcher.forget(now, attempt);
+            dispatcher.forget(attempt);
         }
         for slots in self.closed.values_mut() {
             slots.release(attempt);
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -13,6 +13,7 @@
 use crate::record::State;
 use crate::sched::held::Held;
 use crate::wire::AttemptId;
+use crate::wire::Grant;
 use crate::wire::Peer;
 use crate::wire::Running;
 
@@ -125,14 +126,43 @@
         self.occupy(run.attempt, held);
     }
 
+    /// The usable hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = HostName> {
+        self.hosts.keys().cloned()
+    }
+
+    /// Whether an attempt occupies a slot.
+    #[must_use]
+    pub fn holds(&self, attempt: &AttemptId) -> bool {
+        self.held.contains_key(attempt)
+    }
+
+    /// The grant of an attempt that occupies a slot of a usable host.
+    #[must_use]
+    pub fn grant_of(&self, attempt: &AttemptId) -> Option<Grant> {
+        let held = self.held.get(attempt)?;
+        let placed = self.hosts.get(&held.host)?;
+        Some(Grant {
+            attempt: *attempt,
+            host: held.host.clone(),
+            addr: placed.addr,
+        })
+    }
+
     /// The usable host with the most free slots, one of `avoid` only if nothing else is free.
+    /// `admits` says whether a host may get work with so many slots in use.
     #[must_use]
-    pub fn pick(&self, avoid: &[HostName]) -> Option<(&HostName, &Host)> {
-        let mut by_free = self.free.iter().rev().map(|(_, name)| name);
-        let name = by_free
+    pub fn pick(
+        &self,
+        avoid: &[HostName],
+        admits: impl Fn(&HostName, u32) -> bool,
+    ) -> Option<(&HostName, &Host)> {
+        let by_free = self.free.iter().rev().map(|(_, name)| name);
+        let mut open = by_free.filter(|name| admits(name, self.in_use(name)));
+        let name = open
             .clone()
             .find(|name| !avoid.contains(name))
-            .or_else(|| by_free.next())?;
+            .or_else(|| open.next())?;
         self.hosts.get_key_value(name)
     }
 
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -142,10 +142,10 @@
     match message {
         Message::Ask(ask) => Some(Event::Ask(link.id(), ask)),
         Message::Cancel(attempt) => Some(Event::Cancel(link.id(), attempt)),
-        Message::Finished { attempt, healthy } => Some(Event::Finished {
+        Message::Finished { attempt, evidence } => Some(Event::Finished {
             link: link.id(),
             attempt,
-            healthy,
+            evidence,
         }),
         Message::Report { epoch, running } => Some(Event::Report {
             link: link.id(),
--- a/tests/share_fleet/mod.rs
+++ b/tests/share_fleet/mod.rs
@@ -13,6 +13,7 @@
 use mimosastep::gate;
 use mimosastep::gate::Ended;
 use mimosastep::gate::Gate;
+use mimosastep::gate::Settled;
 use mimosastep::gate::Submission;
 use mimosastep::member::FRESH_FOR;
 use mimosastep::name::NodeName;
@@ -90,6 +91,10 @@
         at: (usize, u64),
         link: u64,
     },
+    Settled {
+        at: (usize, u64),
+        attempt: AttemptId,
+    },
 }
 
 /// What became of a request.
@@ -113,6 +118,8 @@
     pub rng: StdRng,
     pub started: u64,
     pub refused: u64,
+    /// Tasks that were cancelled while they ran.
+    pub wasted: u64,
     pub violations: Vec<String>,
     start: Instant,
     fault: Break,
@@ -190,6 +197,7 @@
             rng: StdRng::seed_from_u64(seed),
             started: 0,
             refused: 0,
+            wasted: 0,
             violations: Vec::new(),
             start: Instant::now() + Duration::from_secs(3600),
             fault,
@@ -392,6 +400,7 @@
         self.serial += 1;
         let submission = Submission {
             request: RequestId(u128::from(self.serial)),
+            caller: None,
             service: name(&outcome.service),
             key: Some(key(&outcome.team)),
             urgent: outcome.urgent,
@@ -607,16 +616,18 @@
                 gate::Action::Run { grant, team } => self.run(index, grant.attempt, team),
                 gate::Action::Renew(_, attempts) => self.renew(&attempts),
                 gate::Action::Cancel(_, attempts) => {
-                    attempts.iter().for_each(|attempt| {
-                        self.tasks.remove(attempt);
-                    });
+                    for attempt in attempts {
+                        self.wasted += u64::from(self.tasks.remove(&attempt).is_some());
+                        let at = (index, self.nodes[index].incarnation);
+                        self.schedule(self.now + 2, Work::Settled { at, attempt });
+                    }
                 }
                 gate::Action::Fail(request, failure) => {
                     self.refused += 1;
                     let after = failure.retry_after.unwrap_or(0);
                     self.settle(request, Some(after.into()));
                 }
-                gate::Action::Note(_) => {}
+                gate::Action::Pass(_) | gate::Action::Abandon(..) | gate::Action::Note(_) => {}
             }
         }
     }
@@ -683,7 +694,7 @@
     fn perform(&mut self, work: Work) {
         let (index, incarnation) = match &work {
             Work::Deliver { to, .. } => *to,
-            Work::Down { at, .. } => *at,
+            Work::Down { at, .. } | Work::Settled { at, .. } => *at,
         };
         if !self.nodes[index].up || self.nodes[index].incarnation != incarnation {
             return;
@@ -692,6 +703,9 @@
             return self.schedule(self.nodes[index].frozen, work);
         }
         match work {
+            Work::Settled { attempt, .. } => {
+                self.tell_gate(index, gate::Event::Settled(attempt, Settled::Over));
+            }
             Work::Down { link, .. } => match self.nodes[index].role {
                 Role::Gate => self.tell_gate(index, gate::Event::Down(LinkId(link))),
                 _ => self.tell_sched(index, sched::Event::Down(LinkId(link))),
@@ -715,11 +729,11 @@
             Message::Refuse(refusal) => self.tell_gate(to, gate::Event::Refuse(link, refusal)),
             Message::Ask(ask) => self.tell_sched(to, sched::Event::Ask(link, ask)),
             Message::Cancel(attempt) => self.tell_sched(to, sched::Event::Cancel(link, attempt)),
-            Message::Finished { attempt, healthy } => {
+            Message::Finished { attempt, evidence } => {
                 let event = sched::Event::Finished {
                     link,
                     attempt,
-                    healthy,
+                    evidence,
                 };
                 self.tell_sched(to, event);
             }
@@ -794,7 +808,7 @@
                 self.live(gate) && self.nodes[gate].incarnation == self.tasks[&attempt].incarnation;
             if lives {
                 self.tasks.remove(&attempt);
-                let ended = Ended::Answered { healthy: true };
+                let ended = Ended::Answered;
                 self.tell_gate(gate, gate::Event::Ended(attempt, ended));
             } else if self.tasks[&attempt].lease <= self.now {
                 self.tasks.remove(&attempt);
--- a/tests/share_overload.rs
+++ b/tests/share_overload.rs
@@ -63,6 +63,12 @@
             sums = [0, 1, 2, 3].map(|team| sums[team] + running[team] / 10_000.0);
         }
     }
+    assert!(
+        fleet.wasted * 100 <= fleet.started,
+        "{} of {} cut off",
+        fleet.wasted,
+        fleet.started
+    );
     for (mean, share) in sums.iter().zip(shares) {
         // One slot for the time that grants and finishes travel, and a slot of rounding.
         assert!((mean - share).abs() <= 2.0, "{sums:?} for {shares:?}");
