--- a/src/gate/closing.rs
+++ b/src/gate/closing.rs
@@ -26,6 +26,8 @@
     pub addr: SocketAddr,
     /// Link to the scheduler that granted the slot.
     pub link: LinkId,
+    /// Whether schedulers that did not grant it may have been told of it.
+    pub reported: bool,
     /// What it says about its host.
     pub evidence: Evidence,
 }
@@ -81,6 +83,13 @@
         }
     }
 
+    /// Takes in that schedulers are told of all attempts.
+    pub fn mark_reported(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.closing.reported = true;
+        }
+    }
+
     /// The attempts as they are reported to schedulers.
     pub fn reports(&self) -> impl Iterator<Item = Running> {
         self.entries.values().map(|entry| entry.closing.run.clone())
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -1,6 +1,7 @@
 //! The decisions of a gate.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,7 @@
 use crate::gate::pending::Pending;
 use crate::gate::pending::Phase;
 use crate::gate::pending::Run;
+use crate::name::ServiceName;
 use crate::net::LinkId;
 use crate::observe::NoteKind;
 use crate::record::State;
@@ -30,6 +32,7 @@
 use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Message;
+use crate::wire::Peer;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
 use crate::wire::RequestId;
@@ -54,6 +57,8 @@
 /// State and events in, actions out.
 #[derive(Debug, Default)]
 pub struct Gate {
+    /// This process; none in tests of a gate alone.
+    me: Option<Peer>,
     state: Rc<State>,
     fresh: Option<Instant>,
     stopping: bool,
@@ -65,6 +70,15 @@
 }
 
 impl Gate {
+    /// A gate that knows no state yet.
+    #[must_use]
+    pub fn new(me: Peer) -> Self {
+        Self {
+            me: Some(me),
+            ..Self::default()
+        }
+    }
+
     /// Takes an event in and adds what follows from it to `out`.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -104,8 +118,11 @@
         !self.stopping && self.is_fresh(now) && !self.links.is_empty()
     }
 
+    /// Whether it may start and keep work: its state is recent and shows no end of its membership.
+    /// Others count the work of a gate that was ended as over once its task leases are.
     fn is_fresh(&self, now: Instant) -> bool {
-        self.fresh.is_some_and(|until| now < until)
+        let ended = |me: &Peer| self.state.is_ended(&me.node, me.incarnation);
+        self.fresh.is_some_and(|until| now < until) && !self.me.as_ref().is_some_and(ended)
     }
 
     fn update(&mut self, now: Instant, state: Rc<State>, out: &mut Vec<Action>) {
@@ -114,7 +131,8 @@
         if self.state.epoch == epoch {
             return;
         }
-        out.extend(self.links.all().map(|link| self.report(link)));
+        let links: Vec<LinkId> = self.links.all().collect();
+        out.extend(links.into_iter().map(|link| self.report(link)));
         self.place_all(now, out);
     }
 
@@ -458,6 +476,7 @@
             run: pending.report(run),
             addr: run.addr,
             link: run.link,
+            reported: pending.reported,
             evidence,
         })
     }
@@ -577,7 +596,12 @@
             .collect()
     }
 
-    fn report(&self, link: LinkId) -> Action {
+    /// Tells a scheduler what runs; the ends of all that is said go to every scheduler.
+    fn report(&mut self, link: LinkId) -> Action {
+        for pending in self.requests.values_mut() {
+            pending.reported = true;
+        }
+        self.closing.mark_reported();
         let runs = self.requests.values().filter_map(Pending::running);
         let running: Vec<Running> = runs.chain(self.closing.reports()).collect();
         let epoch = self.state.epoch;
@@ -585,8 +609,9 @@
     }
 
     fn release_closing(&self, closing: &Closing, evidence: Evidence, out: &mut Vec<Action>) {
-        let owner = self.links.owner(&self.state, &closing.run.service);
-        out.extend(release(closing.run.attempt, evidence, closing.link, owner));
+        let service = &closing.run.service;
+        let links = self.informed(service, closing.reported, closing.link);
+        out.extend(release(closing.run.attempt, evidence, links));
     }
 
     fn release(
@@ -596,25 +621,34 @@
         granter: LinkId,
         out: &mut Vec<Action>,
     ) {
-        let pending = self.requests.get(&attempt.request);
-        let owner = pending.and_then(|p| self.links.owner(&self.state, &p.submission.service));
-        out.extend(release(attempt, evidence, granter, owner));
+        let Some(pending) = self.requests.get(&attempt.request) else {
+            return;
+        };
+        let service = &pending.submission.service;
+        let links = self.informed(service, pending.reported, granter);
+        out.extend(release(attempt, evidence, links));
+    }
+
+    /// The schedulers that may count a slot: the one that granted it, the one in charge if that
+    /// is another by now, and all if they have been told that it runs.
+    fn informed(&self, service: &ServiceName, reported: bool, granter: LinkId) -> BTreeSet<LinkId> {
+        let owner = self.links.owner(&self.state, service);
+        let links = self.links.all();
+        links
+            .filter(|link| reported || Some(*link) == owner)
+            .chain([granter])
+            .collect()
     }
 }
 
-/// Tells the scheduler that granted the slot, and the one in charge if that is another by now,
-/// that the slot is free.
+/// Tells schedulers that a slot is free.
 fn release(
     attempt: AttemptId,
     evidence: Evidence,
-    granter: LinkId,
-    owner: Option<LinkId>,
+    links: BTreeSet<LinkId>,
 ) -> impl Iterator<Item = Action> {
-    owner
-        .filter(|owner| *owner != granter)
-        .into_iter()
-        .chain([granter])
-        .map(move |link| Action::Send(link, finished(attempt, evidence)))
+    let links = links.into_iter();
+    links.map(move |link| Action::Send(link, finished(attempt, evidence)))
 }
 
 const fn finished(attempt: AttemptId, evidence: Evidence) -> Message {
--- a/src/gate/task.rs
+++ b/src/gate/task.rs
@@ -61,6 +61,7 @@
 impl GateTask {
     /// Starts the task.
     pub fn spawn(
+        gate: Gate,
         net: UnboundedReceiver<NetEvent>,
         state: UnboundedReceiver<StateEvent>,
         (sender, inputs): (UnboundedSender<Input>, UnboundedReceiver<Input>),
@@ -75,7 +76,7 @@
             ticks().map(|()| Source::Tick).boxed_local(),
         ]);
         let task = Self {
-            gate: Gate::default(),
+            gate,
             links: HashMap::new(),
             steps: HashMap::new(),
             idle: IdleConnections::default(),
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -1,13 +1,12 @@
 //! One service: its queue, its slots and the decision what starts next.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::health::Health;
 use crate::health::HealthChange;
-use crate::limit::divide;
 use crate::name::HostName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
@@ -18,69 +17,104 @@
 use crate::queue::Waiting;
 use crate::record::State;
 use crate::sched::Action;
+use crate::sched::drain::Drain;
 use crate::sched::held::Held;
+use crate::sched::quota::Quotas;
+use crate::sched::refusals::Refusals;
+use crate::sched::reserve::reserve;
+use crate::sched::reserve::urgent_cap;
+use crate::sched::roster::Roster;
 use crate::sched::slots::Slots;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Message;
+use crate::wire::Peer;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
 use crate::wire::Running;
 
-/// Requests that may wait for each slot of a service.
+/// Requests that may wait for each slot of a service whose drain rate is not known yet.
 const QUEUE_PER_SLOT: usize = 32;
+/// Most requests that may wait for a service.
+const QUEUE_LIMIT: usize = 100_000;
 /// How long a new scheduler waits for the reports of the gates, in milliseconds.
 const REPORT_MS: u64 = 400;
-/// How long a lost gate's slots stay occupied: a task lease and the time a state stays fresh, in
-/// milliseconds.
-const LOST_GATE_MS: u64 = 7_000;
-/// When to come back after the queue was full, in milliseconds.
+/// When to come back if the drain rate is not known yet, in milliseconds.
 const RETRY_MS: u32 = 1_000;
+/// Part of its deadline that a request's predicted end must leave free, as a factor: what starts
+/// and is cut off at the deadline wastes a slot and counts against its host.
+const MARGIN: f64 = 1.25;
+/// Permits are wanted for one slot more than can be had for each so many that run.
+const WANT_PART: u32 = 8;
 
 /// Decides for one service.
 #[derive(Debug)]
 pub struct Dispatcher {
     service: ServiceName,
-    state: Rc<State>,
     since: u64,
     opens: Instant,
-    reported: BTreeSet<LinkId>,
     queue: Queue,
     slots: Slots,
+    drain: Drain,
+    /// The same by team, of those that have requests here.
+    drains: BTreeMap<TeamName, Drain>,
+    refusals: Refusals,
+    /// Whether a team that may use the service may mark requests as urgent.
+    urgency: bool,
     health: Health,
 }
 
 impl Dispatcher {
-    /// Takes a service over as of the state's epoch.
+    /// Takes a service over as of the state's epoch, with the slots that this scheduler still
+    /// counts from an earlier time and those that gates have reported.
     #[must_use]
-    pub fn open(service: ServiceName, state: Rc<State>, now: Instant) -> Self {
-        let mut slots = Slots::default();
-        slots.update(&state, &service);
+    pub fn open(
+        service: ServiceName,
+        state: &State,
+        now: Instant,
+        mut slots: Slots,
+        roster: &Roster,
+    ) -> Self {
+        slots.update(state, &service);
+        for (gate, run) in roster.running() {
+            if run.service == service {
+                slots.adopt(now, gate, run);
+            }
+        }
         let mut health = Health::default();
         health.update(slots.hosts());
         Self {
             service,
             since: state.epoch,
-            state,
             opens: now + Duration::from_millis(REPORT_MS),
-            reported: BTreeSet::new(),
             queue: Queue::default(),
             slots,
+            drain: Drain::default(),
+            drains: BTreeMap::new(),
+            refusals: Refusals::default(),
+            urgency: has_urgency(state),
             health,
         }
     }
 
     /// Goes on under a newer state.
-    pub fn update(&mut self, state: Rc<State>) {
-        self.slots.update(&state, &self.service);
+    pub fn update(&mut self, state: &Rc<State>) {
+        self.slots.update(state, &self.service);
         self.health.update(self.slots.hosts());
-        self.state = state;
+        self.urgency = has_urgency(state);
     }
 
     /// Queues a request, or refuses it at once; a repeated question gets the same answer.
-    pub fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        ask: Ask,
+        quotas: &Quotas,
+        out: &mut Vec<Action>,
+    ) {
         if self.queue.contains(&ask.attempt) {
             return;
         }
@@ -89,8 +123,12 @@
             out.extend(grant.map(|grant| Action::Send(link, grant)));
             return;
         }
-        if let Some(code) = self.refusal(now, &ask) {
-            out.push(refuse(link, ask.attempt, code));
+        if ask.urgent {
+            self.drain.ask_urgent(now);
+        }
+        let forecast = self.forecast(&ask.team, ask.urgent, quotas);
+        if let Some(code) = self.refusal(now, &ask, forecast) {
+            out.push(self.refuse(now, link, &ask, code, forecast));
             return;
         }
         self.queue.push(Waiting {
@@ -124,6 +162,9 @@
         let Some(held) = self.slots.release(attempt) else {
             return;
         };
+        self.drain.finish(now, held.since);
+        let drain = self.drains.entry(held.team.clone()).or_default();
+        drain.finish(now, held.since);
         let (host, team) = (&held.host, &held.team);
         let change = self
             .health
@@ -135,80 +176,132 @@
     }
 
     /// Adopts what a gate has running.
-    pub fn report(&mut self, link: LinkId, epoch: u64, running: &[Running]) {
-        let named = |attempt: &AttemptId| running.iter().any(|run| run.attempt == *attempt);
-        for attempt in self.slots.attempts_of(link) {
-            if !named(&attempt) {
-                self.slots.release(&attempt);
-            }
-        }
+    pub fn report(&mut self, now: Instant, gate: &Peer, link: LinkId, running: &[Running]) {
+        self.slots.confirm(gate, link, running);
         for run in running.iter().filter(|run| run.service == self.service) {
-            self.slots.release(&run.attempt);
-            let held = Held {
-                host: run.host.clone(),
-                team: run.team.clone(),
-                link,
-                expires: None,
-            };
-            self.slots.occupy(run.attempt, held);
-        }
-        if epoch >= self.since {
-            self.reported.insert(link);
+            self.slots.adopt(now, gate, run);
         }
     }
 
-    /// Drops a gate's requests; its slots stay occupied until its tasks have surely ended.
-    pub fn lose(&mut self, now: Instant, link: LinkId) {
+    /// Drops the requests of a lost link; the slots of its gate stay occupied.
+    pub fn lose(&mut self, link: LinkId) {
         self.queue.remove_link(link);
-        self.slots
-            .expire_link(link, now + Duration::from_millis(LOST_GATE_MS));
-        self.reported.remove(&link);
     }
 
-    /// Refuses what can no longer start in time and frees slots of lost gates.
+    /// Frees the slots of a gate whose tasks are surely over.
+    pub fn release_gate(&mut self, gate: &Peer) {
+        self.slots.release_gate(gate);
+    }
+
+    /// Refuses what can no longer start in time.
     pub fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
-        self.slots.release_expired(now);
         self.health.expire(now);
+        self.observe(now);
+        self.refusals.take_due(now, &self.service, out);
         let expired = self.queue.remove_expired(now);
         out.extend(
             expired
                 .into_iter()
-                .map(|w| refuse(w.link, w.attempt, RefusalCode::DeadlineTooClose)),
+                .map(|w| refuse(w.link, w.attempt, RefusalCode::DeadlineTooClose, RETRY_MS)),
         );
     }
 
     /// Grants slots until none is free or nothing may start.
-    pub fn grant(&mut self, now: Instant, gates: usize, out: &mut Vec<Action>) {
-        if self.reported.len() < gates && now < self.opens {
+    pub fn grant(
+        &mut self,
+        now: Instant,
+        state: &State,
+        roster: &Roster,
+        quotas: &mut Quotas,
+        out: &mut Vec<Action>,
+    ) {
+        if self.queue.is_empty() || self.slots.vacant() == 0 {
             return;
         }
-        while let Some(action) = self.grant_one(now) {
+        if now < self.opens && !roster.is_complete(state, self.since) {
+            return;
+        }
+        let reserve = self.reserve(now);
+        while let Some(action) = self.grant_one(now, reserve, roster, quotas) {
             out.push(action);
         }
     }
 
-    /// Refuses everything that waits, because another process serves the service now.
-    pub fn close(mut self, out: &mut Vec<Action>) {
-        let left = self.queue.remove_where(|_| true);
+    /// Refuses everything that waits, because another process serves the service now, and gives
+    /// what still runs.
+    pub fn close(mut self, out: &mut Vec<Action>) -> Slots {
+        let left = self.queue.remove_all();
         out.extend(
             left.into_iter()
-                .map(|w| refuse(w.link, w.attempt, RefusalCode::Unavailable)),
+                .map(|w| refuse(w.link, w.attempt, RefusalCode::Unavailable, RETRY_MS)),
         );
+        self.slots
+    }
+
+    /// The slots.
+    #[must_use]
+    pub const fn slots(&self) -> &Slots {
+        &self.slots
+    }
+
+    /// Slots that a team could occupy beside those that it does: the free ones, or the rest of its
+    /// share if that is more. `total` is the weight of all teams that have requests here.
+    #[must_use]
+    pub fn wanted(&self, team: &TeamName, weight: u32, total: u64) -> u32 {
+        let waiting = u32::try_from(self.queue.len_of(team)).unwrap_or(u32::MAX);
+        if waiting == 0 {
+            return 0;
+        }
+        let running = self.slots.running(team);
+        let share = u64::from(self.slots.capacity()) * u64::from(weight);
+        let share = u32::try_from(share.div_ceil(total.max(1))).unwrap_or(u32::MAX);
+        let room = self.slots.vacant().max(share.saturating_sub(running));
+        waiting.min(room + 1 + running / WANT_PART)
     }
 
-    fn grant_one(&mut self, now: Instant) -> Option<Action> {
-        let usage = |team: &TeamName| usage(&self.state, &self.service, &self.slots, team);
-        let waiting = self.queue.next(usage)?;
+    /// Weight of all teams that have requests waiting or running.
+    #[must_use]
+    pub fn weight(&self, quotas: &Quotas) -> u64 {
+        let idle = |team: &&TeamName| self.queue.len_of(team) == 0;
+        let running = self.slots.teams().map(|(team, _)| team).filter(idle);
+        let teams = self.queue.teams().map(|(team, _)| team).chain(running);
+        teams
+            .filter_map(|team| quotas.get(team))
+            .map(|quota| u64::from(quota.weight))
+            .sum()
+    }
+
+    fn grant_one(
+        &mut self,
+        now: Instant,
+        reserve: u32,
+        roster: &Roster,
+        quotas: &mut Quotas,
+    ) -> Option<Action> {
+        let first = self.slots.urgent() < urgent_cap(self.slots.capacity());
+        let rest = self.slots.vacant() > reserve;
+        let rank = |team: &TeamName, urgent| {
+            let quota = quotas.get(team).filter(|quota| quota.may_start(urgent))?;
+            let open = if urgent { first } else { rest };
+            open.then(|| f64::from(self.slots.running(team)) / f64::from(quota.weight))
+        };
+        let waiting = self.queue.next(rank)?;
         let admits = |host: &HostName, running| self.health.admits(now, host, running);
         let (host, placed) = self.slots.pick(&waiting.avoid, admits)?;
         let (host, addr) = (host.clone(), placed.addr);
         let attempt = waiting.attempt;
+        let gate = roster.gate(waiting.link)?.clone();
         let waiting = self.queue.remove(&attempt)?;
+        if let Some(quota) = quotas.get_mut(&waiting.team) {
+            quota.running += 1;
+        }
         let held = Held {
             host: host.clone(),
             team: waiting.team,
-            link: waiting.link,
-            expires: None,
+            urgent: waiting.urgent,
+            gate,
+            granted: Some(waiting.link),
+            since: now,
         };
         self.slots.occupy(attempt, held);
         let grant = Grant {
@@ -219,7 +312,59 @@
         Some(Action::Send(waiting.link, Message::Grant(grant)))
     }
 
-    fn refusal(&self, now: Instant, ask: &Ask) -> Option<RefusalCode> {
+    /// Measures the drain rates.
+    fn observe(&mut self, now: Instant) {
+        self.drain.observe(now, !self.queue.is_empty());
+        for (team, _) in self.queue.teams() {
+            if !self.drains.contains_key(team) {
+                self.drains.insert(team.clone(), Drain::default());
+            }
+        }
+        let (queue, slots) = (&self.queue, &self.slots);
+        self.drains.retain(|team, drain| {
+            let waiting = queue.len_of(team) > 0;
+            drain.observe(now, waiting);
+            waiting || slots.running(team) > 0
+        });
+    }
+
+    /// Slots kept free for urgent requests.
+    fn reserve(&self, now: Instant) -> u32 {
+        if !self.urgency {
+            return 0;
+        }
+        let rate = self.drain.urgent_rate(now);
+        reserve(self.slots.capacity(), self.drain.gap(now), rate)
+    }
+
+    /// What a further request has to expect, if the drain rate is known. A team's requests start
+    /// as fast as they were seen to, or as its share among the teams that wait allows.
+    fn forecast(&self, team: &TeamName, urgent: bool, quotas: &Quotas) -> Option<Forecast> {
+        let capacity = self.slots.capacity();
+        let (rate, run) = (self.drain.rate(capacity)?, self.drain.run()?);
+        let weight = |team: &TeamName| quotas.get(team).map_or(1.0, |q| f64::from(q.weight));
+        let others = self.queue.teams().filter(|(other, _)| *other != team);
+        let total: f64 = others.map(|(other, _)| weight(other)).sum();
+        let share = rate * weight(team) / (weight(team) + total);
+        let seen = self.drains.get(team).and_then(Drain::seen);
+        let own = seen.unwrap_or(share);
+        let ahead = self.queue.len_of(team) as f64 + 1.0;
+        let free = self.slots.vacant() > 0 && self.queue.is_empty();
+        let mut wait = if free { 0.0 } else { ahead / own };
+        if urgent {
+            let part = f64::from(urgent_cap(capacity)) / f64::from(capacity.max(1));
+            wait = wait.min((self.queue.urgent_len() as f64 + 1.0) / (rate * part));
+        }
+        let every = 1.0 / own;
+        Some(Forecast {
+            wait,
+            run,
+            every,
+            rate,
+        })
+    }
+
+    fn refusal(&self, now: Instant, ask: &Ask, forecast: Option<Forecast>) -> Option<RefusalCode> {
         let capacity = self.slots.capacity() as usize;
         if capacity == 0 {
             return Some(RefusalCode::NoCapacity);
@@ -230,25 +375,60 @@
         if ask.remaining == 0 {
             return Some(RefusalCode::DeadlineTooClose);
         }
-        (self.queue.len() >= capacity * QUEUE_PER_SLOT).then_some(RefusalCode::Overloaded)
+        let waiting = self.queue.len();
+        let late = forecast.map_or(waiting >= capacity * QUEUE_PER_SLOT, |forecast| {
+            forecast.wait > 0.0
+                && (forecast.wait + forecast.run) * MARGIN > f64::from(ask.remaining) / 1e3
+        });
+        (late || waiting >= QUEUE_LIMIT).then_some(RefusalCode::Overloaded)
+    }
+
+    fn refuse(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        ask: &Ask,
+        code: RefusalCode,
+        forecast: Option<Forecast>,
+    ) -> Action {
+        let (waiting, capacity) = (self.queue.len(), self.slots.capacity());
+        self.refusals.note(&ask.team, code, || {
+            let (wait, rate) = forecast.map_or((0.0, 0.0), |f| (f.wait, f.rate));
+            format!("{waiting} wait for {capacity} slots, {rate:.1}/s drain, {wait:.1} s to wait")
+        });
+        let after = match forecast {
+            Some(forecast) if code == RefusalCode::Overloaded => {
+                self.refusals
+                    .promise(now, &ask.team, forecast.wait, forecast.every)
+            }
+            _ => RETRY_MS,
+        };
+        refuse(link, ask.attempt, code, after)
     }
 }
 
-/// Running slots of a team divided by its weight, or none if it is at its limit.
-fn usage(state: &State, service: &ServiceName, slots: &Slots, team: &TeamName) -> Option<f64> {
-    let row = state.teams.get(team)?;
-    let services = state.services();
-    let index = services.iter().position(|name| name == service)?;
-    let permits = divide(row.limit, services.len() as u32, index as u32);
-    let running = slots.running(team);
-    (running < permits).then(|| f64::from(running) / f64::from(row.weight))
+/// What a request has to expect, in seconds.
+#[derive(Debug, Clone, Copy)]
+struct Forecast {
+    /// Until a slot is free for it.
+    wait: f64,
+    /// Mean run time.
+    run: f64,
+    /// Between two starts of its team.
+    every: f64,
+    /// Finishes a second.
+    rate: f64,
+}
+
+fn has_urgency(state: &State) -> bool {
+    state.teams.values().any(|row| row.urgent)
 }
 
-fn refuse(link: LinkId, attempt: AttemptId, code: RefusalCode) -> Action {
+fn refuse(link: LinkId, attempt: AttemptId, code: RefusalCode, after: u32) -> Action {
     let refusal = Refusal {
         attempt,
         code,
-        retry_after: RETRY_MS,
+        retry_after: after,
     };
     Action::Send(link, Message::Refuse(refusal))
 }
