--- a/src/gate/pending.rs
+++ b/src/gate/pending.rs
@@ -69,6 +69,8 @@
     pub phase: Phase,
     /// Hosts that have failed it.
     pub avoid: Vec<HostName>,
+    /// Whether schedulers that did not grant it may have been told of it.
+    pub reported: bool,
     /// What is known of the earlier attempts together.
     pub verdict: Verdict,
     /// Whether a backend server's error is held back for the caller.
@@ -88,6 +90,7 @@
             runs: 0,
             phase: Phase::Unplaced { again: now },
             avoid: Vec::new(),
+            reported: false,
             verdict: Verdict::NotRun,
             held: false,
         }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -2,8 +2,15 @@
 
 mod action;
 mod dispatcher;
+mod drain;
+mod escrow;
 mod event;
 mod held;
+mod moves;
+mod quota;
+mod refusals;
+mod reserve;
+mod roster;
 mod scheduler;
 mod server;
 mod slots;
@@ -11,6 +18,7 @@
 
 pub use action::Action;
 pub use dispatcher::Dispatcher;
+pub use escrow::Escrow;
 pub use event::Event;
 pub use scheduler::Scheduler;
 pub use server::SchedServer;
