--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -9,6 +9,7 @@
 mod freshness_event;
 mod notes;
 mod placement;
+mod reached;
 mod replica;
 mod search;
 mod state_event;
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -12,6 +12,7 @@
 use crate::member::Voter;
 use crate::member::Voters;
 use crate::member::notes::note_of;
+use crate::member::reached::Reached;
 use crate::name::NodeName;
 use crate::observe::Note;
 use crate::record::CHECKPOINT_EVERY;
@@ -38,16 +39,6 @@
 /// Bytes of records after which a message is full.
 const BATCH_BYTES: usize = 256 * 1024;
 
-/// What a voter has answered.
-#[derive(Debug, Clone)]
-struct Reached {
-    by: Voter,
-    /// Offset that it had folded up to.
-    offset: u64,
-    /// Latest probe that it has answered.
-    asked: Instant,
-}
-
 /// The folded state, the records behind it, and how recent it is. Reads no clock.
 #[derive(Debug, Clone)]
 pub struct Replica {
@@ -67,9 +58,7 @@
     past: Rc<State>,
     /// Notes about the records folded since they were last taken.
     notes: Vec<Note>,
-    voters: Voters,
-    /// The other voters' answers, by address.
-    reached: BTreeMap<SocketAddr, Reached>,
+    reached: Reached,
     /// Offsets that the fleet processes are known to have folded up to.
     heard: BTreeMap<NodeName, u64>,
 }
@@ -89,8 +78,7 @@
             due: now + SNAPSHOT_AFTER,
             past: Rc::default(),
             notes: Vec::new(),
-            voters,
-            reached: BTreeMap::new(),
+            reached: Reached::new(voters),
             heard: BTreeMap::new(),
         }
     }
@@ -179,8 +167,8 @@
         let heard = self.heard.entry(peer.node.clone()).or_insert(offset);
         *heard = offset.max(*heard);
         let by = addr.map(|addr| Voter::new(addr, peer));
-        if let Some(by) = by.clone().filter(|by| self.voters.has_other(by.addr)) {
-            self.reach(Reached { by, offset, asked });
+        if let Some(by) = by.clone() {
+            self.reached.note(by, offset, asked);
         }
         let event = FreshnessEvent::Vouched {
             by,
@@ -191,14 +179,6 @@
         self.freshness.observe(now, event);
     }
 
-    fn reach(&mut self, news: Reached) {
-        let order = |reached: &Reached| (reached.by.incarnation, reached.asked);
-        let held = self.reached.get(&news.by.addr);
-        if held.is_none_or(|held| order(held) <= order(&news)) {
-            self.reached.insert(news.by.addr, news);
-        }
-    }
-
     /// Whether a process is known to have folded further than this one.
     #[must_use]
     pub fn is_behind(&self, peer: &Hello) -> bool {
@@ -251,11 +231,8 @@
     /// The voters known to have folded the record at `offset`; none while they are no majority.
     #[must_use]
     pub fn holders(&self, offset: u64) -> Option<Vec<Voter>> {
-        let reached = self.reached.values();
-        let others = reached.filter(|reached| reached.offset > offset);
-        let others: Vec<Voter> = others.map(|reached| reached.by.clone()).collect();
         let own = self.own_vote(self.state.offset > offset);
-        (others.len() + own >= self.voters.majority()).then_some(others)
+        self.reached.holders(offset, own)
     }
 
     /// Whether a majority of the voters, counting `holders` only, have answered a probe of
@@ -264,16 +241,11 @@
     /// fresh by its voters has it within [`FRESH_FOR`](crate::member::FRESH_FOR).
     #[must_use]
     pub fn confirmed(&self, holders: &[Voter], since: Instant) -> bool {
-        let answered = |holder: &&Voter| {
-            let reached = self.reached.get(&holder.addr);
-            reached.is_some_and(|reached| reached.by == **holder && reached.asked >= since)
-        };
-        let others = holders.iter().filter(answered).count();
-        others + self.own_vote(true) >= self.voters.majority()
+        self.reached.confirmed(holders, since, self.own_vote(true))
     }
 
     fn own_vote(&self, holds: bool) -> usize {
-        usize::from(holds && self.voters.own().is_some() && self.freshness.may_vouch())
+        usize::from(holds && self.reached.voters().own().is_some() && self.freshness.may_vouch())
     }
 
     /// Whether this process should append a snapshot now: of the fleet members that stay, the
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use compio::runtime::spawn;
 use compio::time::sleep;
@@ -28,6 +26,7 @@
 use crate::member::TICK_EVERY;
 use crate::member::core::Core;
 use crate::net::NetEvent;
+use crate::observe::unix_millis;
 use crate::record::Author;
 use crate::record::Change;
 use crate::record::Outcome;
@@ -194,7 +193,7 @@
             id: RecordId::random(),
             base,
             author: Author::Node(self.me.node.clone()),
-            at: unix_ms(),
+            at: unix_millis(),
             change,
         }
     }
@@ -304,8 +303,3 @@
 fn raw(entry: Entry) -> (u64, Vec<u8>) {
     (entry.offset, entry.data)
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis().try_into().unwrap_or(u64::MAX))
-}
--- a/src/record/fold.rs
+++ b/src/record/fold.rs
@@ -5,7 +5,6 @@
 
 use crate::name::DcName;
 use crate::name::HostName;
-use crate::name::NodeName;
 use crate::name::PoolName;
 use crate::name::TeamName;
 use crate::record::CHECKPOINT_EVERY;
@@ -14,13 +13,11 @@
 use crate::record::Host;
 use crate::record::HostRow;
 use crate::record::KeyHash;
-use crate::record::Member;
 use crate::record::Outcome;
 use crate::record::Pool;
 use crate::record::PoolRow;
 use crate::record::Record;
 use crate::record::Reject;
-use crate::record::Role;
 use crate::record::Settled;
 use crate::record::State;
 use crate::record::Team;
@@ -273,71 +270,6 @@
         Ok(())
     }
 
-    fn join(&mut self, node: NodeName, member: Member) -> Result<(), Reject> {
-        let last = self.incarnations.get(&node).copied();
-        if let Some(last) = last.filter(|last| *last >= member.incarnation) {
-            return Err(Reject::OldIncarnation(node, last));
-        }
-        self.forget(&node);
-        self.incarnations.insert(node.clone(), member.incarnation);
-        self.members.insert(node, member);
-        self.epoch += 1;
-        Ok(())
-    }
-
-    fn leave(&mut self, node: &NodeName, incarnation: u64) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?.leaving = true;
-        self.epoch += 1;
-        Ok(())
-    }
-
-    fn end(&mut self, node: &NodeName, incarnation: u64) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?;
-        self.members.remove(node);
-        self.forget(node);
-        self.epoch += 1;
-        Ok(())
-    }
-
-    fn suspect(&mut self, node: &NodeName, incarnation: u64, by: NodeName) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?;
-        let voters: BTreeSet<NodeName> = self
-            .members_of(Role::Fleet)
-            .map(|(name, _)| name.clone())
-            .filter(|name| name != node)
-            .collect();
-        if !voters.contains(&by) {
-            return Err(Reject::NotVoter(by));
-        }
-        let said = self.suspicions.entry(node.clone()).or_default();
-        said.insert(by);
-        let count = said.intersection(&voters).count();
-        if count * 2 > voters.len() {
-            return self.end(node, incarnation);
-        }
-        Ok(())
-    }
-
-    fn trust(&mut self, node: &NodeName, incarnation: u64, by: &NodeName) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?;
-        self.suspicions.retain(|of, said| {
-            of != node || {
-                said.remove(by);
-                !said.is_empty()
-            }
-        });
-        Ok(())
-    }
-
-    // Drops what was said of a process, and what its earlier incarnation said of others.
-    fn forget(&mut self, node: &NodeName) {
-        self.suspicions.remove(node);
-        self.suspicions.retain(|_, said| {
-            said.remove(node);
-            !said.is_empty()
-        });
-    }
-
     fn check_snapshot(&mut self, bytes: &[u8]) -> Result<(), Reject> {
         let past = Checkpoint::of(self.checkpoint.offset, bytes) == self.checkpoint;
         if !past && self.snapshot() != bytes {
@@ -381,11 +313,4 @@
         }
         Ok(host)
     }
-
-    fn member_mut(&mut self, node: &NodeName, incarnation: u64) -> Result<&mut Member, Reject> {
-        let current = self.members.get_mut(node);
-        current
-            .filter(|member| member.incarnation == incarnation)
-            .ok_or_else(|| Reject::Ended(node.clone()))
-    }
 }
--- /dev/null
+++ b/src/record/membership.rs
@@ -0,0 +1,93 @@
+//! The rules of the membership.
+
+use std::collections::BTreeSet;
+
+use crate::name::NodeName;
+use crate::record::Member;
+use crate::record::Reject;
+use crate::record::Role;
+use crate::record::State;
+
+impl State {
+    pub(super) fn join(&mut self, node: NodeName, member: Member) -> Result<(), Reject> {
+        let last = self.incarnations.get(&node).copied();
+        if let Some(last) = last.filter(|last| *last >= member.incarnation) {
+            return Err(Reject::OldIncarnation(node, last));
+        }
+        self.forget(&node);
+        self.incarnations.insert(node.clone(), member.incarnation);
+        self.members.insert(node, member);
+        self.epoch += 1;
+        Ok(())
+    }
+
+    pub(super) fn leave(&mut self, node: &NodeName, incarnation: u64) -> Result<(), Reject> {
+        self.member_mut(node, incarnation)?.leaving = true;
+        self.epoch += 1;
+        Ok(())
+    }
+
+    pub(super) fn end(&mut self, node: &NodeName, incarnation: u64) -> Result<(), Reject> {
+        self.member_mut(node, incarnation)?;
+        self.members.remove(node);
+        self.forget(node);
+        self.epoch += 1;
+        Ok(())
+    }
+
+    pub(super) fn suspect(
+        &mut self,
+        node: &NodeName,
+        incarnation: u64,
+        by: NodeName,
+    ) -> Result<(), Reject> {
+        self.member_mut(node, incarnation)?;
+        let voters: BTreeSet<NodeName> = self
+            .members_of(Role::Fleet)
+            .map(|(name, _)| name.clone())
+            .filter(|name| name != node)
+            .collect();
+        if !voters.contains(&by) {
+            return Err(Reject::NotVoter(by));
+        }
+        let said = self.suspicions.entry(node.clone()).or_default();
+        said.insert(by);
+        let count = said.intersection(&voters).count();
+        if count * 2 > voters.len() {
+            return self.end(node, incarnation);
+        }
+        Ok(())
+    }
+
+    pub(super) fn trust(
+        &mut self,
+        node: &NodeName,
+        incarnation: u64,
+        by: &NodeName,
+    ) -> Result<(), Reject> {
+        self.member_mut(node, incarnation)?;
+        self.suspicions.retain(|of, said| {
+            of != node || {
+                said.remove(by);
+                !said.is_empty()
+            }
+        });
+        Ok(())
+    }
+
+    // Drops what was said of a process, and what its earlier incarnation said of others.
+    fn forget(&mut self, node: &NodeName) {
+        self.suspicions.remove(node);
+        self.suspicions.retain(|_, said| {
+            said.remove(node);
+            !said.is_empty()
+        });
+    }
+
+    fn member_mut(&mut self, node: &NodeName, incarnation: u64) -> Result<&mut Member, Reject> {
+        let current = self.members.get_mut(node);
+        current
+            .filter(|member| member.incarnation == incarnation)
+            .ok_or_else(|| Reject::Ended(node.clone()))
+    }
+}
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -9,6 +9,7 @@
 mod host;
 mod key_hash;
 mod member;
+mod membership;
 mod outcome;
 mod pool;
 mod recent;
