--- /dev/null
+++ b/examples/share_cost.rs
@@ -0,0 +1,212 @@
+//! Time of a scheduler's decisions against the length of the queue, the teams and the hosts.
+//!
+//! Prints a table with the slope of a straight line fitted by least squares, and its standard
+//! error. Run it with `cargo run --release --example share_cost`.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use mimosastep::net::LinkId;
+use mimosastep::record::Member;
+use mimosastep::record::Role;
+use mimosastep::record::Team;
+use mimosastep::sched::Action;
+use mimosastep::sched::Event;
+use mimosastep::sched::Scheduler;
+use mimosastep::wire::Ask;
+use mimosastep::wire::AttemptId;
+use mimosastep::wire::Evidence;
+use mimosastep::wire::Message;
+use mimosastep::wire::Peer;
+use mimosastep::wire::RequestId;
+
+#[path = "../tests/share_fleet/mod.rs"]
+mod share_fleet;
+
+use share_fleet::name;
+use share_fleet::table;
+
+const LINK: LinkId = LinkId(1);
+const SLOTS: u32 = 8;
+const ROUNDS: usize = 2_000;
+
+/// One scheduler whose slots are all taken and whose queue holds `waiting` requests.
+struct Bench {
+    now: Instant,
+    teams: usize,
+    scheduler: Scheduler,
+    running: Vec<AttemptId>,
+    out: Vec<Action>,
+    number: u128,
+}
+
+impl Bench {
+    fn open(waiting: usize, teams: usize, hosts: usize) -> Self {
+        let names: Vec<String> = (0..teams).map(|team| format!("t{team}")).collect();
+        let row = Team {
+            weight: 1,
+            limit: 100_000,
+            urgent: false,
+        };
+        let rows: Vec<(&str, Team)> = names.iter().map(|team| (&**team, row.clone())).collect();
+        let mut state = table(1, hosts, SLOTS, &rows);
+        for (node, role) in [("s", Role::Sched), ("g", Role::Gate)] {
+            let member = Member {
+                role,
+                incarnation: 1,
+                addr: ([127, 0, 0, 1], 1).into(),
+                dc: name("a"),
+                leaving: false,
+            };
+            state.members.insert(name(node), member);
+            state.incarnations.insert(name(node), 1);
+        }
+        state.epoch = 2;
+        let mut bench = Self {
+            now: Instant::now(),
+            teams,
+            scheduler: Scheduler::new(name("s"), 1),
+            running: Vec::new(),
+            out: Vec::new(),
+            number: 0,
+        };
+        let gate = Peer {
+            node: name("g"),
+            incarnation: 1,
+        };
+        bench.tell(Event::State(Rc::new(state)));
+        bench.tell(Event::Fresh(bench.now + Duration::from_secs(3600)));
+        bench.tell(Event::Up(LINK, gate));
+        bench.tell(Event::Report {
+            link: LINK,
+            epoch: 2,
+            running: Vec::new(),
+        });
+        for _ in 0..hosts * SLOTS as usize {
+            bench.ask();
+            bench.pass();
+        }
+        for _ in 0..waiting {
+            bench.ask();
+        }
+        bench.collect();
+        bench
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.scheduler.handle(self.now, event, &mut self.out);
+        self.scheduler.grant(self.now, &mut self.out);
+    }
+
+    fn pass(&mut self) {
+        self.now += Duration::from_millis(20);
+        self.tell(Event::Tick);
+    }
+
+    fn ask(&mut self) -> AttemptId {
+        self.number += 1;
+        let attempt = AttemptId {
+            request: RequestId(self.number),
+            number: 1,
+        };
+        let ask = Ask {
+            attempt,
+            service: name("s0"),
+            team: name(&format!("t{}", self.number as usize % self.teams)),
+            urgent: false,
+            remaining: u32::MAX,
+            waited: 0,
+            avoid: Vec::new(),
+        };
+        self.tell(Event::Ask(LINK, ask));
+        attempt
+    }
+
+    fn collect(&mut self) {
+        for action in self.out.drain(..) {
+            if let Action::Send(_, Message::Grant(grant)) = action {
+                self.running.push(grant.attempt);
+            }
+        }
+    }
+
+    /// Microseconds for a further request, the end of one that runs with the grant that follows,
+    /// a tick, and a cancellation.
+    fn measure(&mut self) -> [f64; 4] {
+        let mut sums = [0.0; 4];
+        for _ in 0..ROUNDS {
+            let start = Instant::now();
+            self.ask();
+            sums[0] += start.elapsed().as_secs_f64();
+            if let Some(attempt) = self.running.pop() {
+                let start = Instant::now();
+                self.tell(Event::Finished {
+                    link: LINK,
+                    attempt,
+                    evidence: Evidence::Served,
+                });
+                sums[1] += start.elapsed().as_secs_f64();
+            }
+            self.collect();
+            let start = Instant::now();
+            self.pass();
+            sums[2] += start.elapsed().as_secs_f64();
+            let attempt = self.ask();
+            let start = Instant::now();
+            self.tell(Event::Cancel(LINK, attempt));
+            sums[3] += start.elapsed().as_secs_f64();
+        }
+        sums.map(|sum| sum * 1e6 / ROUNDS as f64)
+    }
+}
+
+/// Slope and its standard error.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / n;
+    let (mx, my) = (mean(|p| p.0), mean(|p| p.1));
+    let sxx: f64 = points.iter().map(|p| (p.0 - mx).powi(2)).sum();
+    let sxy: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
+    let slope = sxy / sxx;
+    let rest: f64 = points
+        .iter()
+        .map(|p| (p.1 - my - slope * (p.0 - mx)).powi(2))
+        .sum();
+    (slope, (rest / (n - 2.0) / sxx).sqrt())
+}
+
+fn sweep(what: &str, sizes: &[usize], open: impl Fn(usize) -> Bench) {
+    println!("{what:>8}   ask us   end us  tick us  cancel us");
+    let mut points: [Vec<(f64, f64)>; 4] = Default::default();
+    for size in sizes {
+        let times = open(*size).measure();
+        let [ask, end, tick, cancel] = times;
+        println!("{size:>8} {ask:>8.2} {end:>8.2} {tick:>8.2} {cancel:>10.2}");
+        for (points, time) in points.iter_mut().zip(times) {
+            points.push((*size as f64, time));
+        }
+    }
+    for (label, points) in ["ask", "end", "tick", "cancel"].iter().zip(&points) {
+        let (slope, error) = fit(points);
+        println!(
+            "  {label}: {:.4} +- {:.4} us per 1000 {what}",
+            slope * 1e3,
+            error * 1e3
+        );
+    }
+}
+
+fn main() {
+    sweep(
+        "waiting",
+        &[10, 100, 1_000, 10_000, 30_000, 90_000],
+        |size| Bench::open(size, 6, 10),
+    );
+    sweep("teams", &[6, 12, 25, 50, 100, 130], |size| {
+        Bench::open(2_000, size, 10)
+    });
+    sweep("hosts", &[10, 20, 50, 100, 160, 220], |size| {
+        Bench::open(2_000, 6, size)
+    });
+}
