Serve requests until a stopping gate is out of the balancer

The load client took refused connections as failures, as if no balancer stood before the gates, and never sent a request again: it read the verdict beside, not under, 'error' (its test's answer had the same fault and is corrected; it asserts as much as before).

Ruled out: connections cut in progress (the client saw none, only 'connection refused' and 503).

Change: readyz turns false first, requests are served for 1 s more, each reply is the last of its connection, then the listener closes. The load client asks /readyz of its targets every 100 ms and passes over those that are not ready.

--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -120,15 +120,9 @@
 
     fn submit(&mut self, now: Instant, submission: Submission, out: &mut Vec<Action>) {
         let request = submission.request;
-        let refused = if self.stopping {
-            Some(RefusalCode::Unavailable)
-        } else if !self.is_fresh(now) {
-            Some(RefusalCode::StateNotFresh)
-        } else {
-            None
-        };
-        if let Some(code) = refused {
-            out.push(Action::Fail(request, Failure::refused(code, RETRY_MS)));
+        if !self.is_fresh(now) {
+            let failure = Failure::refused(RefusalCode::StateNotFresh, RETRY_MS);
+            out.push(Action::Fail(request, failure));
             return;
         }
         let admission = match admit(&self.state, &submission.service, submission.key.as_ref()) {
--- a/src/gate/event.rs
+++ b/src/gate/event.rs
@@ -46,7 +46,7 @@
     Settled(AttemptId, Settled),
     /// The caller went away.
     Gone(RequestId),
-    /// The process is about to stop: no further requests.
+    /// The process is about to stop: not ready any more, but requests that come are served.
     Stop,
     /// Time has passed.
     Tick,
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -12,6 +12,8 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 
 use crate::gate::Failure;
 use crate::gate::FailureCode;
@@ -33,7 +35,7 @@
 /// Suffix of callers' paths.
 const REQUESTS: &str = "/requests";
 /// Time for the balancer to notice that the gate is not ready, in milliseconds.
-const NOTICE_MS: u64 = 500;
+const NOTICE_MS: u64 = 1_000;
 /// Longest that a planned stop waits for requests in progress, in milliseconds.
 const STOP_MS: u64 = 60_000;
 /// Time between two looks at the requests in progress, in milliseconds.
@@ -45,6 +47,7 @@
     http: HttpServer,
     inputs: UnboundedSender<Input>,
     pending: Rc<Cell<usize>>,
+    stopping: Rc<Cell<bool>>,
 }
 
 impl GateServer {
@@ -65,7 +68,9 @@
             pending.clone(),
             node.recorder(),
         );
+        let stopping = Rc::new(Cell::new(false));
         let handler = route(inputs.clone(), ready, settings.body_limit);
+        let handler = close_when(stopping.clone(), handler);
         let limits = Limits {
             body_bytes: settings.body_limit,
             ..Limits::default()
@@ -77,6 +82,7 @@
             http,
             inputs,
             pending,
+            stopping,
         })
     }
 
@@ -86,9 +92,10 @@
         self.http.local_addr()
     }
 
-    /// Stops without cutting a request: first no longer ready, then no new requests, then waits
-    /// for those in progress.
+    /// Stops without cutting a request: first no longer ready and each reply the last of its
+    /// connection, then no new connections, then waits for the requests in progress.
     pub async fn stop(self) {
+        self.stopping.set(true);
         let _ = self.inputs.unbounded_send(Input::Stop);
         compio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
         self.http.stop();
@@ -119,6 +126,23 @@
     })
 }
 
+/// Makes replies the last of their connections from the time on that `stopping` is set.
+fn close_when(stopping: Rc<Cell<bool>>, handler: Handler) -> Handler {
+    Rc::new(move |request| {
+        let stopping = stopping.clone();
+        let reply = handler(request);
+        async move {
+            let mut reply = reply.await;
+            if stopping.get() {
+                let close = HeaderValue::from_static("close");
+                reply.headers_mut().insert(CONNECTION, close);
+            }
+            reply
+        }
+        .boxed_local()
+    })
+}
+
 fn service(path: &str) -> Option<ServiceName> {
     let name = path.strip_prefix(SERVICES)?.strip_suffix(REQUESTS)?;
     ServiceName::new(name).ok()
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -3,7 +3,9 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::error::Error;
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +16,7 @@
 use compio::time::timeout_at;
 use cyper_core::HyperStream;
 use futures_util::future::join_all;
+use futures_util::future::select;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -31,6 +34,9 @@
 /// How long after its deadline an answer is still waited for.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Time between two looks at which targets are ready, and the longest that a look may take.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// How long a caller rests after a failure, lest it spin on a target that's down.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -76,6 +82,7 @@
     start: Instant,
     next: Cell<u64>,
     tally: RefCell<Tally>,
+    ready: RefCell<Vec<bool>>,
 }
 
 struct Call<'a> {
@@ -96,6 +103,7 @@
     /// Prepares a load that counts into `tally`.
     pub fn new(plan: Plan, tally: Tally) -> Self {
         Self {
+            ready: RefCell::new(vec![true; plan.targets.len()]),
             plan,
             start: Instant::now(),
             next: Cell::new(0),
@@ -105,7 +113,31 @@
 
     /// Makes every request of the plan.
     pub async fn run(&self) {
-        join_all((0..self.plan.callers).map(|caller| self.call_on(caller))).await;
+        let callers = join_all((0..self.plan.callers).map(|caller| self.call_on(caller)));
+        select(pin!(callers), pin!(self.look())).await;
+    }
+
+    /// Looks after which targets are ready, as a balancer does, if there are several.
+    async fn look(&self) {
+        if self.plan.targets.len() < 2 || self.plan.routes.iter().any(|r| r.key.is_none()) {
+            return pending().await;
+        }
+        loop {
+            let looks = self.plan.targets.iter().map(|target| is_ready(*target));
+            let ready = join_all(looks).await;
+            self.ready.replace(ready);
+            sleep(LOOK).await;
+        }
+    }
+
+    /// The place of the target for a caller: its own, or the next that is ready.
+    fn target(&self, first: usize) -> usize {
+        let ready = self.ready.borrow();
+        let places = (0..ready.len()).map(|step| (first + step) % ready.len());
+        places
+            .into_iter()
+            .find(|place| ready[*place])
+            .unwrap_or(first % ready.len())
     }
 
     /// What became of the requests up to now.
@@ -190,7 +222,8 @@
 
     async fn send(&self, caller: &mut Caller, call: &Call<'_>) -> Result<Response<Bytes>, Failure> {
         let request = self.request(call)?;
-        let address = self.plan.targets[caller.target % self.plan.targets.len()];
+        let place = self.target(caller.target);
+        let address = self.plan.targets[place];
         timeout_at(call.deadline + GRACE, async {
             let mut sender = match caller.take_ready().await {
                 Some(sender) => sender,
@@ -263,7 +296,7 @@
     }
     let seconds = header_number(answer.headers(), "retry-after")?;
     let body: Value = serde_json::from_slice(answer.body()).ok()?;
-    (body["verdict"] == "not-run").then(|| Instant::now() + Duration::from_secs(seconds))
+    (body["error"]["verdict"] == "not-run").then(|| Instant::now() + Duration::from_secs(seconds))
 }
 
 async fn connect(address: SocketAddr) -> Result<Sender, Failure> {
@@ -288,3 +321,15 @@
     ];
     parts.join("-")
 }
+
+/// Whether a target says that it takes requests; one without probes counts as ready.
+async fn is_ready(target: SocketAddr) -> bool {
+    let look = async {
+        let request = Request::get("/readyz").header("host", "standin");
+        let mut sender = connect(target).await?;
+        let answer = sender.send_request(request.body(Full::default())?).await?;
+        Ok::<_, Failure>(answer.status() != StatusCode::SERVICE_UNAVAILABLE)
+    };
+    let ready = timeout_at(Instant::now() + LOOK, look).await;
+    ready.is_ok_and(|ready| ready.unwrap_or(false))
+}
--- a/standins/tests/standins/load.rs
+++ b/standins/tests/standins/load.rs
@@ -73,7 +73,10 @@
         let body = String::from_utf8_lossy(&body);
         let whole = format!("{}:{body}", header("x-request-id: ").unwrap());
         let (status, whole) = match count % 2 {
-            0 => ("503 x\r\nretry-after: 0", r#"{"verdict":"not-run"}"#),
+            0 => (
+                "503 x\r\nretry-after: 0",
+                r#"{"error":{"verdict":"not-run"}}"#,
+            ),
             _ => ("200 x", whole.as_str()),
         };
         let length = whole.len();
