--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -17,6 +17,7 @@
 
 use crate::gate::Failure;
 use crate::gate::FailureCode;
+use crate::gate::Gate;
 use crate::gate::handler;
 use crate::gate::step::Input;
 use crate::gate::task::GateTask;
@@ -26,9 +27,11 @@
 use crate::name::ServiceName;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::node::probe;
 use crate::record::Role;
 use crate::settings::GateSettings;
+use crate::wire::Peer;
 
 /// Prefix of callers' paths.
 const SERVICES: &str = "/v1/services/";
@@ -60,7 +63,12 @@
         let (inputs, received) = unbounded();
         let ready = Rc::new(Cell::new(false));
         let pending = Rc::new(Cell::new(0));
+        let gate = Gate::new(Peer {
+            node: node.name().clone(),
+            incarnation: node.incarnation(),
+        });
         GateTask::spawn(
+            gate,
             node.take_events(),
             node.subscribe(),
             (inputs.clone(), received),
@@ -108,6 +116,12 @@
     }
 }
 
+impl Service for GateServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
 fn route(inputs: UnboundedSender<Input>, ready: Rc<Cell<bool>>, limit: usize) -> Handler {
     Rc::new(move |request: Request<Incoming>| {
         let path = request.uri().path();
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -1,8 +1,8 @@
 //! A process's copy of the state, with what it knows of the others' copies.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,7 +10,13 @@
 use crate::member::Freshness;
 use crate::member::FreshnessEvent;
 use crate::member::Voter;
+use crate::member::Voters;
+use crate::member::notes::note_of;
+use crate::name::NodeName;
+use crate::observe::Note;
+use crate::record::CHECKPOINT_EVERY;
 use crate::record::DecodeError;
+use crate::record::Record;
 use crate::record::Role;
 use crate::record::State;
 use crate::wire::Hello;
@@ -22,14 +28,28 @@
 /// Records since the last snapshot after which the next is due.
 pub const SNAPSHOT_EVERY: u64 = 2000;
 
+/// Time since the last snapshot after which the next is due, so that one is always in the log
+/// however few records there are.
+pub const SNAPSHOT_AFTER: Duration = Duration::from_secs(600);
+
 /// Most records in one message.
 const BATCH_RECORDS: usize = 256;
 
 /// Bytes of records after which a message is full.
 const BATCH_BYTES: usize = 256 * 1024;
 
+/// What a voter has answered.
+#[derive(Debug, Clone)]
+struct Reached {
+    by: Voter,
+    /// Offset that it had folded up to.
+    offset: u64,
+    /// Latest probe that it has answered.
+    asked: Instant,
+}
+
 /// The folded state, the records behind it, and how recent it is. Reads no clock.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Replica {
     me: Hello,
     state: Rc<State>,
@@ -37,21 +57,41 @@
     freshness: Freshness,
     /// When the log was last asked with an answer that is folded whole.
     asked: Option<Instant>,
-    /// Offsets that the other processes are known to have folded up to.
-    reached: BTreeMap<Voter, u64>,
+    /// Oldest offset that the log holds.
+    first: u64,
+    /// Offset of the last snapshot that was noticed.
+    snapped: u64,
+    /// When the next snapshot is due at the latest.
+    due: Instant,
+    /// The state of the last checkpoint.
+    past: Rc<State>,
+    /// Notes about the records folded since they were last taken.
+    notes: Vec<Note>,
+    voters: Voters,
+    /// The other voters' answers, by address.
+    reached: BTreeMap<SocketAddr, Reached>,
+    /// Offsets that the fleet processes are known to have folded up to.
+    heard: BTreeMap<NodeName, u64>,
 }
 
 impl Replica {
-    /// An empty copy for the process `me`.
+    /// An empty copy for the process `me`, which starts at `now`.
     #[must_use]
-    pub fn new(me: Hello) -> Self {
+    pub fn new(now: Instant, me: Hello, voters: Voters) -> Self {
         Self {
-            freshness: Freshness::new(Voter::from(&me)),
+            freshness: Freshness::new(now, voters.clone()),
             me,
             state: Rc::default(),
             kept: VecDeque::new(),
             asked: None,
+            first: 0,
+            snapped: 0,
+            due: now + SNAPSHOT_AFTER,
+            past: Rc::default(),
+            notes: Vec::new(),
+            voters,
             reached: BTreeMap::new(),
+            heard: BTreeMap::new(),
         }
     }
 
@@ -75,7 +115,13 @@
                 break;
             }
             if offset == self.state.offset {
-                let _ = Rc::make_mut(&mut self.state).apply(offset, &data);
+                if offset.is_multiple_of(CHECKPOINT_EVERY) {
+                    self.past = Rc::clone(&self.state);
+                }
+                let outcome = Rc::make_mut(&mut self.state).apply(offset, &data);
+                let record = Record::decode(&data).ok();
+                self.notes
+                    .extend(record.and_then(|record| note_of(&record, &outcome)));
                 self.keep(offset, data);
             }
         }
@@ -84,18 +130,32 @@
         }
     }
 
+    /// Takes out the notes about the records folded since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Takes over the state of a snapshot, if it is further on.
     ///
     /// # Errors
     /// A [`DecodeError`] if `bytes` are not a snapshot of `offset`.
     pub fn adopt(&mut self, now: Instant, offset: u64, bytes: &[u8]) -> Result<(), DecodeError> {
-        let state = State::from_snapshot(offset, bytes)?;
-        if offset > self.state.offset {
+        self.resume(now, State::from_snapshot(offset, bytes)?);
+        Ok(())
+    }
+
+    /// Takes over `state`, if it is further on.
+    pub fn resume(&mut self, now: Instant, state: State) {
+        if state.offset > self.state.offset {
             self.state = Rc::new(state);
             self.kept.clear();
             self.folded(now);
         }
-        Ok(())
+    }
+
+    /// Notes that `first` is the oldest offset that the log holds.
+    pub fn expired(&mut self, first: u64) {
+        self.first = self.first.max(first);
     }
 
     /// Notes that the log, asked at `asked`, told `head` as the offset of its next record.
@@ -107,24 +167,23 @@
         self.freshness.observe(now, FreshnessEvent::Head { asked });
     }
 
-    /// Notes that a process has folded up to `offset`.
-    pub fn note(&mut self, peer: &Hello, offset: u64) {
-        let reached = self.reached.entry(Voter::from(peer)).or_insert(offset);
-        *reached = offset.max(*reached);
-    }
-
-    /// Takes in a fleet process's answer to the probe of `asked`.
+    /// Takes in the answer to the probe of `asked` of the fleet process `peer`, dialled at `addr`.
     pub fn vouched(
         &mut self,
         now: Instant,
-        peer: &Hello,
+        (peer, addr): (&Hello, Option<SocketAddr>),
         asked: Instant,
         offset: u64,
         age: Option<u32>,
     ) {
-        self.note(peer, offset);
+        let heard = self.heard.entry(peer.node.clone()).or_insert(offset);
+        *heard = offset.max(*heard);
+        let by = addr.map(|addr| Voter::new(addr, peer));
+        if let Some(by) = by.clone().filter(|by| self.voters.has_other(by.addr)) {
+            self.reach(Reached { by, offset, asked });
+        }
         let event = FreshnessEvent::Vouched {
-            by: Voter::from(peer),
+            by,
             asked,
             offset,
             age: age.map(|age| Duration::from_millis(age.into())),
@@ -132,23 +191,34 @@
         self.freshness.observe(now, event);
     }
 
+    fn reach(&mut self, news: Reached) {
+        let order = |reached: &Reached| (reached.by.incarnation, reached.asked);
+        let held = self.reached.get(&news.by.addr);
+        if held.is_none_or(|held| order(held) <= order(&news)) {
+            self.reached.insert(news.by.addr, news);
+        }
+    }
+
     /// Whether a process is known to have folded further than this one.
     #[must_use]
     pub fn is_behind(&self, peer: &Hello) -> bool {
-        let reached = self.reached.get(&Voter::from(peer));
-        reached.is_some_and(|reached| *reached > self.state.offset)
+        let heard = self.heard.get(&peer.node);
+        heard.is_some_and(|heard| *heard > self.state.offset)
     }
 
-    /// The answer to a probe.
+    /// The answer to a probe; none while this process may not vouch.
     #[must_use]
-    pub fn vouch(&self, now: Instant, nonce: u64) -> Message {
+    pub fn vouch(&self, now: Instant, nonce: u64) -> Option<Message> {
+        if !self.freshness.may_vouch() {
+            return None;
+        }
         // Rounded up: an age that is too small would make others trust too long.
         let age = |asked| now.saturating_duration_since(asked).as_millis() + 1;
-        Message::Vouch {
+        Some(Message::Vouch {
             nonce,
             offset: self.state.offset,
             age: self.asked.and_then(|asked| age(asked).try_into().ok()),
-        }
+        })
     }
 
     /// The answer to a fetch: records, or the state where they are no longer kept.
@@ -178,43 +248,58 @@
         Message::Records(batch.cloned().collect())
     }
 
-    /// Whether a majority of the voters are known to have folded the record at `offset`. From
-    /// then on every process that is fresh by its voters, or will be, has it within
-    /// [`FRESH_FOR`](crate::member::FRESH_FOR).
+    /// The voters known to have folded the record at `offset`; none while they are no majority.
     #[must_use]
-    pub fn in_force(&self, offset: u64) -> bool {
-        let voters = self.voters();
-        let has = |voter: &&Voter| self.reached_by(voter) > offset;
-        voters.iter().filter(has).count() * 2 > voters.len()
+    pub fn holders(&self, offset: u64) -> Option<Vec<Voter>> {
+        let reached = self.reached.values();
+        let others = reached.filter(|reached| reached.offset > offset);
+        let others: Vec<Voter> = others.map(|reached| reached.by.clone()).collect();
+        let own = self.own_vote(self.state.offset > offset);
+        (others.len() + own >= self.voters.majority()).then_some(others)
+    }
+
+    /// Whether a majority of the voters, counting `holders` only, have answered a probe of
+    /// `since` or later in the same incarnation. A record that they held at `since` is in force:
+    /// each voter that has recovered since knows it from one of them, and every process that is
+    /// fresh by its voters has it within [`FRESH_FOR`](crate::member::FRESH_FOR).
+    #[must_use]
+    pub fn confirmed(&self, holders: &[Voter], since: Instant) -> bool {
+        let answered = |holder: &&Voter| {
+            let reached = self.reached.get(&holder.addr);
+            reached.is_some_and(|reached| reached.by == **holder && reached.asked >= since)
+        };
+        let others = holders.iter().filter(answered).count();
+        others + self.own_vote(true) >= self.voters.majority()
+    }
+
+    fn own_vote(&self, holds: bool) -> usize {
+        usize::from(holds && self.voters.own().is_some() && self.freshness.may_vouch())
     }
 
     /// Whether this process should append a snapshot now: of the fleet members that stay, the
     /// one whose name comes first does.
     #[must_use]
     pub fn snapshot_due(&self, now: Instant) -> bool {
-        let since = self.state.offset - self.state.snapped;
+        let state = &self.state;
+        let many = state.offset - state.snapped > SNAPSHOT_EVERY;
+        let gone = self.first > state.resumes;
         let mut staying = self.state.members_of(Role::Fleet);
         let writer = staying.find(|(_, member)| !member.leaving);
         let mine = writer.is_some_and(|(name, member)| {
             *name == self.me.node && member.incarnation == self.me.incarnation
         });
-        mine && since > SNAPSHOT_EVERY && self.until() > Some(now)
+        mine && (many || gone || now >= self.due) && self.until() > Some(now)
     }
 
-    fn reached_by(&self, voter: &Voter) -> u64 {
-        if *voter == Voter::from(&self.me) {
-            return self.state.offset;
+    /// A snapshot that the fold will accept: of the last checkpoint, which no other record can
+    /// overtake, or of now if there has been a snapshot since.
+    #[must_use]
+    pub fn next_snapshot(&self) -> Vec<u8> {
+        let checkpoint = self.state.checkpoint.offset;
+        if checkpoint > self.state.snapped && self.past.offset == checkpoint {
+            return self.past.snapshot();
         }
-        self.reached.get(voter).copied().unwrap_or(0)
-    }
-
-    fn voters(&self) -> BTreeSet<Voter> {
-        let members = self.state.members_of(Role::Fleet);
-        let voters = members.map(|(name, member)| Voter {
-            node: name.clone(),
-            incarnation: member.incarnation,
-        });
-        voters.collect()
+        self.state.snapshot()
     }
 
     fn keep(&mut self, offset: u64, data: Vec<u8>) {
@@ -225,9 +310,12 @@
     }
 
     fn folded(&mut self, now: Instant) {
+        if self.state.snapped != self.snapped {
+            self.snapped = self.state.snapped;
+            self.due = now + SNAPSHOT_AFTER;
+        }
         let event = FreshnessEvent::Folded {
             offset: self.state.offset,
-            voters: self.voters(),
         };
         self.freshness.observe(now, event);
     }
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -9,6 +9,7 @@
 use crate::name::PoolName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::record::Checkpoint;
 use crate::record::Host;
 use crate::record::KeyHash;
 use crate::record::Member;
@@ -46,6 +47,10 @@
     pub epoch: u64,
     /// Offset of the last accepted snapshot.
     pub snapped: u64,
+    /// Offset from which that snapshot needs the records.
+    pub resumes: u64,
+    /// The last checkpoint.
+    pub checkpoint: Checkpoint,
 }
 
 impl State {
@@ -90,6 +95,20 @@
         of_pool.filter(|host| !self.usable(host)).count()
     }
 
+    /// Whether this incarnation of a process is a member.
+    #[must_use]
+    pub fn is_member(&self, node: &NodeName, incarnation: u64) -> bool {
+        let member = self.members.get(node);
+        member.is_some_and(|member| member.incarnation == incarnation)
+    }
+
+    /// Whether this incarnation of a process was a member and has been ended or replaced.
+    #[must_use]
+    pub fn is_ended(&self, node: &NodeName, incarnation: u64) -> bool {
+        let last = self.incarnations.get(node);
+        last.is_some_and(|last| *last >= incarnation) && !self.is_member(node, incarnation)
+    }
+
     /// Members of a role, the leaving ones included.
     pub fn members_of(&self, role: Role) -> impl Iterator<Item = (&NodeName, &Member)> {
         self.members
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -8,6 +8,7 @@
 use crate::http::Limits;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::node::probes;
 use crate::record::Role;
 use crate::sched::Scheduler;
@@ -51,3 +52,9 @@
         let _ = compio::time::timeout_at(deadline, self.http.stopped()).await;
     }
 }
+
+impl Service for SchedServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
--- a/tests/dispatch_sim/site.rs
+++ b/tests/dispatch_sim/site.rs
@@ -13,6 +13,7 @@
 use mimosastep::record::Role;
 use mimosastep::record::State;
 use mimosastep::record::Team;
+use mimosastep::wire::Peer;
 
 /// Services of the site.
 pub const SERVICES: [&str; 2] = ["labels", "prices"];
@@ -31,6 +32,14 @@
     format!("{role}-{index}").parse().expect("a name")
 }
 
+/// A process of the site.
+pub fn peer(role: Role, index: usize) -> Peer {
+    Peer {
+        node: node(role, index),
+        incarnation: 1,
+    }
+}
+
 /// Name of a data centre.
 pub fn dc(index: u8) -> DcName {
     format!("dc-{index}").parse().expect("a name")
@@ -44,7 +53,8 @@
 /// A state in which everything is in service.
 pub fn state() -> State {
     let mut state = State {
-        epoch: 1,
+        // Each process has joined once and none has ended.
+        epoch: 2 * PROCESSES as u64,
         ..State::default()
     };
     for team in TEAMS {
@@ -93,6 +103,7 @@
             leaving: false,
         };
         state.members.insert(node(role, index), member);
+        state.incarnations.insert(node(role, index), 1);
     }
     state
 }
--- a/tests/dispatch_sim/world.rs
+++ b/tests/dispatch_sim/world.rs
@@ -348,6 +348,14 @@
                 sched::Action::Send(link, message) => {
                     self.send(link, 1, Item::ToGate(link, message));
                 }
+                sched::Action::Peer(peer, message) => {
+                    let from = site::peer(Role::Sched, index);
+                    let to = (0..site::PROCESSES).find(|i| site::peer(Role::Sched, *i) == peer);
+                    let event = sched::Event::Permits(from, message);
+                    let item = Item::Sched(to.expect("a scheduler"), event);
+                    let at = self.now + self.delay();
+                    self.push_at(at, item);
+                }
                 sched::Action::Note(note) => *self.notes.entry(note.kind).or_default() += 1,
             }
         }
@@ -653,6 +661,8 @@
             last: [self.now; 2],
         };
         self.links.insert(link, ends);
+        let event = sched::Event::Up(link, site::peer(Role::Gate, gate));
+        self.sched(sched, event);
         let event = gate::Event::Up {
             link,
             node: site::node(Role::Sched, sched),
@@ -747,8 +757,12 @@
 fn sched_event(link: LinkId, message: Message) -> sched::Event {
     match message {
         Message::Ask(ask) => sched::Event::Ask(link, ask),
-        Message::Cancel(attempt) => sched::Event::Cancel(attempt),
-        Message::Finished { attempt, evidence } => sched::Event::Finished { attempt, evidence },
+        Message::Cancel(attempt) => sched::Event::Cancel(link, attempt),
+        Message::Finished { attempt, evidence } => sched::Event::Finished {
+            link,
+            attempt,
+            evidence,
+        },
         Message::Report { epoch, running } => sched::Event::Report {
             link,
             epoch,
