--- a/scenarios/tests/scripts.rs
+++ b/scenarios/tests/scripts.rs
@@ -15,13 +15,16 @@
 
 #[test_case("answers_lost")]
 #[test_case("dc_out")]
+#[test_case("frozen_rejoins")]
 #[test_case("key_withdrawn")]
 #[test_case("log_down")]
 #[test_case("race")]
 #[test_case("rolling_stop")]
+#[test_case("sched_stop")]
 #[test_case("scheduler_frozen")]
 #[test_case("scheduler_killed")]
 #[test_case("served")]
+#[test_case("voter_restarts")]
 fn scenario_holds(name: &str) {
     let _alone = ALONE
         .lock()
