--- /dev/null
+++ b/examples/share_measure.rs
@@ -0,0 +1,288 @@
+//! How near teams come to their shares, how soon urgent work starts, and what permits cost.
+//!
+//! Two large teams flood one service after the other with five times what it runs, and four small
+//! ones go on. Virtual time and fixed seeds; the exit status is 1 if a bound from a stated target
+//! is broken. Run it with `cargo run --example share_measure`.
+
+use std::collections::VecDeque;
+use std::process::ExitCode;
+
+use mimosastep::record::Team;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+#[path = "../tests/share_fleet/mod.rs"]
+mod share_fleet;
+
+use share_fleet::Break;
+use share_fleet::Fleet;
+use share_fleet::table;
+
+/// Team, weight and requests a second at the service that peaks.
+const TEAMS: [(&str, u32, u64); 6] = [
+    ("a", 4, 500),
+    ("b", 4, 250),
+    ("c", 1, 20),
+    ("d", 1, 20),
+    ("e", 1, 20),
+    ("f", 1, 10),
+];
+const SERVICES: usize = 5;
+const SLOTS: u32 = 16;
+const SCHEDS: usize = 3;
+const GATES: usize = 3;
+/// Upper limit of the large teams over the fleet.
+const LIMIT: u32 = 40;
+const PEAK_MS: u64 = 4_000;
+/// Urgent work starts within a second.
+const URGENT_TARGET: u64 = 1_000;
+/// Mean distance from the share, in parts of a service's slots: one slot in twenty, less than a
+/// team of the smallest weight has.
+const DISTANCE_TARGET: f64 = 0.05;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    Fifo,
+    Static,
+}
+
+#[derive(Default)]
+struct Distance {
+    sum: f64,
+    most: f64,
+    count: f64,
+}
+
+impl Distance {
+    /// Takes in how far `running` is from the weighted max-min shares of the demand.
+    fn add(&mut self, running: &[u32], waiting: &[u32]) {
+        let demand: Vec<f64> = running
+            .iter()
+            .zip(waiting)
+            .map(|(r, w)| f64::from(r + w))
+            .collect();
+        let shares = shares(&demand);
+        for (running, share) in running.iter().zip(shares) {
+            let distance = (f64::from(*running) - share).abs() / f64::from(SLOTS);
+            self.sum += distance;
+            self.most = self.most.max(distance);
+            self.count += 1.0;
+        }
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum / self.count
+    }
+}
+
+fn shares(demand: &[f64]) -> Vec<f64> {
+    let mut shares = vec![0.0; demand.len()];
+    let mut left = f64::from(SLOTS);
+    let mut open: Vec<usize> = (0..demand.len()).collect();
+    while left > 1e-9 && !open.is_empty() {
+        let total: f64 = open.iter().map(|i| f64::from(TEAMS[*i].1)).sum();
+        let need = |i: &usize| (demand[*i] - shares[*i]) / f64::from(TEAMS[*i].1);
+        let step = open.iter().map(need).fold(left / total, f64::min);
+        for i in &open {
+            shares[*i] += step * f64::from(TEAMS[*i].1);
+        }
+        left -= step * total;
+        open.retain(|i| demand[*i] - shares[*i] > 1e-9);
+    }
+    shares
+}
+
+/// One service at its peak under a policy without escrow; the distance and the urgent waits.
+fn baseline(policy: Policy, seed: u64) -> (Distance, Vec<u64>) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut queue: VecDeque<(usize, u64)> = VecDeque::new();
+    let mut running: Vec<(usize, u64)> = Vec::new();
+    let (mut distance, mut urgent) = (Distance::default(), Vec::new());
+    for now in 0..PEAK_MS {
+        running.retain(|(_, ends)| *ends > now);
+        for (team, (_, _, rate)) in TEAMS.iter().enumerate() {
+            if rng.random_range(0..1_000) < *rate {
+                queue.push_back((team, now));
+            }
+        }
+        while running.len() < SLOTS as usize {
+            let weight: u32 = TEAMS.iter().map(|team| team.1).sum();
+            let part = |team: usize| (SLOTS * TEAMS[team].1).div_ceil(weight) as usize;
+            let used = |team: usize| running.iter().filter(|(of, _)| *of == team).count();
+            let next = queue
+                .iter()
+                .position(|(team, _)| policy == Policy::Fifo || used(*team) < part(*team));
+            let Some((team, asked)) = next.and_then(|next| queue.remove(next)) else {
+                break;
+            };
+            if team == 5 {
+                urgent.push(now - asked);
+            }
+            running.push((team, now + rng.random_range(20..180)));
+        }
+        if now > 500 && now.is_multiple_of(50) {
+            let count = |list: &mut dyn Iterator<Item = usize>| {
+                let mut counts = [0; 6];
+                list.for_each(|team| counts[team] += 1);
+                counts
+            };
+            let runs = count(&mut running.iter().map(|(team, _)| *team));
+            let waits = count(&mut queue.iter().map(|(team, _)| *team));
+            distance.add(&runs, &waits);
+        }
+    }
+    (distance, urgent)
+}
+
+fn fleet(seed: u64) -> Fleet {
+    let rows = TEAMS.map(|(team, weight, _)| {
+        let row = Team {
+            weight,
+            limit: if weight > 1 { LIMIT } else { 80 },
+            urgent: team == "f",
+        };
+        (team, row)
+    });
+    let mut fleet = Fleet::open(
+        seed,
+        SCHEDS,
+        GATES,
+        table(SERVICES, 2, SLOTS / 2, &rows),
+        Break::None,
+    );
+    fleet.run_ms = |rng| rng.random_range(20..180);
+    fleet
+}
+
+fn hot(now: u64) -> usize {
+    (now / PEAK_MS) as usize % SERVICES
+}
+
+fn load(fleet: &mut Fleet) {
+    let hot = hot(fleet.now);
+    for (team, _, rate) in TEAMS {
+        for service in 0..SERVICES {
+            let rate = if service == hot { rate } else { rate / 20 + 1 };
+            if fleet.rng.random_range(0..1_000) < rate {
+                let gate = SCHEDS + fleet.rng.random_range(0..GATES);
+                fleet.submit(gate, team, &format!("s{service}"), team == "f", 3_000);
+            }
+        }
+    }
+}
+
+fn percentile(waits: &mut [u64], part: f64) -> u64 {
+    waits.sort_unstable();
+    let index = (waits.len() as f64 * part) as usize;
+    waits
+        .get(index.min(waits.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0)
+}
+
+/// Both large teams want more than their limit at all services; a scheduler is lost. Milliseconds
+/// until they run nine tenths of the limit again, for good.
+fn recovery(seed: u64, lose_ledger: bool) -> (u64, usize) {
+    let mut fleet = fleet(seed);
+    let mut lost = 0;
+    let mut last_low = 0;
+    while fleet.now < 40_000 {
+        for service in 0..SERVICES {
+            let gate = SCHEDS + fleet.rng.random_range(0..GATES);
+            if fleet.rng.random_bool(0.15) {
+                fleet.submit(gate, "a", &format!("s{service}"), false, 3_000);
+            }
+        }
+        match fleet.now {
+            10_000 => {
+                let ledger = fleet.ledger("a").unwrap_or(0);
+                lost = if lose_ledger {
+                    ledger
+                } else {
+                    (ledger + 1) % SCHEDS
+                };
+                fleet.kill(lost);
+            }
+            11_500 => fleet.end(lost),
+            13_000 => fleet.boot(lost),
+            _ => {}
+        }
+        fleet.step();
+        if fleet.now > 10_000 && fleet.running("a") * 10 < LIMIT * 8 {
+            last_low = fleet.now;
+        }
+    }
+    (last_low.saturating_sub(10_000), fleet.violations.len())
+}
+
+fn main() -> ExitCode {
+    let mut broken = Vec::new();
+    let (mut distance, mut stranded, mut samples) = (Distance::default(), 0.0, 0.0);
+    let (mut urgent, mut beyond) = (Vec::new(), 0);
+    for seed in 0..3 {
+        let mut fleet = fleet(seed);
+        while fleet.now < 24_000 {
+            load(&mut fleet);
+            fleet.step();
+            let since = fleet.now % PEAK_MS;
+            if fleet.now > PEAK_MS && since > 500 && fleet.now.is_multiple_of(50) {
+                let demand = TEAMS.map(|(team, ..)| fleet.demand(team, hot(fleet.now)));
+                distance.add(&demand.map(|d| d[0]), &demand.map(|d| d[1]));
+                stranded += f64::from(LIMIT.saturating_sub(fleet.held("a")));
+                samples += 1.0;
+            }
+        }
+        let started = fleet
+            .outcomes
+            .iter()
+            .filter(|o| o.urgent && o.asked > PEAK_MS);
+        urgent.extend(started.map(|o| match o.retry {
+            Some(_) => u64::MAX,
+            None => o.at - o.asked,
+        }));
+        beyond += fleet.violations.len();
+    }
+    let p99 = percentile(&mut urgent, 0.99);
+    println!("policy    distance mean  greatest  urgent p99 ms");
+    println!(
+        "escrow    {:>13.3} {:>9.3} {p99:>14}",
+        distance.mean(),
+        distance.most
+    );
+    for (label, policy) in [("fifo", Policy::Fifo), ("static", Policy::Static)] {
+        let (distance, mut waits) = baseline(policy, 1);
+        let p99 = percentile(&mut waits, 0.99);
+        println!(
+            "{label:<9} {:>13.3} {:>9.3} {p99:>14}",
+            distance.mean(),
+            distance.most
+        );
+    }
+    println!(
+        "permits of team a in nobody's hands: {:.2} of {LIMIT} on average",
+        stranded / samples
+    );
+    for (label, ledger) in [("holder", false), ("ledger", true)] {
+        let runs = [0, 1, 2].map(|seed| recovery(seed, ledger));
+        beyond += runs.iter().map(|run| run.1).sum::<usize>();
+        println!(
+            "a {label} lost: 8 tenths of the limit in use again after {:?} ms",
+            runs.map(|run| run.0)
+        );
+    }
+    println!("starts beyond a limit: {beyond}");
+    if p99 > URGENT_TARGET {
+        broken.push("urgent work starts late");
+    }
+    if beyond > 0 {
+        broken.push("a limit was exceeded");
+    }
+    if distance.mean() > DISTANCE_TARGET {
+        broken.push("teams are far from their shares");
+    }
+    for what in &broken {
+        println!("broken: {what}");
+    }
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
--- a/tests/limit_escrow.rs
+++ b/tests/limit_escrow.rs
@@ -106,13 +106,6 @@
     assert!(first_violation(event, fault).is_some());
 }
 
-fn held(fleet: &Fleet) -> u32 {
-    (0..SCHEDS)
-        .filter_map(|index| fleet.scheduler(index))
-        .map(|scheduler| scheduler.escrow().permits(&share_fleet::name("t")))
-        .sum()
-}
-
 #[test]
 fn permits_come_back_after_faults() {
     for seed in 0..20 {
@@ -134,7 +127,7 @@
         for _ in 0..1_000 {
             let until = fleet.now + 1;
             run(&mut fleet, until, calm);
-            most = most.max(held(&fleet));
+            most = most.max(fleet.held("t"));
             sum += fleet.running("t");
         }
         assert_eq!(most, LIMIT, "seed {seed}");
--- a/tests/share_fleet/mod.rs
+++ b/tests/share_fleet/mod.rs
@@ -16,6 +16,7 @@
 use mimosastep::gate::Settled;
 use mimosastep::gate::Submission;
 use mimosastep::member::FRESH_FOR;
+use mimosastep::name::HostName;
 use mimosastep::name::NodeName;
 use mimosastep::name::TeamName;
 use mimosastep::net::LinkId;
@@ -74,6 +75,7 @@
 
 struct Task {
     team: TeamName,
+    host: HostName,
     gate: usize,
     incarnation: u64,
     ends: u64,
@@ -261,6 +263,35 @@
         tasks.filter(|task| task.team.as_str() == team).count() as u32
     }
 
+    /// Requests of a team that run and that wait at a service.
+    pub fn demand(&self, team: &str, service: usize) -> [u32; 2] {
+        let prefix = format!("h{service}-");
+        let here =
+            |task: &&Task| task.team.as_str() == team && task.host.as_str().starts_with(&prefix);
+        let running = self.tasks.values().filter(here).count();
+        let asked = format!("s{service}");
+        let waits = |outcome: &&Outcome| outcome.team == team && outcome.service == asked;
+        let waiting = self.open.values().filter(waits).count();
+        [running as u32, waiting as u32]
+    }
+
+    /// Permits of a team that schedulers hold.
+    pub fn held(&self, team: &str) -> u32 {
+        (0..self.scheds())
+            .filter_map(|index| self.scheduler(index))
+            .map(|scheduler| scheduler.escrow().permits(&name(team)))
+            .sum()
+    }
+
+    /// The scheduler that keeps a team's ledger.
+    pub fn ledger(&self, team: &str) -> Option<usize> {
+        let keeps = |index: &usize| {
+            let scheduler = self.scheduler(*index);
+            scheduler.is_some_and(|scheduler| scheduler.escrow().ledger(&name(team)).is_some())
+        };
+        (0..self.scheds()).find(keeps)
+    }
+
     pub fn scheduler(&self, index: usize) -> Option<&Scheduler> {
         match &self.nodes[index].body {
             Body::Sched(scheduler) if self.nodes[index].up => Some(scheduler),
@@ -613,7 +644,9 @@
                         self.send(index, to, link.0, message);
                     }
                 }
-                gate::Action::Run { grant, team } => self.run(index, grant.attempt, team),
+                gate::Action::Run { grant, team } => {
+                    self.run(index, grant.attempt, grant.host, team)
+                }
                 gate::Action::Renew(_, attempts) => self.renew(&attempts),
                 gate::Action::Cancel(_, attempts) => {
                     for attempt in attempts {
@@ -757,7 +790,7 @@
         }
     }
 
-    fn run(&mut self, gate: usize, attempt: AttemptId, team: TeamName) {
+    fn run(&mut self, gate: usize, attempt: AttemptId, host: HostName, team: TeamName) {
         self.started += 1;
         self.settle(attempt.request, None);
         let run_ms = (self.run_ms)(&mut self.rng);
@@ -771,6 +804,7 @@
         }
         let task = Task {
             team,
+            host,
             gate,
             incarnation: self.nodes[gate].incarnation,
             ends: self.now + run_ms,
