--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -290,19 +290,20 @@
         if !self.is_asked(link, &refusal.attempt) {
             return;
         }
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let again = now + Duration::from_millis(PAUSE_MS);
+        pending.phase = Phase::Unplaced { again };
         if refusal.code != RefusalCode::Unavailable {
             let code = FailureCode::Refused(refusal.code);
             self.fail(now, request, code, Some(refusal.retry_after), out);
             return;
         }
-        if let Some(pending) = self.requests.get_mut(&request) {
-            let again = now + Duration::from_millis(PAUSE_MS);
-            pending.number += 1;
-            pending.phase = Phase::Unplaced { again };
-            let owner = self.links.owner(&self.state, &pending.submission.service);
-            if owner != Some(link) {
-                self.place_one(now, request, out);
-            }
+        pending.number += 1;
+        let owner = self.links.owner(&self.state, &pending.submission.service);
+        if owner != Some(link) {
+            self.place_one(now, request, out);
         }
     }
 
--- /dev/null
+++ b/tests/dispatch_gate.rs
@@ -0,0 +1,307 @@
+//! What a gate decides at the turns that have lost or doubled requests.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use mimosastep::gate::Action;
+use mimosastep::gate::Ended;
+use mimosastep::gate::Event;
+use mimosastep::gate::Failure;
+use mimosastep::gate::FailureCode;
+use mimosastep::gate::Gate;
+use mimosastep::gate::Settled;
+use mimosastep::gate::Submission;
+use mimosastep::net::LinkId;
+use mimosastep::record::Host;
+use mimosastep::record::Member;
+use mimosastep::record::Pool;
+use mimosastep::record::Role;
+use mimosastep::record::State;
+use mimosastep::record::Team;
+use mimosastep::wire::AttemptId;
+use mimosastep::wire::Evidence;
+use mimosastep::wire::Grant;
+use mimosastep::wire::Message;
+use mimosastep::wire::Refusal;
+use mimosastep::wire::RefusalCode;
+use mimosastep::wire::RequestId;
+use mimosastep::wire::Verdict;
+
+const LINK: LinkId = LinkId(1);
+const REQUEST: RequestId = RequestId(1);
+
+fn state() -> State {
+    let name = || "public".parse().expect("a name");
+    let mut state = State::default();
+    let team = Team {
+        weight: 1,
+        limit: 9,
+        urgent: false,
+    };
+    state.teams.insert(name(), team);
+    state.dcs.insert("d".parse().expect("a name"), true);
+    let pool = Pool {
+        service: Some("s".parse().expect("a name")),
+        open: true,
+        teams: BTreeSet::new(),
+        budget: 1,
+    };
+    state.pools.insert("p".parse().expect("a name"), pool);
+    let host = Host {
+        dc: "d".parse().expect("a name"),
+        rack: "r".parse().expect("a name"),
+        addr: ([127, 0, 0, 1], 80).into(),
+        slots: 1,
+        pool: "p".parse().expect("a name"),
+        active: true,
+        draining: false,
+        maintained: 0,
+    };
+    for name in ["h1", "h2"] {
+        state
+            .hosts
+            .insert(name.parse().expect("a name"), host.clone());
+    }
+    let member = Member {
+        role: Role::Sched,
+        incarnation: 1,
+        addr: host.addr,
+        dc: host.dc,
+        leaving: false,
+    };
+    state.members.insert("q".parse().expect("a name"), member);
+    state
+}
+
+struct Bench {
+    gate: Gate,
+    now: Instant,
+}
+
+impl Bench {
+    /// A gate with one request, for which the scheduler has been asked.
+    fn open(idempotent: bool) -> Self {
+        let mut bench = Self {
+            gate: Gate::default(),
+            now: Instant::now(),
+        };
+        let node = "q".parse().expect("a name");
+        bench.tell(Event::State(Rc::new(state())));
+        bench.tell(Event::Fresh(bench.now + Duration::from_secs(60)));
+        bench.tell(Event::Up {
+            link: LINK,
+            node,
+            incarnation: 1,
+        });
+        let asked = bench.submit(REQUEST, idempotent);
+        assert!(matches!(asked[..], [Action::Send(_, Message::Ask(_))]));
+        bench
+    }
+
+    fn submit(&mut self, request: RequestId, idempotent: bool) -> Vec<Action> {
+        self.tell(Event::Submit(Submission {
+            request,
+            caller: Some("invoice-1".into()),
+            service: "s".parse().expect("a name"),
+            key: None,
+            urgent: false,
+            idempotent,
+            deadline: self.now + Duration::from_secs(30),
+        }))
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gate.handle(self.now, event, &mut out);
+        out.retain(|action| !matches!(action, Action::Note(_)));
+        out
+    }
+
+    fn tick(&mut self, millis: u64) -> Vec<Action> {
+        self.now += Duration::from_millis(millis);
+        self.tell(Event::Tick)
+    }
+
+    fn grant(&mut self, number: u32) -> Vec<Action> {
+        self.tell(Event::Grant(
+            LINK,
+            Grant {
+                attempt: attempt(number),
+                host: format!("h{number}").parse().expect("a name"),
+                addr: ([127, 0, 0, 1], 80).into(),
+            },
+        ))
+    }
+
+    fn refuse(&mut self, number: u32, code: RefusalCode) -> Vec<Action> {
+        let refusal = Refusal {
+            attempt: attempt(number),
+            code,
+            retry_after: 700,
+        };
+        self.tell(Event::Refuse(LINK, refusal))
+    }
+}
+
+const fn attempt(number: u32) -> AttemptId {
+    AttemptId {
+        request: REQUEST,
+        number,
+    }
+}
+
+fn asks(actions: &[Action], number: u32) -> bool {
+    let is_ask = |action: &Action| match action {
+        Action::Send(_, Message::Ask(ask)) => ask.attempt == attempt(number),
+        _ => false,
+    };
+    actions.iter().any(is_ask)
+}
+
+fn failure(actions: &[Action]) -> Option<Failure> {
+    actions.iter().find_map(|action| match action {
+        Action::Fail(_, failure) => Some(*failure),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_scheduler_in_charge_is_asked_again_after_it_could_not_say() {
+    let mut bench = Bench::open(false);
+    assert_eq!(bench.refuse(1, RefusalCode::Unavailable), []);
+    assert!(asks(&bench.tick(100), 2));
+}
+
+#[test]
+fn a_question_without_an_answer_is_repeated() {
+    let mut bench = Bench::open(false);
+    assert!(asks(&bench.tick(2_000), 1));
+}
+
+#[test]
+fn a_grant_for_a_host_taken_out_is_given_back_and_the_request_goes_on() {
+    let mut bench = Bench::open(false);
+    let mut state = state();
+    state.dcs.insert("d".parse().expect("a name"), false);
+    bench.tell(Event::State(Rc::new(state)));
+    let back = bench.grant(1);
+    assert!(
+        matches!(back[..], [Action::Send(_, Message::Finished { .. })]),
+        "{back:?}"
+    );
+    assert!(asks(&bench.tick(100), 2));
+}
+
+#[test]
+fn a_repeated_grant_neither_frees_the_slot_nor_starts_again() {
+    let mut bench = Bench::open(false);
+    assert!(matches!(bench.grant(1)[..], [Action::Run { .. }]));
+    assert_eq!(bench.grant(1), []);
+    bench.tell(Event::Gone(REQUEST));
+    assert_eq!(bench.grant(1), []);
+}
+
+#[test]
+fn a_refusal_after_an_unknown_attempt_is_not_told_as_not_run() {
+    let mut bench = Bench::open(true);
+    bench.grant(1);
+    bench.tell(Event::Ended(attempt(1), Ended::Unknown));
+    assert!(asks(
+        &bench.tell(Event::Settled(attempt(1), Settled::Over)),
+        2
+    ));
+    let failed = failure(&bench.refuse(2, RefusalCode::Overloaded)).expect("a failure");
+    assert_eq!(failed.verdict, Verdict::Unknown);
+}
+
+#[test_case::test_case(false, Settled::Refused, None; "surely not run, so again")]
+#[test_case::test_case(true, Settled::Over, None; "idempotent, so again")]
+#[test_case::test_case(false, Settled::Over, Some(Verdict::Unknown); "may have run")]
+#[test_case::test_case(false, Settled::Unreachable, Some(Verdict::Unknown); "no word")]
+fn a_broken_attempt_is_settled_first(idempotent: bool, settled: Settled, verdict: Option<Verdict>) {
+    let mut bench = Bench::open(idempotent);
+    bench.grant(1);
+    let out = bench.tell(Event::Ended(attempt(1), Ended::Unknown));
+    assert!(matches!(out[..], [Action::Cancel(..)]), "{out:?}");
+    let out = bench.tell(Event::Settled(attempt(1), settled));
+    let freed = out
+        .iter()
+        .any(|action| matches!(action, Action::Send(_, Message::Finished { .. })));
+    assert_eq!(freed, settled != Settled::Unreachable);
+    assert_eq!(failure(&out).map(|failure| failure.verdict), verdict);
+    assert_eq!(asks(&out, 2), verdict.is_none());
+}
+
+#[test]
+fn a_silent_connection_is_given_up_once_the_attempt_is_surely_refused() {
+    let mut bench = Bench::open(false);
+    bench.grant(1);
+    assert_eq!(bench.tell(Event::Unknown(vec![attempt(1)])), []);
+    bench.tick(1_000);
+    let out = bench.tell(Event::Unknown(vec![attempt(1)]));
+    assert!(matches!(out[..], [Action::Cancel(..)]), "{out:?}");
+    let out = bench.tell(Event::Settled(attempt(1), Settled::Refused));
+    assert!(
+        matches!(out[0], Action::Abandon(..)) && asks(&out, 2),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn a_deadline_during_an_attempt_cancels_it_and_keeps_its_slot_until_it_is_over() {
+    let mut bench = Bench::open(false);
+    bench.grant(1);
+    bench.tell(Event::Fresh(bench.now + Duration::from_secs(600)));
+    let out = bench.tick(30_000);
+    let failed = failure(&out).expect("a failure");
+    assert_eq!(
+        (failed.code, failed.verdict),
+        (FailureCode::DeadlinePassed, Verdict::Unknown)
+    );
+    assert!(matches!(out[1..], [Action::Cancel(..)]), "{out:?}");
+    let out = bench.tick(6_000);
+    let evidence = Evidence::Unreachable;
+    let attempt = attempt(1);
+    let freed = Action::Send(LINK, Message::Finished { attempt, evidence });
+    assert!(out.contains(&freed), "{out:?}");
+}
+
+#[test]
+fn a_service_error_is_held_back_while_an_idempotent_request_is_tried_again() {
+    let mut bench = Bench::open(true);
+    bench.grant(1);
+    assert!(asks(
+        &bench.tell(Event::Ended(attempt(1), Ended::Failed)),
+        2
+    ));
+    assert_eq!(
+        bench.refuse(2, RefusalCode::Overloaded),
+        [Action::Pass(REQUEST)]
+    );
+}
+
+#[test]
+fn a_job_that_fails_everywhere_ends_at_once() {
+    let mut bench = Bench::open(true);
+    bench.grant(1);
+    bench.tell(Event::Ended(attempt(1), Ended::Failed));
+    let failed = failure(&bench.refuse(2, RefusalCode::JobFailing)).expect("a failure");
+    assert_eq!(
+        (failed.code.as_str(), failed.verdict),
+        ("job-failing", Verdict::Ran)
+    );
+}
+
+#[test]
+fn a_repeat_of_an_identity_in_progress_is_turned_away() {
+    let mut bench = Bench::open(false);
+    let failed = failure(&bench.submit(RequestId(2), false)).expect("a failure");
+    assert_eq!(
+        (failed.code.as_str(), failed.verdict),
+        ("in-progress", Verdict::Unknown)
+    );
+    bench.tell(Event::Gone(REQUEST));
+    assert!(failure(&bench.submit(RequestId(2), false)).is_none());
+}
