Let leaving schedulers hand back their permits

Cause: the permits that a leaving scheduler did not use stayed with it, and were held off for 10 s after its end, though nothing was lost.

Change: its target is zero from the leave on. The new test failed before (8 of 12 permits held a second and a half after the end) and passes now.

--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -15,6 +15,8 @@
 pub struct Account {
     /// Incarnation of the holder's process.
     pub incarnation: u64,
+    /// Whether it leaves by plan, and so gives back what it does not use.
+    pub leaving: bool,
     /// Whether it has reported to this ledger since that was opened.
     pub heard: bool,
     /// Most permits that it can hold.
@@ -41,6 +43,7 @@
     pub const fn new(incarnation: u64) -> Self {
         Self {
             incarnation,
+            leaving: false,
             heard: false,
             held: 0,
             wanted: 0,
--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -102,11 +102,10 @@
             let known = before
                 .get(node)
                 .filter(|account| account.incarnation == member.incarnation);
-            let account = known.cloned();
-            self.accounts.insert(
-                node.clone(),
-                account.unwrap_or_else(|| Account::new(member.incarnation)),
-            );
+            let known = known.cloned();
+            let mut account = known.unwrap_or_else(|| Account::new(member.incarnation));
+            account.leaving = member.leaving;
+            self.accounts.insert(node.clone(), account);
         }
         for (node, account) in before {
             let stays = self.accounts.get(&node).map(|account| account.incarnation);
@@ -189,7 +188,7 @@
             };
             let added = goal.saturating_sub(account.held).min(free);
             free -= added;
-            let told = if short {
+            let told = if short || account.leaving {
                 *target
             } else {
                 account.target().max(account.held.saturating_add(added))
@@ -221,12 +220,19 @@
         let ended = self.ended.iter().map(|ended| u64::from(ended.held)).sum();
         let limit = u64::from(self.limit).saturating_sub(ended);
         let spare = (self.limit / (SPARE_PART * self.accounts.len().max(1) as u32)).min(1);
-        let wanted: Vec<u32> = self
-            .accounts
-            .values()
-            .map(|account| account.wanted.max(spare))
-            .collect();
-        targets(u32::try_from(limit).unwrap_or(0), &wanted)
+        let stays = self.accounts.values().filter(|account| !account.leaving);
+        let wanted: Vec<u32> = stays.map(|account| account.wanted.max(spare)).collect();
+        let mut parts = targets(u32::try_from(limit).unwrap_or(0), &wanted).into_iter();
+        let accounts = self.accounts.values();
+        accounts
+            .map(|account| {
+                if account.leaving {
+                    0
+                } else {
+                    parts.next().unwrap_or(0)
+                }
+            })
+            .collect()
     }
 
     fn release(&mut self, now: Instant) {
--- a/tests/limit_escrow.rs
+++ b/tests/limit_escrow.rs
@@ -134,3 +134,22 @@
         assert!(sum > LIMIT * 750, "seed {seed}: {sum} ms in use");
     }
 }
+
+/// A scheduler leaves by plan and is ended half a second later; its permits are not held off, also
+/// if nobody needs them while it leaves.
+#[test]
+fn a_planned_leave_gives_its_permits_back_first() {
+    let mut fleet = fleet(1, Break::None);
+    let pass = |fleet: &mut Fleet, until: u64| (fleet.now..until).for_each(|_| fleet.step());
+    pass(&mut fleet, 10_000);
+    assert_eq!(fleet.held("t"), LIMIT);
+    let leaver = (0..SCHEDS)
+        .find(|index| Some(*index) != fleet.ledger("t"))
+        .expect("a holder");
+    fleet.leave(leaver);
+    pass(&mut fleet, 10_500);
+    fleet.end(leaver);
+    fleet.kill(leaver);
+    pass(&mut fleet, 12_000);
+    assert_eq!(fleet.held("t"), LIMIT);
+}
