--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -11,8 +11,13 @@
 use crate::member::FreshnessEvent;
 use crate::member::Voter;
 use crate::member::Voters;
+use crate::member::notes::note_of;
+use crate::member::reached::Reached;
 use crate::name::NodeName;
+use crate::observe::Note;
+use crate::record::CHECKPOINT_EVERY;
 use crate::record::DecodeError;
+use crate::record::Record;
 use crate::record::Role;
 use crate::record::State;
 use crate::wire::Hello;
@@ -24,22 +29,16 @@
 /// Records since the last snapshot after which the next is due.
 pub const SNAPSHOT_EVERY: u64 = 2000;
 
+/// Time since the last snapshot after which the next is due, so that one is always in the log
+/// however few records there are.
+pub const SNAPSHOT_AFTER: Duration = Duration::from_secs(600);
+
 /// Most records in one message.
 const BATCH_RECORDS: usize = 256;
 
 /// Bytes of records after which a message is full.
 const BATCH_BYTES: usize = 256 * 1024;
 
-/// What a voter has answered.
-#[derive(Debug, Clone)]
-struct Reached {
-    by: Voter,
-    /// Offset that it had folded up to.
-    offset: u64,
-    /// Latest probe that it has answered.
-    asked: Instant,
-}
-
 /// The folded state, the records behind it, and how recent it is. Reads no clock.
 #[derive(Debug, Clone)]
 pub struct Replica {
@@ -49,9 +48,17 @@
     freshness: Freshness,
     /// When the log was last asked with an answer that is folded whole.
     asked: Option<Instant>,
-    voters: Voters,
-    /// The other voters' answers, by address.
-    reached: BTreeMap<SocketAddr, Reached>,
+    /// Oldest offset that the log holds.
+    first: u64,
+    /// Offset of the last snapshot that was noticed.
+    snapped: u64,
+    /// When the next snapshot is due at the latest.
+    due: Instant,
+    /// The state of the last checkpoint.
+    past: Rc<State>,
+    /// Notes about the records folded since they were last taken.
+    notes: Vec<Note>,
+    reached: Reached,
     /// Offsets that the fleet processes are known to have folded up to.
     heard: BTreeMap<NodeName, u64>,
 }
@@ -66,8 +73,12 @@
             state: Rc::default(),
             kept: VecDeque::new(),
             asked: None,
-            voters,
-            reached: BTreeMap::new(),
+            first: 0,
+            snapped: 0,
+            due: now + SNAPSHOT_AFTER,
+            past: Rc::default(),
+            notes: Vec::new(),
+            reached: Reached::new(voters),
             heard: BTreeMap::new(),
         }
     }
@@ -92,7 +103,13 @@
                 break;
             }
             if offset == self.state.offset {
-                let _ = Rc::make_mut(&mut self.state).apply(offset, &data);
+                if offset.is_multiple_of(CHECKPOINT_EVERY) {
+                    self.past = Rc::clone(&self.state);
+                }
+                let outcome = Rc::make_mut(&mut self.state).apply(offset, &data);
+                let record = Record::decode(&data).ok();
+                self.notes
+                    .extend(record.and_then(|record| note_of(&record, &outcome)));
                 self.keep(offset, data);
             }
         }
@@ -101,18 +118,32 @@
         }
     }
 
+    /// Takes out the notes about the records folded since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Takes over the state of a snapshot, if it is further on.
     ///
     /// # Errors
     /// A [`DecodeError`] if `bytes` are not a snapshot of `offset`.
     pub fn adopt(&mut self, now: Instant, offset: u64, bytes: &[u8]) -> Result<(), DecodeError> {
-        let state = State::from_snapshot(offset, bytes)?;
-        if offset > self.state.offset {
+        self.resume(now, State::from_snapshot(offset, bytes)?);
+        Ok(())
+    }
+
+    /// Takes over `state`, if it is further on.
+    pub fn resume(&mut self, now: Instant, state: State) {
+        if state.offset > self.state.offset {
             self.state = Rc::new(state);
             self.kept.clear();
             self.folded(now);
         }
-        Ok(())
+    }
+
+    /// Notes that `first` is the oldest offset that the log holds.
+    pub fn expired(&mut self, first: u64) {
+        self.first = self.first.max(first);
     }
 
     /// Notes that the log, asked at `asked`, told `head` as the offset of its next record.
@@ -136,8 +167,8 @@
         let heard = self.heard.entry(peer.node.clone()).or_insert(offset);
         *heard = offset.max(*heard);
         let by = addr.map(|addr| Voter::new(addr, peer));
-        if let Some(by) = by.clone().filter(|by| self.voters.has_other(by.addr)) {
-            self.reach(Reached { by, offset, asked });
+        if let Some(by) = by.clone() {
+            self.reached.note(by, offset, asked);
         }
         let event = FreshnessEvent::Vouched {
             by,
@@ -148,14 +179,6 @@
         self.freshness.observe(now, event);
     }
 
-    fn reach(&mut self, news: Reached) {
-        let order = |reached: &Reached| (reached.by.incarnation, reached.asked);
-        let held = self.reached.get(&news.by.addr);
-        if held.is_none_or(|held| order(held) <= order(&news)) {
-            self.reached.insert(news.by.addr, news);
-        }
-    }
-
     /// Whether a process is known to have folded further than this one.
     #[must_use]
     pub fn is_behind(&self, peer: &Hello) -> bool {
@@ -208,11 +231,8 @@
     /// The voters known to have folded the record at `offset`; none while they are no majority.
     #[must_use]
     pub fn holders(&self, offset: u64) -> Option<Vec<Voter>> {
-        let reached = self.reached.values();
-        let others = reached.filter(|reached| reached.offset > offset);
-        let others: Vec<Voter> = others.map(|reached| reached.by.clone()).collect();
         let own = self.own_vote(self.state.offset > offset);
-        (others.len() + own >= self.voters.majority()).then_some(others)
+        self.reached.holders(offset, own)
     }
 
     /// Whether a majority of the voters, counting `holders` only, have answered a probe of
@@ -221,29 +241,37 @@
     /// fresh by its voters has it within [`FRESH_FOR`](crate::member::FRESH_FOR).
     #[must_use]
     pub fn confirmed(&self, holders: &[Voter], since: Instant) -> bool {
-        let answered = |holder: &&Voter| {
-            let reached = self.reached.get(&holder.addr);
-            reached.is_some_and(|reached| reached.by == **holder && reached.asked >= since)
-        };
-        let others = holders.iter().filter(answered).count();
-        others + self.own_vote(true) >= self.voters.majority()
+        self.reached.confirmed(holders, since, self.own_vote(true))
     }
 
     fn own_vote(&self, holds: bool) -> usize {
-        usize::from(holds && self.voters.own().is_some() && self.freshness.may_vouch())
+        usize::from(holds && self.reached.voters().own().is_some() && self.freshness.may_vouch())
     }
 
     /// Whether this process should append a snapshot now: of the fleet members that stay, the
     /// one whose name comes first does.
     #[must_use]
     pub fn snapshot_due(&self, now: Instant) -> bool {
-        let since = self.state.offset - self.state.snapped;
+        let state = &self.state;
+        let many = state.offset - state.snapped > SNAPSHOT_EVERY;
+        let gone = self.first > state.resumes;
         let mut staying = self.state.members_of(Role::Fleet);
         let writer = staying.find(|(_, member)| !member.leaving);
         let mine = writer.is_some_and(|(name, member)| {
             *name == self.me.node && member.incarnation == self.me.incarnation
         });
-        mine && since > SNAPSHOT_EVERY && self.until() > Some(now)
+        mine && (many || gone || now >= self.due) && self.until() > Some(now)
+    }
+
+    /// A snapshot that the fold will accept: of the last checkpoint, which no other record can
+    /// overtake, or of now if there has been a snapshot since.
+    #[must_use]
+    pub fn next_snapshot(&self) -> Vec<u8> {
+        let checkpoint = self.state.checkpoint.offset;
+        if checkpoint > self.state.snapped && self.past.offset == checkpoint {
+            return self.past.snapshot();
+        }
+        self.state.snapshot()
     }
 
     fn keep(&mut self, offset: u64, data: Vec<u8>) {
@@ -254,6 +282,10 @@
     }
 
     fn folded(&mut self, now: Instant) {
+        if self.state.snapped != self.snapped {
+            self.snapped = self.state.snapped;
+            self.due = now + SNAPSHOT_AFTER;
+        }
         let event = FreshnessEvent::Folded {
             offset: self.state.offset,
         };
--- a/src/record/fold.rs
+++ b/src/record/fold.rs
@@ -5,25 +5,28 @@
 
 use crate::name::DcName;
 use crate::name::HostName;
-use crate::name::NodeName;
 use crate::name::PoolName;
 use crate::name::TeamName;
+use crate::record::CHECKPOINT_EVERY;
 use crate::record::Change;
+use crate::record::Checkpoint;
 use crate::record::Host;
 use crate::record::HostRow;
 use crate::record::KeyHash;
-use crate::record::Member;
 use crate::record::Outcome;
 use crate::record::Pool;
 use crate::record::PoolRow;
 use crate::record::Record;
 use crate::record::Reject;
-use crate::record::Role;
 use crate::record::Settled;
 use crate::record::State;
 use crate::record::Team;
 use crate::record::TeamRow;
 
+/// Largest snapshot that an operators' change may lead to, in bytes. With what processes add
+/// later, a snapshot fits into a record and into a message between processes.
+pub const STATE_LIMIT: usize = 2 << 20;
+
 impl State {
     /// Folds the record at `offset`, which must be the next one. It counts as a whole or changes
     /// nothing but the offset.
@@ -31,6 +34,9 @@
         if offset != self.offset {
             return Outcome::Rejected(Reject::OutOfOrder(self.offset));
         }
+        if offset > 0 && offset.is_multiple_of(CHECKPOINT_EVERY) {
+            self.checkpoint = Checkpoint::of(offset, &self.snapshot());
+        }
         let outcome = self.fold(offset, data);
         self.offset += 1;
         outcome
@@ -59,12 +65,26 @@
         if base.is_some_and(|base| base != self.revision) {
             return Err(Reject::StaleBase(self.revision));
         }
-        let operators = change.is_operators();
-        self.change(change)?;
-        self.revision += u64::from(operators);
+        if change.is_operators() {
+            self.change_bounded(change)?;
+            self.revision += 1;
+        } else {
+            self.change(change)?;
+        }
         Ok(self.revision)
     }
 
+    /// Folds an operators' change, unless the state would no longer fit into a snapshot.
+    fn change_bounded(&mut self, change: Change) -> Result<(), Reject> {
+        let before = self.clone();
+        self.change(change)?;
+        if self.snapshot().len() > STATE_LIMIT {
+            *self = before;
+            return Err(Reject::StateTooLarge);
+        }
+        Ok(())
+    }
+
     fn change(&mut self, change: Change) -> Result<(), Reject> {
         match change {
             Change::Table(rows) => self.set_table(rows),
@@ -250,76 +270,17 @@
         Ok(())
     }
 
-    fn join(&mut self, node: NodeName, member: Member) -> Result<(), Reject> {
-        let last = self.incarnations.get(&node).copied();
-        if let Some(last) = last.filter(|last| *last >= member.incarnation) {
-            return Err(Reject::OldIncarnation(node, last));
-        }
-        self.forget(&node);
-        self.incarnations.insert(node.clone(), member.incarnation);
-        self.members.insert(node, member);
-        self.epoch += 1;
-        Ok(())
-    }
-
-    fn leave(&mut self, node: &NodeName, incarnation: u64) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?.leaving = true;
-        self.epoch += 1;
-        Ok(())
-    }
-
-    fn end(&mut self, node: &NodeName, incarnation: u64) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?;
-        self.members.remove(node);
-        self.forget(node);
-        self.epoch += 1;
-        Ok(())
-    }
-
-    fn suspect(&mut self, node: &NodeName, incarnation: u64, by: NodeName) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?;
-        let voters: BTreeSet<NodeName> = self
-            .members_of(Role::Fleet)
-            .map(|(name, _)| name.clone())
-            .filter(|name| name != node)
-            .collect();
-        if !voters.contains(&by) {
-            return Err(Reject::NotVoter(by));
-        }
-        let said = self.suspicions.entry(node.clone()).or_default();
-        said.insert(by);
-        let count = said.intersection(&voters).count();
-        if count * 2 > voters.len() {
-            return self.end(node, incarnation);
-        }
-        Ok(())
-    }
-
-    fn trust(&mut self, node: &NodeName, incarnation: u64, by: &NodeName) -> Result<(), Reject> {
-        self.member_mut(node, incarnation)?;
-        self.suspicions.retain(|of, said| {
-            of != node || {
-                said.remove(by);
-                !said.is_empty()
-            }
-        });
-        Ok(())
-    }
-
-    // Drops what was said of a process, and what its earlier incarnation said of others.
-    fn forget(&mut self, node: &NodeName) {
-        self.suspicions.remove(node);
-        self.suspicions.retain(|_, said| {
-            said.remove(node);
-            !said.is_empty()
-        });
-    }
-
     fn check_snapshot(&mut self, bytes: &[u8]) -> Result<(), Reject> {
-        if self.snapshot() != bytes {
+        let past = Checkpoint::of(self.checkpoint.offset, bytes) == self.checkpoint;
+        if !past && self.snapshot() != bytes {
             return Err(Reject::WrongSnapshot);
         }
         self.snapped = self.offset;
+        self.resumes = if past {
+            self.checkpoint.offset
+        } else {
+            self.offset
+        };
         Ok(())
     }
 
@@ -352,11 +313,4 @@
         }
         Ok(host)
     }
-
-    fn member_mut(&mut self, node: &NodeName, incarnation: u64) -> Result<&mut Member, Reject> {
-        let current = self.members.get_mut(node);
-        current
-            .filter(|member| member.incarnation == incarnation)
-            .ok_or_else(|| Reject::Ended(node.clone()))
-    }
 }
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -2,12 +2,14 @@
 
 mod author;
 mod change;
+mod checkpoint;
 mod codec;
 mod decode_error;
 mod fold;
 mod host;
 mod key_hash;
 mod member;
+mod membership;
 mod outcome;
 mod pool;
 mod recent;
@@ -26,7 +28,10 @@
 pub use change::HostRow;
 pub use change::PoolRow;
 pub use change::TeamRow;
+pub use checkpoint::CHECKPOINT_EVERY;
+pub use checkpoint::Checkpoint;
 pub use decode_error::DecodeError;
+pub use fold::STATE_LIMIT;
 pub use host::Host;
 pub use key_hash::KeyHash;
 pub use member::Member;
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -6,5 +6,8 @@
 mod follower;
 mod members;
 mod node;
+mod notes;
+mod race;
+mod snapshots;
 mod tiny_fleet;
 mod tiny_log;
--- a/tests/state_voters.rs
+++ b/tests/state_voters.rs
@@ -1,5 +1,6 @@
 //! Who vouches for the state is fixed by the settings, whatever the membership says.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +14,7 @@
 use mimosastep::record::RecordId;
 use mimosastep::record::Role;
 use mimosastep::wire::Hello;
+use test_case::test_case;
 
 fn addr(number: u8) -> SocketAddr {
     ([127, 0, 0, number], 1).into()
@@ -82,18 +84,28 @@
 #[test]
 fn a_chain_of_membership_changes_does_not_split_the_vote() {
     let start = Instant::now();
+    let later = start + Duration::from_secs(60);
     let mut gate = Replica::new(start, hello("g", Role::Gate), voters(None));
     gate.fold(start, (1..=3).map(|node| join(u64::from(node) - 1, node)));
     let mut writer = Replica::new(start, hello("f4", Role::Fleet), voters(Some(4)));
+    let members = Voters::new((4..=6).map(addr), Some(addr(4)));
+    let mut broken = Replica::new(start, hello("f4", Role::Fleet), members);
+    for writer in [&mut writer, &mut broken] {
+        take_over(writer, start, later);
+    }
+    vouch(&mut gate, later, &[1, 2], 3);
+    assert!(gate.until() > Some(later), "the gate is fresh");
+    assert_eq!(writer.holders(9), None, "and the change is not in force");
+    assert!(broken.holders(9).is_some(), "by the membership it would be");
+}
+
+/// Folds the membership from f1 to f3 over to f4 to f6 and a change that these hold.
+fn take_over(writer: &mut Replica, start: Instant, later: Instant) {
     writer.fold(start, (1..=6).map(|node| join(u64::from(node) - 1, node)));
     writer.fold(start, (1..=3).map(|node| end(u64::from(node) + 5, node)));
     writer.fold(start, [encode(9, Change::Table(Vec::new()))]);
-    let later = start + Duration::from_secs(60);
     writer.head(later, later, 10);
-    vouch(&mut writer, later, &[5, 6], 10);
-    vouch(&mut gate, later, &[1, 2], 3);
-    assert!(gate.until() > Some(later), "the gate is fresh");
-    assert_eq!(writer.holders(9), None, "and the change is not in force");
+    vouch(writer, later, &[5, 6], 10);
 }
 
 fn vouch(replica: &mut Replica, now: Instant, by: &[u8], offset: u64) {
@@ -167,3 +179,15 @@
     assert!(!writer.confirmed(&holders, since + Duration::from_millis(1)));
     assert!(writer.confirmed(&holders, since));
 }
+
+#[test_case(&[1, 2, 3], &[1, 2, 3, 4], true; "one is added to three")]
+#[test_case(&[1, 2, 3, 4], &[1, 2, 3], true; "one is removed from four")]
+#[test_case(&[1, 2, 3, 4, 5, 6, 7, 8, 9], &[1, 2, 3, 4, 5, 6, 7, 8], true; "one is removed from nine")]
+#[test_case(&[1, 2, 3], &[1, 2, 4], false; "one is replaced")]
+#[test_case(&[1, 2, 3], &[1, 2, 3, 4, 5], false; "two are added")]
+fn majorities_meet_across_one_change(before: &[u8], after: &[u8], meet: bool) {
+    let sets = [before, after].map(|set| Voters::new(set.iter().copied().map(addr), None));
+    let all = before.iter().chain(after).collect::<BTreeSet<_>>().len();
+    let majorities: usize = sets.iter().map(Voters::majority).sum();
+    assert_eq!(majorities > all, meet);
+}
