Plan upkeep as records that the fold referees

Cause: nothing planned maintenance or moves, and the state could not tell why a host drains, whether the platform lists it as leaving, or where operators had put it. Ruled out: the planner's memory for open plans (lost with its process); the plain Undrain for the planner (a late one would end a later drain whose reboot is under way). Change: Plan, Reboot, Finish and Listed records. A plan is known by its offset, which each later record must name; it may not be abandoned once the platform may reboot the host; a list of the platform older than the last one loses. Hosts keep a home pool, so that the operators' file of hosts still applies while a host is lent.

--- a/src/fleet/submission.rs
+++ b/src/fleet/submission.rs
@@ -93,6 +93,10 @@
         | Change::Leave { .. }
         | Change::Suspect { .. }
         | Change::End { .. }
-        | Change::Snapshot(_) => false,
+        | Change::Snapshot(_)
+        | Change::Listed { .. }
+        | Change::Plan { .. }
+        | Change::Reboot { .. }
+        | Change::Finish { .. } => false,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! Fleet capacity and maintenance manager for sites where a technician comes only on scheduled
 //! visits.
 
+#![recursion_limit = "256"]
+
 pub mod admit;
 pub mod ctl;
 pub mod fleet;
@@ -18,4 +20,5 @@
 pub mod sched;
 pub mod settings;
 pub mod table;
+pub mod upkeep;
 pub mod wire;
--- a/src/record/change.rs
+++ b/src/record/change.rs
@@ -12,6 +12,8 @@
 use crate::name::RackName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::record::End;
+use crate::record::Goal;
 use crate::record::KeyHash;
 use crate::record::Member;
 
@@ -153,6 +155,38 @@
     },
     /// The whole state before this record, in the snapshot's encoding.
     Snapshot(Vec<u8>),
+    /// The platform lists the host as leaving, no longer lists it, or lists it as live again.
+    Listed {
+        /// The host.
+        host: HostName,
+        /// Whether it is leaving or gone.
+        leaving: bool,
+        /// Age of the list, as Unix time in milliseconds; an older list loses.
+        seen: u64,
+    },
+    /// The planner starts emptying a host; refused beyond the pool's budget.
+    Plan {
+        /// The host.
+        host: HostName,
+        /// What for.
+        goal: Goal,
+    },
+    /// The host is empty: from here on the platform may be asked to reboot it.
+    Reboot {
+        /// The host.
+        host: HostName,
+        /// Offset of its plan.
+        plan: u64,
+    },
+    /// Ends a planned drain: the host takes work again.
+    Finish {
+        /// The host.
+        host: HostName,
+        /// Offset of its plan.
+        plan: u64,
+        /// How it ended.
+        end: End,
+    },
 }
 
 impl Change {
--- a/src/record/fold.rs
+++ b/src/record/fold.rs
@@ -9,11 +9,14 @@
 use crate::name::PoolName;
 use crate::name::TeamName;
 use crate::record::Change;
+use crate::record::End;
+use crate::record::Goal;
 use crate::record::Host;
 use crate::record::HostRow;
 use crate::record::KeyHash;
 use crate::record::Member;
 use crate::record::Outcome;
+use crate::record::Phase;
 use crate::record::Pool;
 use crate::record::PoolRow;
 use crate::record::Record;
@@ -23,6 +26,7 @@
 use crate::record::State;
 use crate::record::Team;
 use crate::record::TeamRow;
+use crate::record::Upkeep;
 
 impl State {
     /// Folds the record at `offset`, which must be the next one. It counts as a whole or changes
@@ -46,7 +50,7 @@
                 first: known.result.clone(),
             };
         }
-        let result = self.count(record.base, record.change);
+        let result = self.count(record.base, record.at, record.change);
         self.recent.push(Settled {
             id: record.id,
             offset,
@@ -55,17 +59,17 @@
         result.into()
     }
 
-    fn count(&mut self, base: Option<u64>, change: Change) -> Result<u64, Reject> {
+    fn count(&mut self, base: Option<u64>, at: u64, change: Change) -> Result<u64, Reject> {
         if base.is_some_and(|base| base != self.revision) {
             return Err(Reject::StaleBase(self.revision));
         }
         let operators = change.is_operators();
-        self.change(change)?;
+        self.change(at, change)?;
         self.revision += u64::from(operators);
         Ok(self.revision)
     }
 
-    fn change(&mut self, change: Change) -> Result<(), Reject> {
+    fn change(&mut self, at: u64, change: Change) -> Result<(), Reject> {
         match change {
             Change::Table(rows) => self.set_table(rows),
             Change::Pools(rows) => self.set_pools(rows),
@@ -74,7 +78,7 @@
             Change::GrantKey { team, hash } => self.grant_key(team, hash),
             Change::WithdrawKey { hash } => self.withdraw_key(&hash),
             Change::MarkHost { host, active } => self.mark_host(&host, active),
-            Change::MarkDc { dc, active } => self.mark_dc(&dc, active),
+            Change::MarkDc { dc, active } => self.mark_dc(dc, active, at),
             Change::Drain(host) => self.drain(&host),
             Change::Undrain { host, maintained } => self.undrain(&host, maintained),
             Change::Move { host, from, to } => self.move_host(&host, &from, to),
@@ -87,6 +91,14 @@
             } => self.suspect(&node, incarnation, by),
             Change::End { node, incarnation } => self.end(&node, incarnation),
             Change::Snapshot(bytes) => self.check_snapshot(&bytes),
+            Change::Listed {
+                host,
+                leaving,
+                seen,
+            } => self.list(&host, leaving, seen),
+            Change::Plan { host, goal } => self.plan(&host, goal, at),
+            Change::Reboot { host, plan } => self.reboot(&host, plan, at),
+            Change::Finish { host, plan, end } => self.finish(&host, plan, end),
         }
     }
 
@@ -160,15 +172,19 @@
                 rack: row.rack,
                 addr: row.addr,
                 slots: row.slots,
+                home: row.pool.clone(),
                 pool: row.pool,
                 active: true,
                 draining: false,
                 maintained: 0,
+                leaving: false,
+                listed: 0,
+                upkeep: None,
             };
             return Ok((row.host, host));
         };
-        if known.pool != row.pool {
-            return Err(Reject::WrongPool(row.host, known.pool.clone()));
+        if known.home != row.pool {
+            return Err(Reject::WrongPool(row.host, known.home.clone()));
         }
         if known.dc != row.dc || known.rack != row.rack {
             return Err(Reject::WrongPlace(row.host));
@@ -208,9 +224,14 @@
         Ok(())
     }
 
-    fn mark_dc(&mut self, dc: &DcName, active: bool) -> Result<(), Reject> {
-        let mark = self.dcs.get_mut(dc);
-        *mark.ok_or_else(|| Reject::UnknownDc(dc.clone()))? = active;
+    fn mark_dc(&mut self, dc: DcName, active: bool, at: u64) -> Result<(), Reject> {
+        let Some(mark) = self.dcs.get_mut(&dc) else {
+            return Err(Reject::UnknownDc(dc));
+        };
+        let before = std::mem::replace(mark, active);
+        if active && !before {
+            self.returned.insert(dc, at);
+        }
         Ok(())
     }
 
@@ -230,18 +251,89 @@
 
     fn undrain(&mut self, name: &HostName, maintained: Option<u64>) -> Result<(), Reject> {
         let host = self.draining_host(name)?;
+        let rebooting = host.upkeep.as_ref().map(|upkeep| upkeep.phase) == Some(Phase::Rebooting);
+        if rebooting && maintained.is_none() {
+            return Err(Reject::Rebooting(name.clone()));
+        }
         host.draining = false;
+        host.upkeep = None;
         host.maintained = host.maintained.max(maintained.unwrap_or(0));
         Ok(())
     }
 
+    fn list(&mut self, name: &HostName, leaving: bool, seen: u64) -> Result<(), Reject> {
+        let host = self.host_mut(name)?;
+        if seen <= host.listed {
+            return Err(Reject::OldList(name.clone(), host.listed));
+        }
+        host.leaving = leaving;
+        host.listed = seen;
+        Ok(())
+    }
+
+    fn plan(&mut self, name: &HostName, goal: Goal, at: u64) -> Result<(), Reject> {
+        let host = self.host(name)?;
+        if let Goal::Move(to) = &goal {
+            self.known_pool(to)?;
+            if host.pool == *to {
+                return Err(Reject::WrongPool(name.clone(), to.clone()));
+            }
+        }
+        self.keep_available(&host.pool, usize::from(self.usable(host)))?;
+        self.drain(name)?;
+        let plan = self.offset;
+        self.host_mut(name)?.upkeep = Some(Upkeep {
+            plan,
+            goal,
+            phase: Phase::Emptying,
+            since: at,
+        });
+        Ok(())
+    }
+
+    // Lent hosts leave their pool's budget as it is, so that what stays usable counts too.
+    fn keep_available(&self, pool: &PoolName, taken: usize) -> Result<(), Reject> {
+        let budget = self.known_pool(pool)?.budget;
+        if self.hosts_home(pool) + taken > self.hosts_usable(pool) + budget as usize {
+            return Err(Reject::BudgetExceeded(pool.clone(), budget));
+        }
+        Ok(())
+    }
+
+    fn reboot(&mut self, name: &HostName, plan: u64, at: u64) -> Result<(), Reject> {
+        let upkeep = self.planned(name, plan)?;
+        if upkeep.goal != Goal::Maintain || upkeep.phase != Phase::Emptying {
+            return Err(Reject::WrongPhase(name.clone()));
+        }
+        upkeep.phase = Phase::Rebooting;
+        upkeep.since = at;
+        Ok(())
+    }
+
+    fn finish(&mut self, name: &HostName, plan: u64, end: End) -> Result<(), Reject> {
+        let upkeep = self.planned(name, plan)?.clone();
+        let host = self.host_mut(name)?;
+        match (end, upkeep.phase, upkeep.goal) {
+            (End::Maintained(at), Phase::Rebooting, _) => host.maintained = at.max(host.maintained),
+            (End::Moved, Phase::Emptying, Goal::Move(to)) => host.pool = to,
+            (End::Abandoned, Phase::Emptying, _) => {}
+            _ => return Err(Reject::WrongPhase(name.clone())),
+        }
+        host.draining = false;
+        host.upkeep = None;
+        Ok(())
+    }
+
     fn move_host(&mut self, name: &HostName, from: &PoolName, to: PoolName) -> Result<(), Reject> {
         self.known_pool(&to)?;
         let host = self.host(name)?;
         if host.pool != *from {
             return Err(Reject::WrongPool(name.clone(), host.pool.clone()));
         }
-        self.draining_host(name)?.pool = to;
+        let host = self.draining_host(name)?;
+        host.pool = to.clone();
+        host.home = to;
+        host.upkeep.take_if(|upkeep| upkeep.goal != Goal::Maintain);
         Ok(())
     }
 
@@ -329,6 +421,13 @@
         known.ok_or_else(|| Reject::UnknownHost(name.clone()))
     }
 
+    fn planned(&mut self, name: &HostName, plan: u64) -> Result<&mut Upkeep, Reject> {
+        let planned = self.host_mut(name)?.upkeep.as_mut();
+        planned
+            .filter(|upkeep| upkeep.plan == plan)
+            .ok_or_else(|| Reject::OldPlan(name.clone()))
+    }
+
     fn draining_host(&mut self, name: &HostName) -> Result<&mut Host, Reject> {
         let host = self.host_mut(name)?;
         if !host.draining {
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -19,6 +19,7 @@
 mod snapshot;
 mod state;
 mod team;
+mod upkeep;
 
 pub use author::AUTHOR_LIMIT;
 pub use author::Author;
@@ -41,3 +42,7 @@
 pub use role::Role;
 pub use state::State;
 pub use team::Team;
+pub use upkeep::End;
+pub use upkeep::Goal;
+pub use upkeep::Phase;
+pub use upkeep::Upkeep;
--- a/src/record/reject.rs
+++ b/src/record/reject.rs
@@ -98,6 +98,22 @@
         NotVoter(node: NodeName) {
             display("{} has no say in this", node)
         }
+        /// A later list of the platform has been taken in.
+        OldList(host: HostName, seen: u64) {
+            display("a list of {} has told of host {} already", seen, host)
+        }
+        /// The host's present drain is not the one of that plan.
+        OldPlan(host: HostName) {
+            display("host {} is not drained by that plan", host)
+        }
+        /// The host's drain is not at the point where that may follow.
+        WrongPhase(host: HostName) {
+            display("the drain of host {} has not come to that", host)
+        }
+        /// The platform may reboot the host at any moment.
+        Rebooting(host: HostName) {
+            display("host {} is about to reboot", host)
+        }
         /// The snapshot is not of the state before it.
         WrongSnapshot {
             display("not a snapshot of the state before it")
--- a/src/record/snapshot.rs
+++ b/src/record/snapshot.rs
@@ -23,7 +23,7 @@
 use crate::record::recent::RECENT_IDS;
 
 /// Version byte of the wire form.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 #[derive(Serialize, Deserialize)]
 struct StateWire {
@@ -32,6 +32,7 @@
     pools: BTreeMap<PoolName, Pool>,
     hosts: BTreeMap<HostName, Host>,
     dcs: BTreeMap<DcName, bool>,
+    returned: BTreeMap<DcName, u64>,
     members: BTreeMap<NodeName, Member>,
     incarnations: BTreeMap<NodeName, u64>,
     suspicions: BTreeMap<NodeName, BTreeSet<NodeName>>,
@@ -50,6 +51,7 @@
             pools: state.pools,
             hosts: state.hosts,
             dcs: state.dcs,
+            returned: state.returned,
             members: state.members,
             incarnations: state.incarnations,
             suspicions: state.suspicions,
@@ -72,6 +74,7 @@
             pools: wire.pools,
             hosts: wire.hosts,
             dcs: wire.dcs,
+            returned: wire.returned,
             members: wire.members,
             incarnations: wire.incarnations,
             suspicions: wire.suspicions,
@@ -118,7 +121,7 @@
             (
                 self.hosts
                     .values()
-                    .all(|h| self.pools.contains_key(&h.pool)),
+                    .all(|h| self.pools.contains_key(&h.pool) && self.pools.contains_key(&h.home)),
                 "a host of an unknown pool",
             ),
             (
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -30,6 +30,8 @@
     pub hosts: BTreeMap<HostName, Host>,
     /// Data centres; true if in service.
     pub dcs: BTreeMap<DcName, bool>,
+    /// When data centres were last put back in service, Unix time in milliseconds.
+    pub returned: BTreeMap<DcName, u64>,
     /// Processes that have joined and have not been ended.
     pub members: BTreeMap<NodeName, Member>,
     /// Last incarnation of every name that ever joined.
@@ -74,7 +76,7 @@
     /// Whether the host may be given work.
     #[must_use]
     pub fn usable(&self, host: &Host) -> bool {
-        !host.draining && self.in_service(host)
+        !host.draining && !host.leaving && self.in_service(host)
     }
 
     /// Whether neither the host nor its data centre has been taken out.
@@ -90,6 +92,20 @@
         of_pool.filter(|host| !self.usable(host)).count()
     }
 
+    /// Hosts that operators have put in a pool, lent ones included.
+    #[must_use]
+    pub fn hosts_home(&self, pool: &PoolName) -> usize {
+        let of_pool = self.hosts.values().filter(|host| host.home == *pool);
+        of_pool.count()
+    }
+
+    /// Usable hosts of a pool.
+    #[must_use]
+    pub fn hosts_usable(&self, pool: &PoolName) -> usize {
+        let of_pool = self.hosts.values().filter(|host| host.pool == *pool);
+        of_pool.filter(|host| self.usable(host)).count()
+    }
+
     /// Members of a role, the leaving ones included.
     pub fn members_of(&self, role: Role) -> impl Iterator<Item = (&NodeName, &Member)> {
         self.members
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -8,6 +8,7 @@
 use crate::wire::AttemptId;
 use crate::wire::Grant;
 use crate::wire::Hello;
+use crate::wire::Load;
 use crate::wire::Refusal;
 use crate::wire::Running;
 
@@ -91,6 +92,13 @@
         /// Most that the holder should keep; it hands back the rest as they come free.
         target: u32,
     },
+    /// Scheduler to fleet process, each second: the load of its services.
+    Load {
+        /// Offset that the scheduler has folded up to.
+        offset: u64,
+        /// Its services.
+        services: Vec<Load>,
+    },
 }
 
 impl Message {
--- a/tests/record_fold.rs
+++ b/tests/record_fold.rs
@@ -473,8 +473,9 @@
     fn decoding_never_panics(data in prop::collection::vec(any::<u8>(), 0..200)) {
         let _ = Record::decode(&data);
         let _ = State::from_snapshot(0, &data);
-        let versioned: Vec<u8> = std::iter::once(1).chain(data).collect();
+        let versioned: Vec<u8> = std::iter::once(1).chain(data.clone()).collect();
         let _ = Record::decode(&versioned);
+        let versioned: Vec<u8> = std::iter::once(2).chain(data).collect();
         let _ = State::from_snapshot(0, &versioned);
     }
 
