Race two planners with operators and losses in virtual time

Cause: the planner's rules had no proof. Change: a fleet in virtual time with the real fold, two planners that see old states and lists and whose records arrive late and out of order, operators who mark and undrain, failing hosts and racks, and hosts lost by their reboots.

--- /dev/null
+++ b/tests/upkeep_races.rs
@@ -0,0 +1,109 @@
+//! Planners that race, operators and losses: what must hold at every offset.
+
+mod upkeep_world;
+
+use mimosastep::record::Change;
+use mimosastep::upkeep::Policy;
+use rand::RngExt;
+use test_case::test_case;
+
+use upkeep_world::Planning;
+use upkeep_world::Shape;
+use upkeep_world::World;
+use upkeep_world::name;
+
+const STEP_MS: u64 = 5_000;
+const MINUTE_MS: u64 = 60_000;
+
+/// Bounds for days that last an hour.
+fn quick() -> Policy {
+    Policy {
+        period_ms: 35 * 60 * MINUTE_MS,
+        drain_ms: 3 * MINUTE_MS,
+        reboot_ms: 3 * MINUTE_MS,
+        retry_ms: 15 * MINUTE_MS,
+        hold_ms: 60 * MINUTE_MS,
+        ..Policy::default()
+    }
+}
+
+fn world(seed: u64) -> World {
+    let planners = vec![
+        Planning::new(quick(), seed % 4 * 1_000, 2_000),
+        Planning::new(quick(), 12_000, 20_000),
+    ];
+    World::new(&Shape::TODAY, seed, planners)
+}
+
+/// Services take turns at five times their mean, and fall to a twentieth.
+fn load(world: &mut World, tick: u64) {
+    let peak = (tick / 24) % 5;
+    for pool in 0..5 {
+        let need = if pool == peak { 120 } else { 2 };
+        world.needs.insert(name(&format!("p{pool}")), need);
+    }
+}
+
+fn disturb(world: &mut World) {
+    let host = world.any_host();
+    let change = match world.rng.random_range(0..400) {
+        0..3 => return world.fail(&host, 4 * MINUTE_MS),
+        3 => return fail_rack(world, &host),
+        4..8 => Change::MarkHost {
+            host,
+            active: false,
+        },
+        8..14 => Change::MarkHost { host, active: true },
+        14 => Change::MarkDc {
+            dc: name("dc1"),
+            active: false,
+        },
+        15..18 => Change::MarkDc {
+            dc: name("dc1"),
+            active: true,
+        },
+        18..20 => Change::Drain(host),
+        20..40 => Change::Undrain {
+            host,
+            maintained: None,
+        },
+        _ => return,
+    };
+    let _ = world.append(change);
+}
+
+fn fail_rack(world: &mut World, host: &mimosastep::name::HostName) {
+    let rack = world.state.hosts[host].rack.clone();
+    let hosts = world.state.hosts.iter().filter(|(_, h)| h.rack == rack);
+    let lost: Vec<_> = hosts.map(|(name, _)| name.clone()).collect();
+    lost.iter().for_each(|host| world.fail(host, 6 * MINUTE_MS));
+}
+
+#[test_case(0; "seeds from 0")]
+#[test_case(25; "seeds from 25")]
+#[test_case(50; "seeds from 50")]
+#[test_case(75; "seeds from 75")]
+fn budgets_hold_and_no_planned_stop_cuts_a_task(first: u64) {
+    let (mut moves, mut maintained, mut rejected) = (0, 0, 0);
+    for seed in first..first + 25 {
+        let mut world = world(seed);
+        world.lost_percent = [0, 5, 40][seed as usize % 3];
+        for tick in 0..1_440 {
+            load(&mut world, tick);
+            disturb(&mut world);
+            world.step(STEP_MS);
+            assert_eq!(
+                world.faults,
+                Vec::<String>::new(),
+                "seed {seed}, tick {tick}"
+            );
+        }
+        moves += world.moves;
+        maintained += world.maintained;
+        rejected += world.rejected;
+    }
+    assert!(
+        moves > 100 && maintained > 100 && rejected > 100,
+        "{moves} {maintained} {rejected}"
+    );
+}
