Run the planner in fleet processes, and report load to it

Change: schedulers report the load of their services and the hosts that still run work each second; each fleet process follows the platform's list, and the one that the planner is placed on carries its steps out; the others mark departures when it has not for 3 s. The stand-in of the platform reboots hosts, once for each id, and lists the id of the last one. Conclusion: not yet proved over real processes.

--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
 use tempfile::TempDir;
 
 use crate::authority::Authority;
@@ -50,7 +52,8 @@
     pub backends: Vec<SocketAddr>,
     /// Addresses of the system's processes, by role and entry host.
     pub addresses: Vec<[Address; 3]>,
-    hosts: SocketAddr,
+    /// Address of the platform's list of hosts.
+    pub hosts: SocketAddr,
     operator: String,
     processes: Vec<Process>,
     authority: Authority,
@@ -163,6 +166,30 @@
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
+    /// Makes the platform list all hosts as live; until then its list is empty, and nothing is
+    /// maintained.
+    ///
+    /// # Errors
+    /// If the list is not taken.
+    pub fn list_hosts(&self) -> Fallible<()> {
+        let rows = self.backends.iter().enumerate().map(|(index, addr)| {
+            let dc = self.layout.dc(index);
+            json!({
+                "name": format!("host-{index}"),
+                "dc": dc,
+                "rack": dc,
+                "addr": addr.to_string(),
+                "state": "live",
+            })
+        });
+        let body = Value::from_iter(rows).to_string();
+        let answer = http::send(self.hosts, "PUT", "/control/hosts", &[], &body)?;
+        match answer.status {
+            200 => Ok(()),
+            status => Err(format!("the list of hosts: status {status}").into()),
+        }
+    }
+
     /// Key of a team.
     #[must_use]
     pub fn key(team: &str) -> String {
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -18,10 +18,14 @@
 use crate::member::Follower;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::platform::HostsClient;
 use crate::record::Author;
 use crate::record::Record;
 use crate::record::Role;
 use crate::settings::FleetSettings;
+use crate::upkeep::Policy;
+use crate::upkeep::UpkeepParts;
+use crate::upkeep::UpkeepTask;
 
 /// Author of records that come through the operators' interface.
 const OPERATOR: &str = "operator";
@@ -38,7 +42,7 @@
     /// # Errors
     /// A [`NodeError`] if an address cannot be bound or a certificate cannot be used.
     pub async fn spawn(settings: FleetSettings) -> Result<Self, NodeError> {
-        let node = Node::spawn(&settings.common, Role::Fleet).await?;
+        let mut node = Node::spawn(&settings.common, Role::Fleet).await?;
         let operators = Operators {
             follower: node.follower(),
             ready: node.readiness(),
@@ -49,6 +53,16 @@
             OperatorsApi::LIMITS,
             api.into_handler(),
         )?;
+        let platform = HostsClient::new(&settings.hosts.to_string());
+        let parts = UpkeepParts {
+            node: node.name().clone(),
+            follower: node.follower(),
+            platform: platform.map_err(std::io::Error::other)?,
+            recorder: node.recorder(),
+            log: node.log().clone(),
+            policy: Policy::default(),
+        };
+        UpkeepTask::spawn(parts, node.take_events());
         node.announce();
         Ok(Self { node, http })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod net;
 pub mod node;
 pub mod observe;
+pub mod platform;
 pub mod queue;
 pub mod record;
 pub mod sched;
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,53 @@
+//! The platform's list of hosts as it is sent.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::HostName;
+use crate::upkeep::Listed;
+use crate::upkeep::Listing;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateWire {
+    Live,
+    Leaving,
+}
+
+#[derive(Debug, Deserialize)]
+struct HostWire {
+    name: String,
+    state: StateWire,
+    #[serde(default)]
+    reboot: u64,
+}
+
+/// The list.
+#[derive(Debug, Deserialize)]
+pub(super) struct ListWire {
+    as_of_ms: u64,
+    hosts: Vec<HostWire>,
+}
+
+/// A request for a reboot.
+#[derive(Debug, Serialize)]
+pub(super) struct RebootWire {
+    pub(super) id: u64,
+}
+
+// The platform may list hosts that operators have not handed in, under names of any kind.
+impl From<ListWire> for Listing {
+    fn from(wire: ListWire) -> Self {
+        let hosts = wire.hosts.into_iter().filter_map(|host| {
+            let listed = Listed {
+                live: host.state == StateWire::Live,
+                reboot: host.reboot,
+            };
+            Some((HostName::new(&host.name).ok()?, listed))
+        });
+        Self {
+            as_of: wire.as_of_ms,
+            hosts: hosts.collect(),
+        }
+    }
+}
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
+use crate::wire::Load;
 use crate::wire::Message;
 use crate::wire::Refusal;
 use crate::wire::RefusalCode;
@@ -145,6 +146,24 @@
         }
     }
 
+    /// Load of the service.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            service: self.service.clone(),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            running: self.slots.in_use_everywhere(),
+            capacity: self.slots.capacity(),
+            busy: self.slots.busy(),
+        }
+    }
+
+    /// Whether all gates have reported what they run.
+    #[must_use]
+    pub fn is_whole(&self, gates: usize) -> bool {
+        self.reported.len() >= gates
+    }
+
     /// Refuses everything that waits, because another process serves the service now.
     pub fn close(mut self, out: &mut Vec<Action>) {
         let left = self.queue.remove_where(|_| true);
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -77,6 +77,18 @@
         }
     }
 
+    /// What fleet processes are told of the services' load.
+    #[must_use]
+    pub fn load(&self) -> Message {
+        let gates = self.state.members_of(Role::Gate).count();
+        let services = self.services.values();
+        Message::Load {
+            offset: self.state.offset,
+            whole: services.clone().all(|service| service.is_whole(gates)),
+            services: services.map(Dispatcher::load).collect(),
+        }
+    }
+
     fn may_grant(&self, now: Instant) -> bool {
         let member = self.state.members.get(&self.node);
         self.fresh.is_some_and(|until| now < until)
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -12,6 +12,7 @@
 use crate::record::State;
 use crate::sched::held::Held;
 use crate::wire::AttemptId;
+use crate::wire::Busy;
 
 /// Which slots are in use, and by whom.
 #[derive(Debug, Default)]
@@ -107,6 +108,26 @@
         self.hosts.values().map(|host| host.slots).sum()
     }
 
+    /// Slots in use.
+    #[must_use]
+    pub fn in_use_everywhere(&self) -> u32 {
+        self.used.values().sum()
+    }
+
+    /// Hosts with slots in use that take no new work.
+    #[must_use]
+    pub fn busy(&self) -> Vec<Busy> {
+        let closed = self
+            .used
+            .iter()
+            .filter(|(host, used)| **used > 0 && !self.hosts.contains_key(*host));
+        let busy = closed.map(|(host, used)| Busy {
+            host: host.clone(),
+            used: *used,
+        });
+        busy.collect()
+    }
+
     fn in_use(&self, host: &HostName) -> u32 {
         self.used.get(host).copied().unwrap_or(0)
     }
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -23,6 +23,8 @@
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 20;
+/// Ticks between two reports of the load.
+const LOAD_TICKS: u32 = 50;
 /// Events taken in before slots are granted.
 const BATCH_LIMIT: usize = 256;
 
@@ -36,6 +38,8 @@
 pub struct SchedTask {
     scheduler: Scheduler,
     links: HashMap<LinkId, Link>,
+    fleet: HashMap<LinkId, Link>,
+    ticks: u32,
     recorder: Recorder,
 }
 
@@ -59,6 +63,8 @@
         let task = Self {
             scheduler,
             links: HashMap::new(),
+            fleet: HashMap::new(),
+            ticks: 0,
             recorder,
         };
         compio::runtime::spawn(task.run(sources)).detach();
@@ -85,22 +91,36 @@
             Source::Net(event) => self.net_event(event),
             Source::State(StateEvent::State(state)) => Some(Event::State(state)),
             Source::State(StateEvent::Fresh(until)) => Some(Event::Fresh(until)),
-            Source::Tick => Some(Event::Tick),
+            Source::Tick => {
+                self.report_load();
+                Some(Event::Tick)
+            }
         };
         if let Some(event) = event {
             self.scheduler.handle(now, event, out);
         }
     }
 
+    fn report_load(&mut self) {
+        self.ticks = (self.ticks + 1) % LOAD_TICKS;
+        if self.ticks == 0 {
+            let load = self.scheduler.load();
+            self.fleet.values().for_each(|link| link.send(load.clone()));
+        }
+    }
+
     fn net_event(&mut self, event: NetEvent) -> Option<Event> {
         match event {
             NetEvent::Up { link } => {
-                if link.peer().role == Role::Gate {
-                    self.links.insert(link.id(), link);
+                match link.peer().role {
+                    Role::Gate => drop(self.links.insert(link.id(), link)),
+                    Role::Fleet => drop(self.fleet.insert(link.id(), link)),
+                    Role::Sched => {}
                 }
                 None
             }
             NetEvent::Down { link } => {
+                self.fleet.remove(&link);
                 self.links.remove(&link)?;
                 Some(Event::Down(link))
             }
--- a/src/upkeep/mod.rs
+++ b/src/upkeep/mod.rs
@@ -12,6 +12,7 @@
 mod progress;
 mod reports;
 mod site;
+mod task;
 mod waves;
 
 pub use action::Action;
@@ -26,3 +27,6 @@
 pub use policy::RACK_HOSTS;
 pub use reports::Reports;
 pub use site::Site;
+pub use task::UPKEEP_KEY;
+pub use task::UpkeepParts;
+pub use task::UpkeepTask;
--- a/src/upkeep/reports.rs
+++ b/src/upkeep/reports.rs
@@ -17,6 +17,7 @@
     incarnation: u64,
     expires: u64,
     offset: u64,
+    whole: bool,
     loads: Vec<Load>,
 }
 
@@ -27,19 +28,21 @@
 }
 
 impl Reports {
-    /// Takes in the report of a scheduler that has folded the records before `offset`.
+    /// Takes in the report of a scheduler, named with its incarnation, that has folded the records
+    /// before `offset`; `whole` if it has heard from all gates what they run.
     pub fn take(
         &mut self,
         now: u64,
-        node: NodeName,
-        incarnation: u64,
+        (node, incarnation): (NodeName, u64),
         offset: u64,
+        whole: bool,
         loads: Vec<Load>,
     ) {
         let report = Report {
             incarnation,
             expires: now + STALE_MS,
             offset,
+            whole,
             loads,
         };
         self.nodes.insert(node, report);
@@ -68,7 +71,9 @@
             && schedulers.all(|(node, member)| {
                 let report = self.nodes.get(node);
                 report.is_some_and(|report| {
-                    report.incarnation == member.incarnation && report.offset > offset
+                    report.whole
+                        && report.incarnation == member.incarnation
+                        && report.offset > offset
                 })
             })
             && !self.nodes.values().any(|report| report.runs_on(host))
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -96,6 +96,8 @@
     Load {
         /// Offset that the scheduler has folded up to.
         offset: u64,
+        /// Whether it has heard from all gates what they run.
+        whole: bool,
         /// Its services.
         services: Vec<Load>,
     },
--- a/standins/src/bin/standin-hosts.rs
+++ b/standins/src/bin/standin-hosts.rs
@@ -20,12 +20,16 @@
     /// how old the list shown is, in milliseconds
     #[argh(option, default = "0")]
     lag_ms: u64,
+    /// how long a reboot takes, in milliseconds
+    #[argh(option, default = "2000")]
+    reboot_ms: u64,
 }
 
 fn main() -> io::Result<()> {
     let arguments: Arguments = argh::from_env();
     run_until_sigterm(async {
+        let hosts = Hosts::new(arguments.lag_ms, arguments.reboot_ms);
         let listener = listen(arguments.listen).await?;
-        serve(listener, Rc::new(Hosts::new(arguments.lag_ms))).await
+        serve(listener, Rc::new(hosts)).await
     })
 }
--- a/standins/src/hosts.rs
+++ b/standins/src/hosts.rs
@@ -1,6 +1,8 @@
 //! The lagging list of live and leaving hosts.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -40,6 +42,30 @@
     rack: String,
     addr: String,
     state: HostState,
+    /// Id of the last reboot that ended, 0 if none.
+    #[serde(default)]
+    reboot: u64,
+}
+
+/// A reboot on request.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RebootBody {
+    id: u64,
+}
+
+/// How long further reboots take.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RebootsBody {
+    ms: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Reboot {
+    id: u64,
+    from_ms: u64,
+    until_ms: u64,
 }
 
 struct Version {
@@ -50,16 +76,20 @@
 /// The list of hosts with its past.
 pub struct Hosts {
     lag_ms: u64,
+    reboot_ms: Cell<u64>,
     versions: RefCell<VecDeque<Version>>,
+    reboots: RefCell<BTreeMap<String, Vec<Reboot>>>,
     connections: Connections,
 }
 
 impl Hosts {
-    /// An empty list, shown as it was `lag_ms` ago.
-    pub fn new(lag_ms: u64) -> Self {
+    /// An empty list, shown as it was `lag_ms` ago, of hosts that take `reboot_ms` to reboot.
+    pub fn new(lag_ms: u64, reboot_ms: u64) -> Self {
         Self {
             lag_ms,
+            reboot_ms: Cell::new(reboot_ms),
             versions: RefCell::default(),
+            reboots: RefCell::default(),
             connections: Connections::new(usize::MAX),
         }
     }
@@ -79,14 +109,63 @@
         }
         let seen = versions.front().filter(|seen| seen.at_ms <= as_of_ms);
         let hosts = seen.map_or(&[][..], |seen| &seen.hosts);
+        let hosts: Vec<Host> = hosts
+            .iter()
+            .filter_map(|host| self.shown(host, as_of_ms))
+            .collect();
         let body = json!({"as_of_ms": as_of_ms, "hosts": hosts});
         json(StatusCode::OK, &body)
     }
 }
 
+impl Hosts {
+    /// A host as of a time: without it while it reboots, and with its last reboot after that.
+    fn shown(&self, host: &Host, as_of_ms: u64) -> Option<Host> {
+        let reboots = self.reboots.borrow();
+        let mut begun = reboots.get(&host.name).into_iter().flatten().rev();
+        let Some(last) = begun.find(|reboot| reboot.from_ms <= as_of_ms) else {
+            return Some(host.clone());
+        };
+        (last.until_ms <= as_of_ms).then(|| Host {
+            reboot: last.id,
+            ..host.clone()
+        })
+    }
+
+    /// Reboots a host, once for each id; ids rise.
+    fn reboot(&self, name: &str, id: u64) -> Answer {
+        let versions = self.versions.borrow();
+        let known = versions.back().map_or(&[][..], |version| &version.hosts);
+        if !known.iter().any(|host| host.name == name) {
+            return plain(StatusCode::NOT_FOUND, "");
+        }
+        let mut all = self.reboots.borrow_mut();
+        let reboots = all.entry(name.to_owned()).or_default();
+        if reboots.last().is_none_or(|last| last.id < id) {
+            let from_ms = unix_ms();
+            reboots.push(Reboot {
+                id,
+                from_ms,
+                until_ms: from_ms.saturating_add(self.reboot_ms.get()),
+            });
+        }
+        plain(StatusCode::OK, "")
+    }
+
+    fn set_reboots(&self, body: &RebootsBody) -> Answer {
+        self.reboot_ms.set(body.ms);
+        plain(StatusCode::OK, "")
+    }
+}
+
+/// The host in the path of a request for a reboot.
+fn rebooted(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/hosts/")?.strip_suffix("/reboot")
+}
+
 impl Handler for Hosts {
     fn is_control(path: &str) -> bool {
-        path == "/control/hosts"
+        path.starts_with("/control/")
     }
 
     fn connections(&self) -> &Connections {
@@ -97,6 +176,15 @@
         Ok(match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/hosts") => self.get(),
             (&Method::PUT, "/control/hosts") => with_json(request.body(), |hosts| self.set(hosts)),
+            (&Method::PUT, "/control/reboots") => {
+                with_json(request.body(), |body| self.set_reboots(&body))
+            }
+            (&Method::POST, path) if rebooted(path).is_some() => {
+                let name = rebooted(path).unwrap_or_default();
+                with_json(request.body(), |body: RebootBody| {
+                    self.reboot(name, body.id)
+                })
+            }
             _ => plain(StatusCode::NOT_FOUND, ""),
         })
     }
--- a/tests/upkeep_world/world.rs
+++ b/tests/upkeep_world/world.rs
@@ -317,7 +317,8 @@
             for (index, node) in scheds.iter().enumerate() {
                 let own = loads.iter().skip(index).step_by(scheds.len()).cloned();
                 let reports = &mut planning.reports;
-                reports.take(self.now, node.clone(), 1, state.offset, own.collect());
+                let source = (node.clone(), 1);
+                reports.take(self.now, source, state.offset, true, own.collect());
             }
         }
     }
