--- /dev/null
+++ b/scenarios/tests/upkeep_wave.rs
@@ -0,0 +1,91 @@
+//! A maintenance wave over a whole site of real processes, under load.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::process::Stdio;
+
+use serde_json::Value;
+
+use scenarios::http;
+use scenarios::layout::Layout;
+use scenarios::process::beside;
+use scenarios::site::Site;
+
+/// Longest that the wave may take: three racks of a pool one after another, each at most 15 s of
+/// seeing hosts empty and 5 s of reboot, and as much again for a busy machine.
+const WAVE_MS: u64 = 120_000;
+/// Longest until a leaving host is out of use.
+const LEAVE_MS: u64 = 5_000;
+
+fn show(site: &Site, part: &str) -> Value {
+    let shown = site.must(&["--json", "show", part]).unwrap_or_default();
+    serde_json::from_str(&shown).unwrap_or_default()
+}
+
+fn get(addr: SocketAddr, path: &str) -> Value {
+    http::send(addr, "GET", path, &[], "").map_or(Value::Null, |answer| answer.json())
+}
+
+/// Hosts that the platform does not list now, by their index.
+fn absent(site: &Site) -> Vec<usize> {
+    let list = get(site.hosts, "/v1/hosts");
+    let listed = |index: &usize| {
+        let name = format!("host-{index}");
+        let hosts = list["hosts"].as_array();
+        hosts.is_none_or(|hosts| hosts.iter().any(|host| host["name"] == name))
+    };
+    let all = 0..site.backends.len();
+    all.filter(|index| !listed(index)).collect()
+}
+
+#[test]
+fn a_wave_maintains_a_pool_and_cuts_nothing() -> Result<(), Box<dyn Error>> {
+    let site = Site::spawn(Layout::small())?;
+    let mut load = Command::new(beside("standin-load")?);
+    load.args(["--json", "--retry", "--callers", "8", "--pace", "100"]);
+    load.args(["--seconds", "60", "--key", &Site::key("museum")]);
+    load.args(["--path", "/v1/services/captions/requests"]);
+    for gate in site.gates() {
+        load.args(["--target", &gate.to_string()]);
+    }
+    let load = load.stdout(Stdio::piped()).spawn()?;
+    let (mut most, mut running) = (0, 0);
+    let waited = Site::wait("all hosts are maintained", WAVE_MS, || {
+        let out = absent(&site);
+        most = most.max(out.iter().filter(|index| **index < 6).count());
+        let runs = out.iter().map(|index| get(site.backends[*index], "/runs"));
+        running += runs
+            .filter_map(|runs| runs["running"].as_u64())
+            .sum::<u64>();
+        let hosts = show(&site, "hosts");
+        let hosts = hosts.as_object().cloned().unwrap_or_default();
+        hosts.len() == 8 && hosts.values().all(|host| host["maintained"] != 0)
+    });
+    if waited.is_err() {
+        eprintln!("{}", show(&site, "hosts"));
+    }
+    waited?;
+    assert!(
+        (1..=4).contains(&most),
+        "{most} hosts of the pool were out at once"
+    );
+    assert_eq!(running, 0, "tasks ran on hosts that rebooted");
+    let output = load.wait_with_output()?;
+    let report: Value = serde_json::from_slice(&output.stdout)?;
+    assert_eq!(report["failed"], 0, "{report}");
+    assert_eq!(report["wrong"], 0, "{report}");
+    leave(&site)
+}
+
+fn leave(site: &Site) -> Result<(), Box<dyn Error>> {
+    let list = get(site.hosts, "/v1/hosts");
+    let mut hosts = list["hosts"].clone();
+    hosts[0]["state"] = "leaving".into();
+    let name = hosts[0]["name"].as_str().unwrap_or_default().to_owned();
+    let body = hosts.to_string();
+    http::send(site.hosts, "PUT", "/control/hosts", &[], &body)?;
+    Site::wait("the leaving host is marked", LEAVE_MS, || {
+        show(site, "hosts")[&name]["leaving"] == true
+    })
+}
