--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -75,6 +75,12 @@
         self.slots.update(state, &self.service);
     }
 
+    /// Goes on filling data centres that have lately returned.
+    pub fn fill(&mut self, state: &Rc<State>, clock: u64) {
+        self.slots.set_clock(clock);
+        self.slots.update(state, &self.service);
+    }
+
     /// Queues a request, or refuses it at once.
     pub fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
         if let Some(code) = self.refusal(&ask) {
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -46,6 +46,8 @@
     },
     /// Another scheduler speaks of permits.
     Permits(Peer, Message),
+    /// The wall clock, Unix time in milliseconds.
+    Clock(u64),
     /// Time has passed.
     Tick,
 }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -22,6 +22,7 @@
 use crate::sched::quota::Quotas;
 use crate::sched::roster::Roster;
 use crate::sched::slots::Slots;
+use crate::upkeep::FILLING_MS;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Message;
@@ -45,6 +46,8 @@
     /// What still runs of services that are placed elsewhere now; it occupies this scheduler's
     /// permits until it ends.
     closed: BTreeMap<ServiceName, Slots>,
+    /// Wall clock, Unix time in milliseconds; 0 if it is not known.
+    clock: u64,
 }
 
 impl Scheduler {
@@ -60,6 +63,7 @@
             roster: Roster::default(),
             services: BTreeMap::new(),
             closed: BTreeMap::new(),
+            clock: 0,
         }
     }
 
@@ -83,6 +87,7 @@
                 running,
             } => self.report(now, link, epoch, &running),
             Event::Permits(from, message) => self.escrow.receive(&from, &message),
+            Event::Clock(clock) => self.set_clock(clock),
             Event::Tick => self.tick(now, out),
         }
     }
@@ -179,6 +184,16 @@
         open.chain(self.closed.values())
     }
 
+    fn set_clock(&mut self, clock: u64) {
+        let before = std::mem::replace(&mut self.clock, clock);
+        let mut marks = self.state.returned.values();
+        if marks.any(|returned| before < returned + FILLING_MS) {
+            self.services
+                .values_mut()
+                .for_each(|dispatcher| dispatcher.fill(&self.state, clock));
+        }
+    }
+
     fn update(&mut self, now: Instant, state: Rc<State>, out: &mut Vec<Action>) {
         self.state = state;
         self.roster.update(now, &self.state);
@@ -205,7 +220,8 @@
 
     fn open(&mut self, service: &ServiceName, now: Instant, out: &mut Vec<Action>) -> Dispatcher {
         out.push(note(NoteKind::ServiceTaken, service, &self.state));
-        let slots = self.closed.remove(service).unwrap_or_default();
+        let mut slots = self.closed.remove(service).unwrap_or_default();
+        slots.set_clock(self.clock);
         Dispatcher::open(service.clone(), &self.state, now, slots, &self.roster)
     }
 
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -12,6 +12,7 @@
 use crate::record::Host;
 use crate::record::State;
 use crate::sched::held::Held;
+use crate::upkeep::filled_slots;
 use crate::wire::AttemptId;
 use crate::wire::Busy;
 use crate::wire::Peer;
@@ -30,15 +31,33 @@
     teams: BTreeMap<TeamName, u32>,
     capacity: u32,
     vacant: u32,
+    /// Wall clock, Unix time in milliseconds; 0 if it is not known.
+    clock: u64,
 }
 
 impl Slots {
-    /// Takes over the usable hosts of a service from a newer state.
+    /// Sets the wall clock that data centres are filled by, Unix time in milliseconds.
+    pub const fn set_clock(&mut self, clock: u64) {
+        self.clock = clock;
+    }
+
+    /// Takes over the usable hosts of a service from a newer state; those of a data centre that
+    /// has lately returned with a part of their slots.
     pub fn update(&mut self, state: &State, service: &ServiceName) {
         self.hosts = state
             .hosts_of(service)
             .filter(|(_, host)| state.usable(host))
-            .map(|(name, host)| (name.clone(), host.clone()))
+            .map(|(name, host)| {
+                let returned = state.returned.get(&host.dc).copied();
+                let slots = filled_slots(host.slots, returned, self.clock);
+                (
+                    name.clone(),
+                    Host {
+                        slots,
+                        ..host.clone()
+                    },
+                )
+            })
             .collect();
         self.capacity = self.hosts.values().map(|host| host.slots).sum();
         let hosts = self.hosts.iter();
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -15,6 +15,7 @@
 use crate::net::LinkId;
 use crate::net::NetEvent;
 use crate::observe::Recorder;
+use crate::observe::unix_millis;
 use crate::record::Role;
 use crate::sched::Action;
 use crate::sched::Event;
@@ -41,6 +42,8 @@
     links: HashMap<LinkId, Link>,
     fleet: HashMap<LinkId, Link>,
     ticks: u32,
+    /// When the scheduler is told the wall clock again.
+    told: Option<Instant>,
     recorder: Recorder,
 }
 
@@ -66,6 +69,7 @@
             links: HashMap::new(),
             fleet: HashMap::new(),
             ticks: 0,
+            told: None,
             recorder,
         };
         compio::runtime::spawn(task.run(sources)).detach();
@@ -88,6 +92,9 @@
     }
 
     fn take(&mut self, now: Instant, source: Source, out: &mut Vec<Action>) {
+        if !matches!(source, Source::Net(_)) {
+            self.tell_time(now, out);
+        }
         let event = match source {
             Source::Net(event) => self.net_event(event),
             Source::State(StateEvent::State(state)) => Some(Event::State(state)),
@@ -102,6 +109,15 @@
         }
     }
 
+    // Data centres are filled by the wall clock, which a second's step is fine enough for.
+    fn tell_time(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.told.is_none_or(|due| due <= now) {
+            self.told = Some(now + Duration::from_secs(1));
+            let clock = Event::Clock(unix_millis());
+            self.scheduler.handle(now, clock, out);
+        }
+    }
+
     fn report_load(&mut self, now: Instant) {
         self.ticks = (self.ticks + 1) % LOAD_TICKS;
         if self.ticks == 0 {
--- a/tests/upkeep_world/world.rs
+++ b/tests/upkeep_world/world.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
 
 use mimosastep::name::HostName;
 use mimosastep::name::PoolName;
@@ -19,6 +21,7 @@
 use mimosastep::upkeep::Listing;
 use mimosastep::upkeep::Site;
 use mimosastep::upkeep::departures;
+use mimosastep::upkeep::filled_slots;
 use mimosastep::wire::Busy;
 use mimosastep::wire::Load;
 use rand::RngExt;
@@ -61,6 +64,8 @@
     pub moves: usize,
     pub maintained: usize,
     pub rejected: usize,
+    /// Time that the planners' steps took.
+    pub planned: Duration,
     views: VecDeque<(u64, Rc<State>)>,
     listings: VecDeque<Rc<Listing>>,
     sent: Vec<(u64, Sent)>,
@@ -83,6 +88,7 @@
             moves: 0,
             maintained: 0,
             rejected: 0,
+            planned: Duration::ZERO,
             views: VecDeque::new(),
             listings: VecDeque::new(),
             sent: Vec::new(),
@@ -282,7 +288,9 @@
             let mut left = need;
             for (name, host) in &open {
                 let machine = self.machines.get_mut(*name).expect("a machine");
-                let used = each.min(host.slots).min(left);
+                let returned = state.returned.get(&host.dc).copied();
+                let slots = filled_slots(host.slots, returned, self.now);
+                let used = each.min(slots).min(left);
                 if machine.is_up() && used > 0 {
                     let run = self.rng.random_range(0..=self.run_ms);
                     machine.used = used;
@@ -331,8 +339,10 @@
             listing: Some(&listing),
             reports: &planning.reports,
         };
+        let begun = Instant::now();
         let mut actions = planning.planner.step(self.now, &site);
         actions.extend(departures(&state, &listing).into_iter().map(Action::Append));
+        self.planned += begun.elapsed();
         let delay_ms = planning.delay_ms;
         for action in actions {
             let at = self.now + self.rng.random_range(0..=delay_ms);
