Let hosts stay a while after a move, and lend own hosts only to long peaks

Change: a host stays a minute before it goes to another pool that is short, and pools lend their own hosts only to one that has been short for 30 s.

--- a/src/upkeep/moves.rs
+++ b/src/upkeep/moves.rs
@@ -79,6 +79,7 @@
         {
             self.moves.pop_front();
         }
+        self.stays.retain(|_, stays| now < *stays);
         self.send_back(now, site, census, out);
         for (pool, row) in &site.state.pools {
             let wanted = self.wanted(now, site, census, (pool, row));
@@ -192,6 +193,8 @@
             .take_while(|(at, _)| now < at + REPEAT_MS)
             .any(|(_, moved)| moved == host);
         if !counted {
+            let stays = now + self.policy.stay_ms;
+            self.stays.insert(host.clone(), stays);
             self.moves.push_back((now, host.clone()));
         }
     }
@@ -211,7 +214,7 @@
                 *present.entry(&host.dc).or_default() += usize::from(site.state.usable(host));
             } else if census.pools.contains_key(&host.pool)
                 && site.state.usable(host)
-                && let Some(rank) = self.rank(now, site, host)
+                && let Some(rank) = self.rank(now, site, (name, host), to)
             {
                 donors.push(Donor { rank, name, host });
             }
@@ -221,14 +224,26 @@
         donors
     }
 
-    fn rank(&self, now: u64, site: &Site<'_>, host: &Host) -> Option<u8> {
+    fn rank(
+        &self,
+        now: u64,
+        site: &Site<'_>,
+        (name, host): (&HostName, &Host),
+        to: &PoolName,
+    ) -> Option<u8> {
         let pool = site.state.pools.get(&host.pool)?;
         if pool.service.is_none() {
             return Some(0);
         }
         let calm = self.trends.get(&host.pool).and_then(|trend| trend.calm);
-        let calm = lasts(calm, now, self.policy.calm_ms);
-        calm.then(|| if host.pool == host.home { 2 } else { 1 })
+        if !lasts(calm, now, self.policy.calm_ms) {
+            return None;
+        }
+        if host.pool != host.home {
+            return (!self.stays.contains_key(name)).then_some(1);
+        }
+        let short = self.trends.get(to).and_then(|trend| trend.short);
+        lasts(short, now, self.policy.lend_ms).then_some(2)
     }
 }
 
--- a/src/upkeep/planner.rs
+++ b/src/upkeep/planner.rs
@@ -34,6 +34,8 @@
     pub(super) trends: BTreeMap<PoolName, Trend>,
     /// The last hour's moves to pools that were short, oldest first.
     pub(super) moves: VecDeque<(u64, HostName)>,
+    /// When hosts lately moved to pools that were short may be moved to others.
+    pub(super) stays: BTreeMap<HostName, u64>,
     pause: Option<Pause>,
 }
 
--- a/src/upkeep/policy.rs
+++ b/src/upkeep/policy.rs
@@ -28,6 +28,10 @@
     pub stuck_limit: usize,
     /// Time that a pool is short before it gets hosts.
     pub patience_ms: u64,
+    /// Time that a pool is short before it gets hosts that serve calm pools of their own.
+    pub lend_ms: u64,
+    /// Time that a host lately moved stays before it moves to another pool that is short.
+    pub stay_ms: u64,
     /// Time that a pool is calm before it gives hosts away.
     pub calm_ms: u64,
     /// Time that a pool is calm before it gives lent hosts back.
@@ -52,6 +56,8 @@
             hold_ms: DAY_MS,
             stuck_limit: 3,
             patience_ms: 2_000,
+            lend_ms: 30_000,
+            stay_ms: MINUTE_MS,
             calm_ms: 10_000,
             return_ms: MINUTE_MS,
             hourly_moves: 4,
