--- a/tests/upkeep_world/world.rs
+++ b/tests/upkeep_world/world.rs
@@ -173,17 +173,15 @@
     fn check(&mut self, change: &Change, empty: bool) {
         match change {
             Change::Plan { host, .. } => self.check_budget(host),
-            Change::Finish { end, host, .. } => match end {
+            Change::Finish { end, host, plan } => match end {
                 End::Moved => {
                     self.moves += 1;
                     self.expect(empty, format!("{host} moved while it ran tasks"));
                 }
                 End::Maintained(_) => {
                     self.maintained += 1;
-                    let up = self.machines[host].is_up();
-                    // A host may fail by itself while the list still shows it.
-                    let failed = self.machines[host].down.is_some_and(|back| back > self.now);
-                    self.expect(up || failed, format!("{host} returned before it was up"));
+                    let done = self.machines[host].reboot == *plan;
+                    self.expect(done, format!("{host} returned before its reboot"));
                 }
                 End::Abandoned => {}
             },
