--- a/src/member/core.rs
+++ b/src/member/core.rs
@@ -10,11 +10,16 @@
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 
+use crate::member::Detector;
 use crate::member::FRESH_FOR;
 use crate::member::Replica;
 use crate::member::StateEvent;
 use crate::net::Link;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
+use crate::observe::Recorder;
+use crate::record::Change;
 use crate::record::RecordId;
 use crate::record::Role;
 use crate::record::Settled;
@@ -34,10 +39,18 @@
     published: (u64, Option<Instant>),
     /// Whether a snapshot is being appended.
     pub(super) snapping: bool,
+    /// Watches the other members, on a fleet process.
+    detector: Option<Detector>,
+    /// Whether reports of the detector are being appended.
+    pub(super) reporting: bool,
+    recorder: Recorder,
+    /// Whether the state was fresh when the time line was last told.
+    fresh: bool,
 }
 
 impl Core {
-    pub(super) fn new(replica: Replica) -> Self {
+    pub(super) fn new(replica: Replica, me: &Hello, recorder: Recorder) -> Self {
+        let fleet = me.role == Role::Fleet;
         Self {
             replica,
             links: BTreeMap::new(),
@@ -47,6 +60,10 @@
             waiters: Vec::new(),
             published: (0, None),
             snapping: false,
+            detector: fleet.then(|| Detector::new(me.node.clone())),
+            reporting: false,
+            recorder,
+            fresh: false,
         }
     }
 
@@ -73,6 +90,7 @@
             news.push(StateEvent::Fresh(fresh));
         }
         self.published = (state.offset, self.replica.until());
+        self.take_notes();
         let tell = |sender: &UnboundedSender<StateEvent>| {
             news.iter()
                 .all(|event| sender.unbounded_send(event.clone()).is_ok())
@@ -83,6 +101,29 @@
             .for_each(|waiter| waiter.send(()).unwrap_or(()));
     }
 
+    /// Puts what was folded, and a change of the freshness, on the time line.
+    pub(super) fn take_notes(&mut self) {
+        for note in self.replica.take_notes() {
+            self.recorder.record(note);
+        }
+        let fresh = self.replica.until() > Some(Instant::now());
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            let (kind, cause) = if fresh {
+                (
+                    NoteKind::FreshnessRegained,
+                    "the state is known to be recent",
+                )
+            } else {
+                (
+                    NoteKind::FreshnessLost,
+                    "neither the log nor a majority of the fleet processes answers",
+                )
+            };
+            self.recorder.record(Note::new(kind, cause));
+        }
+    }
+
     pub(super) fn wait(&mut self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
         self.waiters.push(sender);
@@ -95,12 +136,34 @@
 
     pub(super) fn up(&mut self, link: Link) {
         let fleet = link.peer().role == Role::Fleet;
+        self.hear(&link);
         self.links.insert(link.id(), link);
         if fleet {
             self.probe();
         }
     }
 
+    fn hear(&mut self, link: &Link) {
+        if let Some(detector) = &mut self.detector {
+            detector.hear(Instant::now(), link.peer());
+        }
+    }
+
+    /// The reports of silent members that should be appended now.
+    pub(super) fn start_reports(&mut self) -> Vec<Change> {
+        let now = Instant::now();
+        let fresh = self.replica.until() > Some(now);
+        let Some(detector) = &mut self.detector else {
+            return Vec::new();
+        };
+        let reports = detector.tick(now, self.replica.state(), fresh);
+        if self.reporting || reports.is_empty() {
+            return Vec::new();
+        }
+        self.reporting = true;
+        reports
+    }
+
     fn fleet(&self) -> impl Iterator<Item = &Link> {
         let links = self.links.values();
         links.filter(|link| link.peer().role == Role::Fleet)
@@ -123,7 +186,7 @@
             return None;
         }
         self.snapping = true;
-        Some(self.replica.state().snapshot())
+        Some(self.replica.next_snapshot())
     }
 
     /// Folds a record that the log has taken, hands it to the fleet and asks who has it.
@@ -137,16 +200,19 @@
 
     pub(super) fn receive(&mut self, link: &Link, message: Message, me: &Hello) {
         let now = Instant::now();
+        self.hear(link);
         let (of_fleet, from_fleet) = (me.role == Role::Fleet, link.peer().role == Role::Fleet);
         match message {
-            Message::Probe { nonce, offset } if of_fleet => {
-                self.replica.note(link.peer(), offset);
-                link.send(self.replica.vouch(now, nonce));
+            Message::Probe { nonce, .. } if of_fleet => {
+                if let Some(vouch) = self.replica.vouch(now, nonce) {
+                    link.send(vouch);
+                }
             }
             Message::Vouch { nonce, offset, age } if from_fleet => {
                 let probe = self.probes.iter().find(|(sent, _)| *sent == nonce);
                 if let Some((_, asked)) = probe.copied() {
-                    self.replica.vouched(now, link.peer(), asked, offset, age);
+                    let by = (link.peer(), link.addr());
+                    self.replica.vouched(now, by, asked, offset, age);
                 }
                 self.fetch(link);
             }
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -2,11 +2,16 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use compio::runtime::JoinHandle;
+use compio::runtime::spawn;
 use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::oneshot;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use slog::Logger;
 use slog::info;
@@ -15,13 +20,15 @@
 use crate::log::LogClient;
 use crate::member::Follower;
 use crate::member::StateEvent;
+use crate::member::Voters;
 use crate::name::NodeName;
 use crate::net::Mesh;
 use crate::net::NetEvent;
+use crate::node::Ended;
 use crate::node::NodeError;
+use crate::node::incarnation;
 use crate::observe::Recorder;
 use crate::observe::open_log;
-use crate::observe::unix_millis;
 use crate::record::Change;
 use crate::record::Member;
 use crate::record::Role;
@@ -48,6 +55,9 @@
     follower: Follower,
     core: Option<UnboundedReceiver<NetEvent>>,
     ready: Rc<Cell<bool>>,
+    watch: JoinHandle<()>,
+    /// Dropped to end the watch.
+    quit: oneshot::Sender<()>,
     log: Logger,
     recorder: Recorder,
 }
@@ -61,7 +71,7 @@
         let log = open_log(&settings.node, role);
         let hello = Hello {
             node: settings.node.clone(),
-            incarnation: unix_millis(),
+            incarnation: incarnation::next(),
             role,
         };
         let identity = settings.tls.identity()?;
@@ -70,10 +80,15 @@
             NodeError::Io(std::io::Error::other("the events of the links were taken"))
         })?;
         mesh.dial(FLEET_GROUP, settings.fleet.clone());
+        let recorder = Recorder::default();
+        let own = (role == Role::Fleet).then(|| mesh.local_addr());
+        let voters = Voters::new(settings.fleet.iter().copied(), own);
         let follower = Follower::spawn(
             hello.clone(),
+            voters,
             LogClient::new(&settings.log.to_string()).map_err(std::io::Error::other)?,
             events.state,
+            recorder.clone(),
             log.clone(),
         );
         let member = Member {
@@ -93,7 +108,8 @@
             joined: false,
             fresh: None,
         };
-        compio::runtime::spawn(watch.run(follower.subscribe())).detach();
+        let (quit, ending) = oneshot::channel();
+        let watch = spawn(watch.run(follower.subscribe().take_until(ending)));
         info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
         Ok(Self {
             hello,
@@ -102,8 +118,10 @@
             follower,
             core: Some(events.core),
             ready,
+            watch,
+            quit,
             log,
-            recorder: Recorder::default(),
+            recorder,
         })
     }
 
@@ -163,16 +181,48 @@
             member: self.member.clone(),
         };
         let log = self.log.clone();
-        compio::runtime::spawn(async move {
-            while let Err(err) = follower.append(None, change.clone()).await {
-                warn!(log, "cannot join yet"; "error" => %err);
+        spawn(async move {
+            let applied = loop {
+                match follower.append(None, change.clone()).await {
+                    Ok(applied) => break applied,
+                    Err(err) => warn!(log, "cannot join yet"; "error" => %err),
+                }
                 compio::time::sleep(Duration::from_millis(JOIN_MS)).await;
+            };
+            match applied.outcome.settled() {
+                Ok(_) => info!(log, "joined"),
+                Err(reject) => warn!(log, "join rejected"; "why" => %reject),
             }
-            info!(log, "joined");
         })
         .detach();
     }
 
+    /// Waits until the membership has ended without this process's doing.
+    pub async fn ended(&self) -> Ended {
+        let Hello {
+            node, incarnation, ..
+        } = &self.hello;
+        let mut events = self.subscribe();
+        loop {
+            match events.next().await {
+                Some(StateEvent::State(state)) if state.is_ended(node, *incarnation) => {
+                    let last = state.incarnations.get(node);
+                    incarnation::note(last.copied().unwrap_or(0));
+                    let replaced = state.members.contains_key(node);
+                    let ended = if replaced {
+                        Ended::Replaced
+                    } else {
+                        Ended::Suspected
+                    };
+                    warn!(self.log, "membership ended"; "why" => ?ended);
+                    return ended;
+                }
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Leaves the membership and closes the links.
     pub async fn leave(self) {
         let node = self.hello.node.clone();
@@ -185,6 +235,8 @@
         compio::time::sleep(Duration::from_millis(HANDOVER_MS)).await;
         self.tell(Change::End { node, incarnation }).await;
         info!(self.log, "stopped");
+        drop(self.quit);
+        let _ = self.watch.await;
         if let Ok(mesh) = Rc::try_unwrap(self.mesh) {
             mesh.close().await;
         }
@@ -213,7 +265,8 @@
 }
 
 impl Watch {
-    async fn run(mut self, mut events: UnboundedReceiver<StateEvent>) {
+    async fn run(mut self, events: impl Stream<Item = StateEvent>) {
+        let mut events = pin!(events);
         while let Some(event) = events.next().await {
             match event {
                 StateEvent::State(state) => self.update(&state),
--- a/src/record/state.rs
+++ b/src/record/state.rs
@@ -9,6 +9,7 @@
 use crate::name::PoolName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::record::Checkpoint;
 use crate::record::Host;
 use crate::record::KeyHash;
 use crate::record::Member;
@@ -16,7 +17,6 @@
 use crate::record::Recent;
 use crate::record::Role;
 use crate::record::Team;
-use crate::wire::Peer;
 
 /// Everything that the processes agree on; equal at equal offsets.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -49,6 +49,10 @@
     pub epoch: u64,
     /// Offset of the last accepted snapshot.
     pub snapped: u64,
+    /// Offset from which that snapshot needs the records.
+    pub resumes: u64,
+    /// The last checkpoint.
+    pub checkpoint: Checkpoint,
 }
 
 impl State {
@@ -107,18 +111,18 @@
         of_pool.filter(|host| self.usable(host)).count()
     }
 
-    /// Whether a process is a member.
+    /// Whether this incarnation of a process is a member.
     #[must_use]
-    pub fn has_member(&self, peer: &Peer) -> bool {
-        let member = self.members.get(&peer.node);
-        member.is_some_and(|member| member.incarnation == peer.incarnation)
+    pub fn is_member(&self, node: &NodeName, incarnation: u64) -> bool {
+        let member = self.members.get(node);
+        member.is_some_and(|member| member.incarnation == incarnation)
     }
 
-    /// Whether a process was a member and no longer is.
+    /// Whether this incarnation of a process was a member and has been ended or replaced.
     #[must_use]
-    pub fn has_ended(&self, peer: &Peer) -> bool {
-        let last = self.incarnations.get(&peer.node);
-        last.is_some_and(|last| *last >= peer.incarnation) && !self.has_member(peer)
+    pub fn is_ended(&self, node: &NodeName, incarnation: u64) -> bool {
+        let last = self.incarnations.get(node);
+        last.is_some_and(|last| *last >= incarnation) && !self.is_member(node, incarnation)
     }
 
     /// Members of a role, the leaving ones included.
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -1,22 +1,33 @@
 //! One service: its queue, its slots and the decision what starts next.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::health::Health;
+use crate::health::HealthChange;
+use crate::name::HostName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
 use crate::net::LinkId;
+use crate::observe::Note;
+use crate::observe::NoteKind;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::record::State;
 use crate::sched::Action;
+use crate::sched::drain::Drain;
 use crate::sched::held::Held;
 use crate::sched::quota::Quotas;
+use crate::sched::refusals::Refusals;
+use crate::sched::reserve::reserve;
+use crate::sched::reserve::urgent_cap;
 use crate::sched::roster::Roster;
 use crate::sched::slots::Slots;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Load;
 use crate::wire::Message;
@@ -25,12 +36,17 @@
 use crate::wire::RefusalCode;
 use crate::wire::Running;
 
-/// Requests that may wait for each slot of a service.
+/// Requests that may wait for each slot of a service whose drain rate is not known yet.
 const QUEUE_PER_SLOT: usize = 32;
+/// Most requests that may wait for a service.
+const QUEUE_LIMIT: usize = 100_000;
 /// How long a new scheduler waits for the reports of the gates, in milliseconds.
 const REPORT_MS: u64 = 400;
-/// When to come back after the queue was full, in milliseconds.
+/// When to come back if the drain rate is not known yet, in milliseconds.
 const RETRY_MS: u32 = 1_000;
+/// Part of its deadline that a request's predicted end must leave free, as a factor: what starts
+/// and is cut off at the deadline wastes a slot and counts against its host.
+const MARGIN: f64 = 1.25;
 /// Permits are wanted for one slot more than can be had for each so many that run.
 const WANT_PART: u32 = 8;
 
@@ -42,6 +58,13 @@
     opens: Instant,
     queue: Queue,
     slots: Slots,
+    drain: Drain,
+    /// The same by team, of those that have requests here.
+    drains: BTreeMap<TeamName, Drain>,
+    refusals: Refusals,
+    /// Whether a team that may use the service may mark requests as urgent.
+    urgency: bool,
+    health: Health,
 }
 
 impl Dispatcher {
@@ -61,18 +84,27 @@
                 slots.adopt(now, gate, run);
             }
         }
+        let mut health = Health::default();
+        health.update(slots.hosts());
         Self {
             service,
             since: state.epoch,
             opens: now + Duration::from_millis(REPORT_MS),
             queue: Queue::default(),
             slots,
+            drain: Drain::default(),
+            drains: BTreeMap::new(),
+            refusals: Refusals::default(),
+            urgency: has_urgency(state),
+            health,
         }
     }
 
     /// Goes on under a newer state.
     pub fn update(&mut self, state: &Rc<State>) {
         self.slots.update(state, &self.service);
+        self.health.update(self.slots.hosts());
+        self.urgency = has_urgency(state);
     }
 
     /// Goes on filling data centres that have lately returned.
@@ -81,10 +113,29 @@
         self.slots.update(state, &self.service);
     }
 
-    /// Queues a request, or refuses it at once.
-    pub fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
-        if let Some(code) = self.refusal(&ask) {
-            out.push(refuse(link, ask.attempt, code));
+    /// Queues a request, or refuses it at once; a repeated question gets the same answer.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        ask: Ask,
+        quotas: &Quotas,
+        out: &mut Vec<Action>,
+    ) {
+        if self.queue.contains(&ask.attempt) {
+            return;
+        }
+        if self.slots.holds(&ask.attempt) {
+            let grant = self.slots.grant_of(&ask.attempt).map(Message::Grant);
+            out.extend(grant.map(|grant| Action::Send(link, grant)));
+            return;
+        }
+        if ask.urgent {
+            self.drain.ask_urgent(now);
+        }
+        let forecast = self.forecast(&ask.team, ask.urgent, quotas);
+        if let Some(code) = self.refusal(now, &ask, forecast) {
+            out.push(self.refuse(now, link, &ask, code, forecast));
             return;
         }
         self.queue.push(Waiting {
@@ -106,6 +157,31 @@
         self.slots.release(attempt);
     }
 
+    /// Frees the slot of an attempt and keeps what it says about its host.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        attempt: &AttemptId,
+        evidence: Evidence,
+        out: &mut Vec<Action>,
+    ) {
+        self.queue.remove(attempt);
+        let Some(held) = self.slots.release(attempt) else {
+            return;
+        };
+        self.drain.finish(now, held.since);
+        let drain = self.drains.entry(held.team.clone()).or_default();
+        drain.finish(now, held.since);
+        let (host, team) = (&held.host, &held.team);
+        let change = self
+            .health
+            .record(now, host, team, attempt.request, evidence);
+        if let Some(change) = change {
+            let note = note(change).host(host).service(&self.service);
+            out.push(Action::Note(Box::new(note.request(attempt))));
+        }
+    }
+
     /// Adopts what a gate has running.
     pub fn report(&mut self, now: Instant, gate: &Peer, link: LinkId, running: &[Running]) {
         self.slots.confirm(gate, link, running);
@@ -126,11 +202,14 @@
 
     /// Refuses what can no longer start in time.
     pub fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.health.expire(now);
+        self.observe(now);
+        self.refusals.take_due(now, &self.service, out);
         let expired = self.queue.remove_expired(now);
         out.extend(
             expired
                 .into_iter()
-                .map(|w| refuse(w.link, w.attempt, RefusalCode::DeadlineTooClose)),
+                .map(|w| refuse(w.link, w.attempt, RefusalCode::DeadlineTooClose, RETRY_MS)),
         );
     }
 
@@ -149,7 +228,8 @@
         if now < self.opens && !roster.is_complete(state, self.since) {
             return;
         }
-        while let Some(action) = self.grant_one(now, roster, quotas) {
+        let reserve = self.reserve(now);
+        while let Some(action) = self.grant_one(now, reserve, roster, quotas) {
             out.push(action);
         }
     }
@@ -172,7 +252,7 @@
         let left = self.queue.remove_all();
         out.extend(
             left.into_iter()
-                .map(|w| refuse(w.link, w.attempt, RefusalCode::Unavailable)),
+                .map(|w| refuse(w.link, w.attempt, RefusalCode::Unavailable, RETRY_MS)),
         );
         self.slots
     }
@@ -210,13 +290,23 @@
             .sum()
     }
 
-    fn grant_one(&mut self, now: Instant, roster: &Roster, quotas: &mut Quotas) -> Option<Action> {
+    fn grant_one(
+        &mut self,
+        now: Instant,
+        reserve: u32,
+        roster: &Roster,
+        quotas: &mut Quotas,
+    ) -> Option<Action> {
+        let first = self.slots.urgent() < urgent_cap(self.slots.capacity());
+        let rest = self.slots.vacant() > reserve;
         let rank = |team: &TeamName, urgent| {
             let quota = quotas.get(team).filter(|quota| quota.may_start(urgent))?;
-            Some(f64::from(self.slots.running(team)) / f64::from(quota.weight))
+            let open = if urgent { first } else { rest };
+            open.then(|| f64::from(self.slots.running(team)) / f64::from(quota.weight))
         };
         let waiting = self.queue.next(rank)?;
-        let (host, placed) = self.slots.pick(&waiting.avoid)?;
+        let admits = |host: &HostName, running| self.health.admits(now, host, running);
+        let (host, placed) = self.slots.pick(&waiting.avoid, admits)?;
         let (host, addr) = (host.clone(), placed.addr);
         let attempt = waiting.attempt;
         let gate = roster.gate(waiting.link)?.clone();
@@ -227,6 +317,7 @@
         let held = Held {
             host: host.clone(),
             team: waiting.team,
+            urgent: waiting.urgent,
             gate,
             granted: Some(waiting.link),
             since: now,
@@ -240,23 +331,131 @@
         Some(Action::Send(waiting.link, Message::Grant(grant)))
     }
 
-    fn refusal(&self, ask: &Ask) -> Option<RefusalCode> {
+    /// Measures the drain rates.
+    fn observe(&mut self, now: Instant) {
+        self.drain.observe(now, !self.queue.is_empty());
+        for (team, _) in self.queue.teams() {
+            if !self.drains.contains_key(team) {
+                self.drains.insert(team.clone(), Drain::default());
+            }
+        }
+        let (queue, slots) = (&self.queue, &self.slots);
+        self.drains.retain(|team, drain| {
+            let waiting = queue.len_of(team) > 0;
+            drain.observe(now, waiting);
+            waiting || slots.running(team) > 0
+        });
+    }
+
+    /// Slots kept free for urgent requests.
+    fn reserve(&self, now: Instant) -> u32 {
+        if !self.urgency {
+            return 0;
+        }
+        let rate = self.drain.urgent_rate(now);
+        reserve(self.slots.capacity(), self.drain.gap(now), rate)
+    }
+
+    /// What a further request has to expect, if the drain rate is known. A team's requests start
+    /// as fast as they were seen to, or as its share among the teams that wait allows.
+    fn forecast(&self, team: &TeamName, urgent: bool, quotas: &Quotas) -> Option<Forecast> {
+        let capacity = self.slots.capacity();
+        let (rate, run) = (self.drain.rate(capacity)?, self.drain.run()?);
+        let weight = |team: &TeamName| quotas.get(team).map_or(1.0, |q| f64::from(q.weight));
+        let others = self.queue.teams().filter(|(other, _)| *other != team);
+        let total: f64 = others.map(|(other, _)| weight(other)).sum();
+        let share = rate * weight(team) / (weight(team) + total);
+        let seen = self.drains.get(team).and_then(Drain::seen);
+        let own = seen.unwrap_or(share);
+        let ahead = self.queue.len_of(team) as f64 + 1.0;
+        let free = self.slots.vacant() > 0 && self.queue.is_empty();
+        let mut wait = if free { 0.0 } else { ahead / own };
+        if urgent {
+            let part = f64::from(urgent_cap(capacity)) / f64::from(capacity.max(1));
+            wait = wait.min((self.queue.urgent_len() as f64 + 1.0) / (rate * part));
+        }
+        let every = 1.0 / own;
+        Some(Forecast {
+            wait,
+            run,
+            every,
+            rate,
+        })
+    }
+
+    fn refusal(&self, now: Instant, ask: &Ask, forecast: Option<Forecast>) -> Option<RefusalCode> {
         let capacity = self.slots.capacity() as usize;
         if capacity == 0 {
             return Some(RefusalCode::NoCapacity);
         }
+        if self.health.is_culprit(now, ask.attempt.request) {
+            return Some(RefusalCode::JobFailing);
+        }
         if ask.remaining == 0 {
             return Some(RefusalCode::DeadlineTooClose);
         }
-        (self.queue.len() >= capacity * QUEUE_PER_SLOT).then_some(RefusalCode::Overloaded)
+        let waiting = self.queue.len();
+        let late = forecast.map_or(waiting >= capacity * QUEUE_PER_SLOT, |forecast| {
+            forecast.wait > 0.0
+                && (forecast.wait + forecast.run) * MARGIN > f64::from(ask.remaining) / 1e3
+        });
+        (late || waiting >= QUEUE_LIMIT).then_some(RefusalCode::Overloaded)
     }
+
+    fn refuse(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        ask: &Ask,
+        code: RefusalCode,
+        forecast: Option<Forecast>,
+    ) -> Action {
+        let (waiting, capacity) = (self.queue.len(), self.slots.capacity());
+        self.refusals.note(&ask.team, code, || {
+            let (wait, rate) = forecast.map_or((0.0, 0.0), |f| (f.wait, f.rate));
+            format!("{waiting} wait for {capacity} slots, {rate:.1}/s drain, {wait:.1} s to wait")
+        });
+        let after = match forecast {
+            Some(forecast) if code == RefusalCode::Overloaded => {
+                self.refusals
+                    .promise(now, &ask.team, forecast.wait, forecast.every)
+            }
+            _ => RETRY_MS,
+        };
+        refuse(link, ask.attempt, code, after)
+    }
+}
+
+/// What a request has to expect, in seconds.
+#[derive(Debug, Clone, Copy)]
+struct Forecast {
+    /// Until a slot is free for it.
+    wait: f64,
+    /// Mean run time.
+    run: f64,
+    /// Between two starts of its team.
+    every: f64,
+    /// Finishes a second.
+    rate: f64,
+}
+
+fn has_urgency(state: &State) -> bool {
+    state.teams.values().any(|row| row.urgent)
 }
 
-fn refuse(link: LinkId, attempt: AttemptId, code: RefusalCode) -> Action {
+fn refuse(link: LinkId, attempt: AttemptId, code: RefusalCode, after: u32) -> Action {
     let refusal = Refusal {
         attempt,
         code,
-        retry_after: RETRY_MS,
+        retry_after: after,
     };
     Action::Send(link, Message::Refuse(refusal))
 }
+
+fn note(change: HealthChange) -> Note {
+    match change {
+        HealthChange::Ejected => Note::new(NoteKind::HostEjected, "fails every request"),
+        HealthChange::TrialFailed => Note::new(NoteKind::HostEjected, "failed its trial"),
+        HealthChange::Readmitted => Note::new(NoteKind::HostReadmitted, "passed its trial"),
+    }
+}
--- a/src/sched/event.rs
+++ b/src/sched/event.rs
@@ -7,6 +7,7 @@
 use crate::record::State;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
+use crate::wire::Evidence;
 use crate::wire::Message;
 use crate::wire::Peer;
 use crate::wire::Running;
@@ -32,8 +33,8 @@
         link: LinkId,
         /// The attempt.
         attempt: AttemptId,
-        /// Whether the backend server answered as it should.
-        healthy: bool,
+        /// What it says about its host.
+        evidence: Evidence,
     },
     /// Everything that a gate has running, as of an epoch of its state.
     Report {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -42,6 +42,8 @@
     fresh: Option<Instant>,
     roster: Roster,
     escrow: Escrow,
+    /// As of the last grants.
+    quotas: Quotas,
     services: BTreeMap<ServiceName, Dispatcher>,
     /// What still runs of services that are placed elsewhere now; it occupies this scheduler's
     /// permits until it ends.
@@ -61,6 +63,7 @@
             state: Rc::default(),
             fresh: None,
             roster: Roster::default(),
+            quotas: Quotas::new(),
             services: BTreeMap::new(),
             closed: BTreeMap::new(),
             clock: 0,
@@ -78,7 +81,15 @@
                 self.roster.down(link);
             }
             Event::Ask(link, ask) => self.ask(now, link, ask, out),
-            Event::Cancel(link, attempt) | Event::Finished { link, attempt, .. } => {
+            Event::Cancel(link, attempt) => self.forget(link, &attempt),
+            Event::Finished {
+                link,
+                attempt,
+                evidence,
+            } => {
+                for dispatcher in self.services.values_mut() {
+                    dispatcher.finish(now, &attempt, evidence, out);
+                }
                 self.forget(link, &attempt);
             }
             Event::Report {
@@ -94,12 +105,13 @@
 
     /// Grants whatever may start now, and moves permits; to be called after a batch of events.
     pub fn grant(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let mut quotas = self.quotas();
+        let mut quotas = self.count();
         self.grant_services(now, &mut quotas, out);
         if self.settle(now, &quotas, out) {
-            let mut quotas = self.quotas();
+            quotas = self.count();
             self.grant_services(now, &mut quotas, out);
         }
+        self.quotas = quotas;
     }
 
     /// The permits of all teams.
@@ -134,7 +146,8 @@
     }
 
     fn may_grant(&self, now: Instant) -> bool {
-        self.fresh.is_some_and(|until| now < until) && self.state.has_member(&self.me)
+        self.fresh.is_some_and(|until| now < until)
+            && self.state.is_member(&self.me.node, self.me.incarnation)
     }
 
     fn settle(&mut self, now: Instant, quotas: &Quotas, out: &mut Vec<Action>) -> bool {
@@ -158,7 +171,7 @@
         self.escrow.step(now, need, out)
     }
 
-    fn quotas(&self) -> Quotas {
+    fn count(&self) -> Quotas {
         let mut quotas: Quotas = self
             .state
             .teams
@@ -227,7 +240,7 @@
 
     fn ask(&mut self, now: Instant, link: LinkId, ask: Ask, out: &mut Vec<Action>) {
         let gate = self.roster.gate(link);
-        let ended = gate.is_none_or(|gate| self.state.has_ended(gate));
+        let ended = gate.is_none_or(|gate| self.state.is_ended(&gate.node, gate.incarnation));
         let dispatcher = self.services.get_mut(&ask.service);
         let Some(dispatcher) = dispatcher.filter(|_| !ended) else {
             let refusal = Refusal {
@@ -238,7 +251,7 @@
             out.push(Action::Send(link, Message::Refuse(refusal)));
             return;
         };
-        dispatcher.ask(now, link, ask, out);
+        dispatcher.ask(now, link, ask, &self.quotas, out);
     }
 
     fn forget(&mut self, link: LinkId, attempt: &AttemptId) {
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -15,6 +15,7 @@
 use crate::upkeep::filled_slots;
 use crate::wire::AttemptId;
 use crate::wire::Busy;
+use crate::wire::Grant;
 use crate::wire::Peer;
 use crate::wire::Running;
 
@@ -29,6 +30,7 @@
     held: HashMap<AttemptId, Held>,
     gates: BTreeMap<Peer, BTreeSet<AttemptId>>,
     teams: BTreeMap<TeamName, u32>,
+    urgent: u32,
     capacity: u32,
     vacant: u32,
     /// Wall clock, Unix time in milliseconds; 0 if it is not known.
@@ -75,6 +77,7 @@
         }
         self.change_used(&held.host, |used| used + 1);
         *self.teams.entry(held.team.clone()).or_default() += 1;
+        self.urgent += u32::from(held.urgent);
         let gate = self.gates.entry(held.gate.clone()).or_default();
         gate.insert(attempt);
         self.held.insert(attempt, held);
@@ -84,6 +87,7 @@
     pub fn release(&mut self, attempt: &AttemptId) -> Option<Held> {
         let held = self.held.remove(attempt)?;
         self.change_used(&held.host, |used| used - 1);
+        self.urgent -= u32::from(held.urgent);
         if let Some(running) = self.teams.get_mut(&held.team) {
             *running -= 1;
             if *running == 0 {
@@ -134,6 +138,7 @@
         let held = Held {
             host: run.host.clone(),
             team: run.team.clone(),
+            urgent: false,
             gate: gate.clone(),
             granted: None,
             since: now,
@@ -141,14 +146,43 @@
         self.occupy(run.attempt, held);
     }
 
+    /// The usable hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = HostName> {
+        self.hosts.keys().cloned()
+    }
+
+    /// Whether an attempt occupies a slot.
+    #[must_use]
+    pub fn holds(&self, attempt: &AttemptId) -> bool {
+        self.held.contains_key(attempt)
+    }
+
+    /// The grant of an attempt that occupies a slot of a usable host.
+    #[must_use]
+    pub fn grant_of(&self, attempt: &AttemptId) -> Option<Grant> {
+        let held = self.held.get(attempt)?;
+        let placed = self.hosts.get(&held.host)?;
+        Some(Grant {
+            attempt: *attempt,
+            host: held.host.clone(),
+            addr: placed.addr,
+        })
+    }
+
     /// The usable host with the most free slots, one of `avoid` only if nothing else is free.
+    /// `admits` says whether a host may get work with so many slots in use.
     #[must_use]
-    pub fn pick(&self, avoid: &[HostName]) -> Option<(&HostName, &Host)> {
-        let mut by_free = self.free.iter().rev().map(|(_, name)| name);
-        let name = by_free
+    pub fn pick(
+        &self,
+        avoid: &[HostName],
+        admits: impl Fn(&HostName, u32) -> bool,
+    ) -> Option<(&HostName, &Host)> {
+        let by_free = self.free.iter().rev().map(|(_, name)| name);
+        let mut open = by_free.filter(|name| admits(name, self.in_use(name)));
+        let name = open
             .clone()
             .find(|name| !avoid.contains(name))
-            .or_else(|| by_free.next())?;
+            .or_else(|| open.next())?;
         self.hosts.get_key_value(name)
     }
 
@@ -175,6 +209,12 @@
         self.vacant
     }
 
+    /// Slots that urgent requests occupy.
+    #[must_use]
+    pub const fn urgent(&self) -> u32 {
+        self.urgent
+    }
+
     /// Whether nothing occupies a slot.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/tests/record_fold.rs
+++ b/tests/record_fold.rs
@@ -3,6 +3,7 @@
 use mimosastep::name::DcName;
 use mimosastep::name::NodeName;
 use mimosastep::record::Author;
+use mimosastep::record::CHECKPOINT_EVERY;
 use mimosastep::record::Change;
 use mimosastep::record::HostRow;
 use mimosastep::record::KeyHash;
@@ -14,6 +15,7 @@
 use mimosastep::record::RecordId;
 use mimosastep::record::Reject;
 use mimosastep::record::Role;
+use mimosastep::record::STATE_LIMIT;
 use mimosastep::record::State;
 use mimosastep::record::TeamRow;
 use proptest::prelude::*;
@@ -147,6 +149,8 @@
     let lost = state.apply(4, &record(2, base, table(second, 7)));
     assert_eq!(won, Outcome::Accepted { revision: 4 });
     assert_eq!(lost, Outcome::Rejected(Reject::StaleBase(4)));
+    let blind = state.clone().apply(5, &record(3, None, table(second, 7)));
+    assert_eq!(blind.settled(), Ok(5), "without a base both would win");
     assert_eq!(state.teams.keys().collect::<Vec<_>>(), [&name(first)]);
 }
 
@@ -363,6 +367,28 @@
     assert!(state.members.contains_key("g1"));
 }
 
+/// Two suspicions that are days apart are no majority if the first was taken back.
+#[test]
+fn a_suspicion_is_void_when_its_reporter_takes_it_back() {
+    let mut state = fleet();
+    suspect(&mut state, "g1", "f1").unwrap();
+    let (node, by) = (name("g1"), name("f1"));
+    let trust = Change::Trust {
+        node,
+        incarnation: 1,
+        by,
+    };
+    let mut broken = state.clone();
+    suspect(&mut broken, "g1", "f2").unwrap();
+    assert!(!broken.members.contains_key("g1"), "if it stood for good");
+    put(&mut state, trust).unwrap();
+    assert!(state.suspicions.is_empty());
+    suspect(&mut state, "g1", "f2").unwrap();
+    assert!(state.members.contains_key("g1"));
+    suspect(&mut state, "g1", "f1").unwrap();
+    assert!(!state.members.contains_key("g1"));
+}
+
 #[test_case(1, false; "the same")]
 #[test_case(0, false; "an older")]
 #[test_case(2, true; "a newer")]
@@ -394,6 +420,39 @@
     assert_eq!(late, Err(Reject::WrongSnapshot));
 }
 
+#[test_case(CHECKPOINT_EVERY, true; "of the last checkpoint")]
+#[test_case(CHECKPOINT_EVERY + 1, false; "of a state since")]
+#[test_case(CHECKPOINT_EVERY - 1, false; "of a state before")]
+fn a_snapshot_that_others_overtook_counts(of: u64, counts: bool) {
+    let mut state = site();
+    let mut bytes = Vec::new();
+    for offset in state.offset..CHECKPOINT_EVERY + 5 {
+        if offset == of {
+            bytes = state.snapshot();
+        }
+        put(&mut state, table("x", offset as u32)).unwrap();
+    }
+    let late = put(&mut state, Change::Snapshot(bytes));
+    assert_eq!(late.is_ok(), counts);
+    assert_eq!(state.snapped == state.offset - 1, counts);
+}
+
+#[test]
+fn a_state_too_large_for_a_snapshot_is_rejected() {
+    let mut state = site();
+    let rows = |count: usize| (0..count).map(|number| row(&format!("{number:0>64}"), 1));
+    let each = 64 + 4;
+    put(
+        &mut state,
+        Change::Table(rows(STATE_LIMIT / each * 9 / 10).collect()),
+    )
+    .unwrap();
+    let (teams, revision) = (state.teams.clone(), state.revision);
+    let large = Change::Table(rows(STATE_LIMIT / each).collect());
+    assert_eq!(put(&mut state, large), Err(Reject::StateTooLarge));
+    assert_eq!((state.teams, state.revision), (teams, revision));
+}
+
 fn fixed() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(20),
--- a/tests/share_fleet/mod.rs
+++ b/tests/share_fleet/mod.rs
@@ -13,6 +13,7 @@
 use mimosastep::gate;
 use mimosastep::gate::Ended;
 use mimosastep::gate::Gate;
+use mimosastep::gate::Settled;
 use mimosastep::gate::Submission;
 use mimosastep::member::FRESH_FOR;
 use mimosastep::name::NodeName;
@@ -90,13 +91,35 @@
         at: (usize, u64),
         link: u64,
     },
+    Settled {
+        at: (usize, u64),
+        attempt: AttemptId,
+    },
+}
+
+/// What became of a request.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub team: String,
+    pub service: String,
+    pub urgent: bool,
+    /// Whether its caller came back after a refusal.
+    pub again: bool,
+    pub asked: u64,
+    pub at: u64,
+    /// None if it started.
+    pub retry: Option<u64>,
 }
 
 pub struct Fleet {
+    pub outcomes: Vec<Outcome>,
+    open: BTreeMap<RequestId, Outcome>,
     pub now: u64,
     pub rng: StdRng,
     pub started: u64,
     pub refused: u64,
+    /// Tasks that were cancelled while they ran.
+    pub wasted: u64,
     pub violations: Vec<String>,
     start: Instant,
     fault: Break,
@@ -172,10 +195,13 @@
 impl Fleet {
     pub fn open(seed: u64, scheds: usize, gates: usize, state: State, fault: Break) -> Self {
         let mut fleet = Self {
+            outcomes: Vec::new(),
+            open: BTreeMap::new(),
             now: 0,
             rng: StdRng::seed_from_u64(seed),
             started: 0,
             refused: 0,
+            wasted: 0,
             violations: Vec::new(),
             start: Instant::now() + Duration::from_secs(3600),
             fault,
@@ -351,15 +377,41 @@
 
     /// Sends a caller's request to a gate.
     pub fn submit(&mut self, gate: usize, team: &str, service: &str, urgent: bool, within: u64) {
+        let outcome = Outcome {
+            team: team.to_owned(),
+            service: service.to_owned(),
+            urgent,
+            again: false,
+            asked: self.now,
+            at: self.now,
+            retry: None,
+        };
+        self.submit_as(gate, outcome, within);
+    }
+
+    /// Sends a request again that was refused.
+    pub fn submit_again(&mut self, gate: usize, refused: &Outcome, within: u64) {
+        let outcome = Outcome {
+            again: true,
+            asked: self.now,
+            retry: None,
+            ..refused.clone()
+        };
+        self.submit_as(gate, outcome, within);
+    }
+
+    fn submit_as(&mut self, gate: usize, outcome: Outcome, within: u64) {
         self.serial += 1;
         let submission = Submission {
             request: RequestId(u128::from(self.serial)),
-            service: name(service),
-            key: Some(key(team)),
-            urgent,
+            caller: None,
+            service: name(&outcome.service),
+            key: Some(key(&outcome.team)),
+            urgent: outcome.urgent,
             idempotent: false,
             deadline: self.at(self.now + within),
         };
+        self.open.insert(submission.request, outcome);
         self.tell_gate(gate, gate::Event::Submit(submission));
     }
 
@@ -568,12 +620,18 @@
                 gate::Action::Run { grant, team } => self.run(index, grant.attempt, team),
                 gate::Action::Renew(_, attempts) => self.renew(&attempts),
                 gate::Action::Cancel(_, attempts) => {
-                    attempts.iter().for_each(|attempt| {
-                        self.tasks.remove(attempt);
-                    });
+                    for attempt in attempts {
+                        self.wasted += u64::from(self.tasks.remove(&attempt).is_some());
+                        let at = (index, self.nodes[index].incarnation);
+                        self.schedule(self.now + 2, Work::Settled { at, attempt });
+                    }
+                }
+                gate::Action::Fail(request, failure) => {
+                    self.refused += 1;
+                    let after = failure.retry_after.unwrap_or(0);
+                    self.settle(request, Some(after.into()));
                 }
-                gate::Action::Fail(..) => self.refused += 1,
-                gate::Action::Note(_) => {}
+                gate::Action::Pass(_) | gate::Action::Abandon(..) | gate::Action::Note(_) => {}
             }
         }
     }
@@ -640,7 +698,7 @@
     fn perform(&mut self, work: Work) {
         let (index, incarnation) = match &work {
             Work::Deliver { to, .. } => *to,
-            Work::Down { at, .. } => *at,
+            Work::Down { at, .. } | Work::Settled { at, .. } => *at,
         };
         if !self.nodes[index].up || self.nodes[index].incarnation != incarnation {
             return;
@@ -649,6 +707,9 @@
             return self.schedule(self.nodes[index].frozen, work);
         }
         match work {
+            Work::Settled { attempt, .. } => {
+                self.tell_gate(index, gate::Event::Settled(attempt, Settled::Over));
+            }
             Work::Down { link, .. } => match self.nodes[index].role {
                 Role::Gate => self.tell_gate(index, gate::Event::Down(LinkId(link))),
                 _ => self.tell_sched(index, sched::Event::Down(LinkId(link))),
@@ -672,11 +733,11 @@
             Message::Refuse(refusal) => self.tell_gate(to, gate::Event::Refuse(link, refusal)),
             Message::Ask(ask) => self.tell_sched(to, sched::Event::Ask(link, ask)),
             Message::Cancel(attempt) => self.tell_sched(to, sched::Event::Cancel(link, attempt)),
-            Message::Finished { attempt, healthy } => {
+            Message::Finished { attempt, evidence } => {
                 let event = sched::Event::Finished {
                     link,
                     attempt,
-                    healthy,
+                    evidence,
                 };
                 self.tell_sched(to, event);
             }
@@ -692,8 +753,17 @@
         }
     }
 
+    fn settle(&mut self, request: RequestId, retry: Option<u64>) {
+        if let Some(mut outcome) = self.open.remove(&request) {
+            outcome.at = self.now;
+            outcome.retry = retry;
+            self.outcomes.push(outcome);
+        }
+    }
+
     fn run(&mut self, gate: usize, attempt: AttemptId, team: TeamName) {
         self.started += 1;
+        self.settle(attempt.request, None);
         let run_ms = (self.run_ms)(&mut self.rng);
         let limit = self.limit_now(&team);
         let running = self.running(team.as_str());
@@ -742,7 +812,7 @@
                 self.live(gate) && self.nodes[gate].incarnation == self.tasks[&attempt].incarnation;
             if lives {
                 self.tasks.remove(&attempt);
-                let ended = Ended::Answered { healthy: true };
+                let ended = Ended::Answered;
                 self.tell_gate(gate, gate::Event::Ended(attempt, ended));
             } else if self.tasks[&attempt].lease <= self.now {
                 self.tasks.remove(&attempt);
--- a/tests/upkeep_sched.rs
+++ b/tests/upkeep_sched.rs
@@ -16,6 +16,7 @@
 use mimosastep::sched::Scheduler;
 use mimosastep::wire::Ask;
 use mimosastep::wire::AttemptId;
+use mimosastep::wire::Evidence;
 use mimosastep::wire::Message;
 use mimosastep::wire::Peer;
 use mimosastep::wire::RequestId;
@@ -150,7 +151,7 @@
         sched.tell(Event::Finished {
             link: LINK,
             attempt: AttemptId { request, number: 1 },
-            healthy: true,
+            evidence: Evidence::Served,
         });
     }
     assert_eq!(sched.load(), (true, 0));
