--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -56,7 +56,8 @@
     pub backends: Vec<SocketAddr>,
     /// Addresses of the system's processes, by role and entry host.
     pub addresses: Vec<[Address; 3]>,
-    hosts: SocketAddr,
+    /// Address of the platform's list of hosts.
+    pub hosts: SocketAddr,
     forward: SocketAddr,
     links: Vec<String>,
     listed: Vec<String>,
--- a/src/fleet/submission.rs
+++ b/src/fleet/submission.rs
@@ -94,6 +94,10 @@
         | Change::Suspect { .. }
         | Change::Trust { .. }
         | Change::End { .. }
-        | Change::Snapshot(_) => false,
+        | Change::Snapshot(_)
+        | Change::Listed { .. }
+        | Change::Plan { .. }
+        | Change::Reboot { .. }
+        | Change::Finish { .. } => false,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! Fleet capacity and maintenance manager for sites where a technician comes only on scheduled
 //! visits.
 
+#![recursion_limit = "256"]
+
 pub mod admit;
 pub mod ctl;
 pub mod fleet;
@@ -14,9 +16,11 @@
 pub mod net;
 pub mod node;
 pub mod observe;
+pub mod platform;
 pub mod queue;
 pub mod record;
 pub mod sched;
 pub mod settings;
 pub mod table;
+pub mod upkeep;
 pub mod wire;
--- a/src/member/notes.rs
+++ b/src/member/notes.rs
@@ -52,6 +52,11 @@
         Change::Trust { .. } => "heard again",
         Change::End { .. } => "ended",
         Change::Snapshot(_) => "snapshot",
+        Change::Listed { leaving: true, .. } => "host listed as leaving",
+        Change::Listed { .. } => "host listed as live",
+        Change::Plan { .. } => "drain planned",
+        Change::Reboot { .. } => "host empty, to be rebooted",
+        Change::Finish { .. } => "planned drain ended",
     }
 }
 
@@ -62,7 +67,11 @@
         | Change::Drain(host)
         | Change::MarkHost { host, .. }
         | Change::Undrain { host, .. }
-        | Change::Move { host, .. } => note.host(host),
+        | Change::Move { host, .. }
+        | Change::Listed { host, .. }
+        | Change::Plan { host, .. }
+        | Change::Reboot { host, .. }
+        | Change::Finish { host, .. } => note.host(host),
         Change::MarkDc { dc, .. } => note.dc(dc),
         Change::Join { node, .. }
         | Change::Leave { node, .. }
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -29,6 +29,7 @@
 use crate::wire::AttemptId;
 use crate::wire::Evidence;
 use crate::wire::Grant;
+use crate::wire::Load;
 use crate::wire::Message;
 use crate::wire::Peer;
 use crate::wire::Refusal;
@@ -106,6 +107,12 @@
         self.urgency = has_urgency(state);
     }
 
+    /// Goes on filling data centres that have lately returned.
+    pub fn fill(&mut self, state: &Rc<State>, clock: u64) {
+        self.slots.set_clock(clock);
+        self.slots.update(state, &self.service);
+    }
+
     /// Queues a request, or refuses it at once; a repeated question gets the same answer.
     pub fn ask(
         &mut self,
@@ -227,6 +234,18 @@
         }
     }
 
+    /// Load of the service.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            service: self.service.clone(),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            running: self.slots.in_use_everywhere(),
+            capacity: self.slots.capacity(),
+            busy: self.slots.busy(),
+        }
+    }
+
     /// Refuses everything that waits, because another process serves the service now, and gives
     /// what still runs.
     pub fn close(mut self, out: &mut Vec<Action>) -> Slots {
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -12,7 +12,9 @@
 use crate::record::Host;
 use crate::record::State;
 use crate::sched::held::Held;
+use crate::upkeep::filled_slots;
 use crate::wire::AttemptId;
+use crate::wire::Busy;
 use crate::wire::Grant;
 use crate::wire::Peer;
 use crate::wire::Running;
@@ -31,15 +33,33 @@
     urgent: u32,
     capacity: u32,
     vacant: u32,
+    /// Wall clock, Unix time in milliseconds; 0 if it is not known.
+    clock: u64,
 }
 
 impl Slots {
-    /// Takes over the usable hosts of a service from a newer state.
+    /// Sets the wall clock that data centres are filled by, Unix time in milliseconds.
+    pub const fn set_clock(&mut self, clock: u64) {
+        self.clock = clock;
+    }
+
+    /// Takes over the usable hosts of a service from a newer state; those of a data centre that
+    /// has lately returned with a part of their slots.
     pub fn update(&mut self, state: &State, service: &ServiceName) {
         self.hosts = state
             .hosts_of(service)
             .filter(|(_, host)| state.usable(host))
-            .map(|(name, host)| (name.clone(), host.clone()))
+            .map(|(name, host)| {
+                let returned = state.returned.get(&host.dc).copied();
+                let slots = filled_slots(host.slots, returned, self.clock);
+                (
+                    name.clone(),
+                    Host {
+                        slots,
+                        ..host.clone()
+                    },
+                )
+            })
             .collect();
         self.capacity = self.hosts.values().map(|host| host.slots).sum();
         let hosts = self.hosts.iter();
@@ -201,6 +221,26 @@
         self.held.is_empty()
     }
 
+    /// Slots in use.
+    #[must_use]
+    pub fn in_use_everywhere(&self) -> u32 {
+        self.used.values().sum()
+    }
+
+    /// Hosts with slots in use that take no new work.
+    #[must_use]
+    pub fn busy(&self) -> Vec<Busy> {
+        let closed = self
+            .used
+            .iter()
+            .filter(|(host, _)| !self.hosts.contains_key(*host));
+        let busy = closed.map(|(host, used)| Busy {
+            host: host.clone(),
+            used: *used,
+        });
+        busy.collect()
+    }
+
     fn in_use(&self, host: &HostName) -> u32 {
         self.used.get(host).copied().unwrap_or(0)
     }
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -15,6 +15,7 @@
 use crate::net::LinkId;
 use crate::net::NetEvent;
 use crate::observe::Recorder;
+use crate::observe::unix_millis;
 use crate::record::Role;
 use crate::sched::Action;
 use crate::sched::Event;
@@ -24,6 +25,8 @@
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 20;
+/// Ticks between two reports of the load.
+const LOAD_TICKS: u32 = 50;
 /// Events taken in before slots are granted.
 const BATCH_LIMIT: usize = 256;
 
@@ -37,6 +40,10 @@
 pub struct SchedTask {
     scheduler: Scheduler,
     links: HashMap<LinkId, Link>,
+    fleet: HashMap<LinkId, Link>,
+    ticks: u32,
+    /// When the scheduler is told the wall clock again.
+    told: Option<Instant>,
     recorder: Recorder,
 }
 
@@ -60,6 +67,9 @@
         let task = Self {
             scheduler,
             links: HashMap::new(),
+            fleet: HashMap::new(),
+            ticks: 0,
+            told: None,
             recorder,
         };
         compio::runtime::spawn(task.run(sources)).detach();
@@ -82,21 +92,45 @@
     }
 
     fn take(&mut self, now: Instant, source: Source, out: &mut Vec<Action>) {
+        if !matches!(source, Source::Net(_)) {
+            self.tell_time(now, out);
+        }
         let event = match source {
             Source::Net(event) => self.net_event(event),
             Source::State(StateEvent::State(state)) => Some(Event::State(state)),
             Source::State(StateEvent::Fresh(until)) => Some(Event::Fresh(until)),
-            Source::Tick => Some(Event::Tick),
+            Source::Tick => {
+                self.report_load(now);
+                Some(Event::Tick)
+            }
         };
         if let Some(event) = event {
             self.scheduler.handle(now, event, out);
         }
     }
 
+    // Data centres are filled by the wall clock, which a second's step is fine enough for.
+    fn tell_time(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.told.is_none_or(|due| due <= now) {
+            self.told = Some(now + Duration::from_secs(1));
+            let clock = Event::Clock(unix_millis());
+            self.scheduler.handle(now, clock, out);
+        }
+    }
+
+    fn report_load(&mut self, now: Instant) {
+        self.ticks = (self.ticks + 1) % LOAD_TICKS;
+        if self.ticks == 0 {
+            let load = self.scheduler.load(now);
+            self.fleet.values().for_each(|link| link.send(load.clone()));
+        }
+    }
+
     fn net_event(&mut self, event: NetEvent) -> Option<Event> {
         match event {
             NetEvent::Up { link } => self.link_up(link),
             NetEvent::Down { link } => {
+                self.fleet.remove(&link);
                 let peer = self.links.remove(&link)?;
                 (peer.peer().role == Role::Gate).then_some(Event::Down(link))
             }
@@ -107,9 +141,11 @@
     fn link_up(&mut self, link: Link) -> Option<Event> {
         let (id, peer) = (link.id(), Peer::from(link.peer()));
         let role = link.peer().role;
-        if role != Role::Fleet {
-            self.links.insert(id, link);
-        }
+        let links = match role {
+            Role::Fleet => &mut self.fleet,
+            Role::Gate | Role::Sched => &mut self.links,
+        };
+        links.insert(id, link);
         (role == Role::Gate).then_some(Event::Up(id, peer))
     }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -8,6 +8,7 @@
 use crate::wire::Evidence;
 use crate::wire::Grant;
 use crate::wire::Hello;
+use crate::wire::Load;
 use crate::wire::Permit;
 use crate::wire::Permits;
 use crate::wire::Refusal;
@@ -75,6 +76,15 @@
     Permits(Permits),
     /// Ledger to holder: further permits of a team.
     Permit(Permit),
+    /// Scheduler to fleet process, each second: the load of its services.
+    Load {
+        /// Offset that the scheduler has folded up to.
+        offset: u64,
+        /// Whether it has heard from all gates what they run.
+        whole: bool,
+        /// Its services.
+        services: Vec<Load>,
+    },
 }
 
 impl Message {
--- a/tests/dispatch_sim/site.rs
+++ b/tests/dispatch_sim/site.rs
@@ -86,6 +86,10 @@
                 active: true,
                 draining: false,
                 maintained: 0,
+                home: service.parse().expect("a name"),
+                leaving: false,
+                listed: 0,
+                upkeep: None,
             };
             let name: HostName = format!("{service}-{index}").parse().expect("a name");
             state.hosts.insert(name, host);
--- a/tests/share_fleet/mod.rs
+++ b/tests/share_fleet/mod.rs
@@ -177,6 +177,10 @@
                 active: true,
                 draining: false,
                 maintained: 0,
+                home: name(&format!("p{service}")),
+                leaving: false,
+                listed: 0,
+                upkeep: None,
             };
             state
                 .hosts
