Measure every process and merge the time lines of all

Operators could see neither what a process does nor in which order the processes decided.

Counters are plain atomics at the places where messages pass, read only when /metrics is scraped, so no part of the decisions had to change. Notes carry hybrid logical stamps; a link sends its clock only when somebody has noted something since. A fleet process asks all others for their notes over its links and serves them merged at /v1/events, behind the operators' key. A gate that asks gets no answer.

--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -18,6 +18,7 @@
 use crate::http::json_reply;
 use crate::http::read_body;
 use crate::http::text_reply;
+use crate::observe::Stamp;
 use crate::record::KeyHash;
 use crate::wire::Verdict;
 
@@ -54,7 +55,7 @@
     async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Fault> {
         let method = match request.uri().path() {
             "/v1/changes" => Method::POST,
-            "/v1/state" | "/healthz" | "/readyz" => Method::GET,
+            "/v1/state" | "/v1/events" | "/healthz" | "/readyz" => Method::GET,
             _ => {
                 return Err(refusal(
                     StatusCode::NOT_FOUND,
@@ -76,8 +77,10 @@
             "/readyz" => return Ok(self.readiness()),
             _ => self.authorize(&request)?,
         }
-        if method == Method::GET {
-            return Ok(json_reply(StatusCode::OK, &self.backend.view()));
+        match request.uri().path() {
+            "/v1/state" => return Ok(json_reply(StatusCode::OK, &self.backend.view())),
+            "/v1/events" => return self.events(request.uri().query()).await,
+            _ => {}
         }
         self.change(request.into_body()).await
     }
@@ -90,6 +93,18 @@
         Ok(json_reply(StatusCode::OK, &accepted))
     }
 
+    async fn events(&self, query: Option<&str>) -> Result<Reply, Fault> {
+        let since = query.map_or(Ok(0), |query| {
+            query.strip_prefix("since=").unwrap_or(query).parse()
+        });
+        let since = since.map_err(|_| {
+            let message = "the query is `since=` and a Unix time in milliseconds";
+            refusal(StatusCode::BAD_REQUEST, "bad-since", message)
+        })?;
+        let timeline = self.backend.timeline(Stamp::at(since)).await;
+        Ok(json_reply(StatusCode::OK, &timeline))
+    }
+
     fn readiness(&self) -> Reply {
         if self.backend.ready() {
             return text_reply(StatusCode::OK, "ready\n");
--- a/src/fleet/backend.rs
+++ b/src/fleet/backend.rs
@@ -1,11 +1,14 @@
 //! What stands behind the operators' interface.
 
+use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
 use crate::fleet::Accepted;
 use crate::fleet::Submission;
 use crate::fleet::SubmitError;
 use crate::fleet::View;
+use crate::observe::Stamp;
+use crate::observe::Timeline;
 
 /// The log and the state folded from it.
 pub trait Backend {
@@ -21,6 +24,12 @@
     /// The state as this process knows it.
     fn view(&self) -> View;
 
+    /// The time line over all processes, from `since` on.
+    fn timeline(&self, since: Stamp) -> LocalBoxFuture<'static, Timeline> {
+        let _ = since;
+        async { Timeline::default() }.boxed_local()
+    }
+
     /// Whether this process can serve operators.
     fn ready(&self) -> bool;
 }
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -16,8 +16,11 @@
 use crate::member::Applied;
 use crate::member::ChangeError;
 use crate::member::Follower;
+use crate::net::TimelineSource;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::observe::Stamp;
+use crate::observe::Timeline;
 use crate::record::Author;
 use crate::record::Record;
 use crate::record::Role;
@@ -42,12 +45,13 @@
         let operators = Operators {
             follower: node.follower(),
             ready: node.readiness(),
+            timeline: node.timeline(),
         };
         let api = OperatorsApi::new(Rc::new(operators), settings.operators);
         let http = HttpServer::bind(
             settings.common.http,
             OperatorsApi::LIMITS,
-            api.into_handler(),
+            node.metrics().watch(api.into_handler()),
         )?;
         node.announce();
         Ok(Self { node, http })
@@ -64,6 +68,7 @@
 struct Operators {
     follower: Follower,
     ready: Rc<Cell<bool>>,
+    timeline: TimelineSource,
 }
 
 impl Backend for Operators {
@@ -88,6 +93,10 @@
         View::from(&*self.follower.state())
     }
 
+    fn timeline(&self, since: Stamp) -> LocalBoxFuture<'static, Timeline> {
+        (self.timeline)(since)
+    }
+
     fn ready(&self) -> bool {
         self.ready.get()
     }
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -66,6 +66,7 @@
             node.recorder(),
         );
         let handler = route(inputs.clone(), ready, settings.body_limit);
+        let handler = node.metrics().watch(handler);
         let limits = Limits {
             body_bytes: settings.body_limit,
             ..Limits::default()
--- a/src/http/fault.rs
+++ b/src/http/fault.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::http::ErrorBody;
+use crate::http::Outcome;
 use crate::http::Reply;
 use crate::http::json_reply;
 use crate::wire::Verdict;
@@ -57,7 +58,15 @@
     #[must_use]
     pub fn into_reply(self) -> Reply {
         let wait = self.body.retry_after_ms;
+        let outcome = Outcome {
+            code: match self.body.code {
+                Cow::Borrowed(code) => code,
+                Cow::Owned(_) => "other",
+            },
+            verdict: self.body.verdict,
+        };
         let mut reply = json_reply(self.status, &Envelope { error: self.body });
+        reply.extensions_mut().insert(outcome);
         let headers = reply.headers_mut();
         if let Some(millis) = wait {
             headers.insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1000)));
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod error_body;
 mod fault;
 mod limits;
+mod outcome;
 mod reply;
 mod server;
 
@@ -13,6 +14,7 @@
 pub use error_body::ErrorBody;
 pub use fault::Fault;
 pub use limits::Limits;
+pub use outcome::Outcome;
 pub use reply::Reply;
 pub use reply::json_reply;
 pub use reply::text_reply;
--- a/src/net/decoder.rs
+++ b/src/net/decoder.rs
@@ -13,6 +13,7 @@
 pub struct Decoder {
     buffer: Vec<u8>,
     consumed: usize,
+    frame: usize,
 }
 
 impl Decoder {
@@ -29,6 +30,12 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Bytes of the frame that was taken last.
+    #[must_use]
+    pub const fn frame_len(&self) -> usize {
+        self.frame
+    }
+
     /// Takes the next message out, or `None` if its bytes have not all come.
     ///
     /// # Errors
@@ -47,6 +54,7 @@
         };
         let message = parse(frame)?;
         self.consumed += PREFIX + len;
+        self.frame = PREFIX + len;
         Ok(Some(message))
     }
 }
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +17,8 @@
 use compio_quic::EndpointConfig;
 use compio_quic::Incoming;
 use compio_quic::VarInt;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use slog::Logger;
 use slog::warn;
 
@@ -24,9 +27,16 @@
 use crate::net::NetError;
 use crate::net::dialer;
 use crate::net::outlet::Outlet;
+use crate::net::recalls::Recalls;
 use crate::net::session;
 use crate::net::session::Station;
+use crate::net::traffic::Traffic;
 use crate::net::transport;
+use crate::observe::Counters;
+use crate::observe::Recorder;
+use crate::observe::Refresh;
+use crate::observe::Stamp;
+use crate::observe::Timeline;
 use crate::wire::Hello;
 
 /// Most connections that are accepted at a time.
@@ -35,6 +45,12 @@
 /// How long `close` waits for peers to be told.
 const FAREWELL: Duration = Duration::from_secs(1);
 
+/// How long a time line waits for the answers of other processes.
+const RECALL: Duration = Duration::from_secs(1);
+
+/// Gives the time line over all connected processes, from a stamp on.
+pub type TimelineSource = Rc<dyn Fn(Stamp) -> LocalBoxFuture<'static, Timeline>>;
+
 /// A UDP endpoint that accepts links and keeps up those that are wanted.
 ///
 /// Dropping it ends its dialled links; [`Mesh::close`] ends all and tells the peers.
@@ -66,7 +82,16 @@
         let endpoint = Endpoint::new(socket, config, Some(server), Some(client))?;
         let addr = endpoint.local_addr()?;
         let (outlet, events) = Outlet::open();
-        let station = Rc::new(Station { hello, outlet, log });
+        let counters = Arc::<Counters>::default();
+        let station = Rc::new(Station {
+            hello,
+            outlet,
+            log,
+            recorder: Recorder::open(Arc::clone(&counters)),
+            counters,
+            traffic: Traffic::default(),
+            recalls: Recalls::default(),
+        });
         let acceptor = spawn(accept(endpoint.clone(), Rc::clone(&station)));
         Ok(Self {
             endpoint,
@@ -85,6 +110,45 @@
         self.addr
     }
 
+    /// What the links have counted.
+    #[must_use]
+    pub fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.station.counters)
+    }
+
+    /// Where decisions are put on the time line.
+    #[must_use]
+    pub fn recorder(&self) -> Recorder {
+        self.station.recorder.clone()
+    }
+
+    /// A function that gives the time line over all connected processes.
+    #[must_use]
+    pub fn timeline(&self) -> TimelineSource {
+        let station = Rc::downgrade(&self.station);
+        Rc::new(move |since| {
+            let station = station.upgrade();
+            async move {
+                match station {
+                    Some(station) => collect(&station, since).await,
+                    None => Timeline::default(),
+                }
+            }
+            .boxed_local()
+        })
+    }
+
+    /// A function that brings the counters of links and datagrams up to date.
+    #[must_use]
+    pub fn refresh(&self) -> Refresh {
+        let station = Rc::downgrade(&self.station);
+        Rc::new(move || {
+            if let Some(station) = station.upgrade() {
+                station.refresh();
+            }
+        })
+    }
+
     /// Hands out the receivers of events, once.
     #[must_use]
     pub fn take_events(&self) -> Option<Events> {
@@ -131,6 +195,13 @@
     }
 }
 
+async fn collect(station: &Station, since: Stamp) -> Timeline {
+    let deadline = Instant::now() + RECALL;
+    let (mut shares, missing) = station.recalls.ask(since, deadline).await;
+    shares.insert(station.hello.node.clone(), station.share(since));
+    Timeline::merge(shares, missing)
+}
+
 async fn accept(endpoint: Endpoint, station: Rc<Station>) {
     // Each accepted connection holds a clone for its life.
     let seat = Rc::new(());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,9 @@
 mod link_id;
 mod mesh;
 mod outlet;
+mod recalls;
 mod session;
+mod traffic;
 mod transport;
 
 pub use decoder::Decoder;
@@ -24,4 +26,5 @@
 pub use link::Link;
 pub use link_id::LinkId;
 pub use mesh::Mesh;
+pub use mesh::TimelineSource;
 pub use outlet::Events;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,6 +30,13 @@
 use crate::net::NetEvent;
 use crate::net::encode;
 use crate::net::outlet::Outlet;
+use crate::net::recalls::Recalls;
+use crate::net::traffic::Traffic;
+use crate::observe::Counters;
+use crate::observe::Recorder;
+use crate::observe::Share;
+use crate::observe::Stamp;
+use crate::record::Role;
 use crate::wire::Hello;
 use crate::wire::Message;
 
@@ -41,6 +50,47 @@
     pub(super) hello: Hello,
     pub(super) outlet: Outlet,
     pub(super) log: Logger,
+    pub(super) counters: Arc<Counters>,
+    pub(super) traffic: Traffic,
+    pub(super) recorder: Recorder,
+    pub(super) recalls: Recalls,
+}
+
+impl Station {
+    /// Handles what concerns the time line, and passes all else on.
+    fn receive(&self, link: &Link, message: Message) {
+        match message {
+            Message::Clock(stamp) => self.recorder.merge(stamp),
+            Message::Recall { nonce, since } if link.peer().role == Role::Fleet => {
+                let share = self.share(since);
+                link.send(Message::Recalled { nonce, share });
+            }
+            Message::Recalled { nonce, share } => {
+                self.recalls.answer(link.peer().node.clone(), nonce, share);
+            }
+            message => self.outlet.emit(NetEvent::Message {
+                link: link.clone(),
+                message,
+            }),
+        }
+    }
+
+    /// This process's part of the time line.
+    pub(super) fn share(&self, since: Stamp) -> Share {
+        Share {
+            entries: self.recorder.entries(since),
+            dropped: self.recorder.dropped(),
+        }
+    }
+
+    /// Brings the counters of links and datagrams up to date.
+    pub(super) fn refresh(&self) {
+        let (sent, received) = self.traffic.totals();
+        self.counters.datagrams_out.store(sent, Relaxed);
+        self.counters.datagrams_in.store(received, Relaxed);
+        let links = self.traffic.links() as u64;
+        self.counters.links.store(links, Relaxed);
+    }
 }
 
 /// Closes the connection when dropped, so that a cancelled task leaves none behind.
@@ -70,6 +120,8 @@
     fn drop(&mut self) {
         let link = self.link.id();
         info!(self.station.log, "link down"; "link" => link.0, "peer" => %self.link.peer().node);
+        self.station.traffic.remove(link);
+        self.station.recalls.remove(link);
         self.station.outlet.emit(NetEvent::Down { link });
     }
 }
@@ -94,7 +146,7 @@
         Ok((send, recv, decoder, peer))
     };
     match in_time(greeting, deadline).await {
-        Ok((send, recv, decoder, peer)) => run(send, recv, decoder, peer, station).await,
+        Ok(streams) => run(&closing.0, streams, station).await,
         Err(err) => err,
     }
 }
@@ -115,9 +167,9 @@
         Ok((send, recv, decoder, peer))
     };
     match in_time(greeting, deadline).await {
-        Ok((send, recv, decoder, peer)) => {
+        Ok(streams) => {
             *stood = true;
-            run(send, recv, decoder, peer, station).await
+            run(&closing.0, streams, station).await
         }
         Err(err) => err,
     }
@@ -173,17 +225,17 @@
 }
 
 async fn run(
-    send: SendStream,
-    recv: RecvStream,
-    decoder: Decoder,
-    peer: Hello,
+    connection: &Connection,
+    (send, recv, decoder, peer): (SendStream, RecvStream, Decoder, Hello),
     station: Rc<Station>,
 ) -> NetError {
     let (queue, queued) = mpsc::unbounded();
     let link = Link::new(station.outlet.next_id(), peer, queue);
+    station.traffic.add(link.id(), connection.clone());
+    station.recalls.add(link.clone());
     let _standing = Standing::announce(link.clone(), Rc::clone(&station));
     let reader = pin!(read(recv, decoder, &link, &station));
-    let writer = pin!(write(send, queued, &station.log));
+    let writer = pin!(write(send, queued, &station));
     match select(reader, writer).await {
         Either::Left((err, _)) | Either::Right((err, _)) => err,
     }
@@ -198,10 +250,12 @@
     loop {
         match decoder.take() {
             Ok(Some(Message::Hello(_))) => return NetError::Hello("a second one"),
-            Ok(Some(message)) => station.outlet.emit(NetEvent::Message {
-                link: link.clone(),
-                message,
-            }),
+            Ok(Some(message)) => {
+                station
+                    .counters
+                    .message_received(&message, decoder.frame_len());
+                station.receive(link, message);
+            }
             Ok(None) => {
                 if let Err(err) = fill(&mut recv, &mut decoder).await {
                     return err;
@@ -215,15 +269,22 @@
 async fn write(
     mut send: SendStream,
     mut queued: UnboundedReceiver<Message>,
-    log: &Logger,
+    station: &Station,
 ) -> NetError {
+    let mut told = Stamp::default();
     while let Some(first) = queued.next().await {
         let mut batch = Vec::new();
-        append(&first, &mut batch, log);
+        let last = station.recorder.last();
+        // Costs nothing while nobody has noted anything.
+        if last > told {
+            append(&Message::Clock(last), &mut batch, station);
+            told = last;
+        }
+        append(&first, &mut batch, station);
         while batch.len() < BATCH
             && let Ok(message) = queued.try_recv()
         {
-            append(&message, &mut batch, log);
+            append(&message, &mut batch, station);
         }
         if let Err(err) = send.write_all_chunks(&mut [Bytes::from(batch)]).await {
             return err.into();
@@ -232,8 +293,10 @@
     NetError::Ended
 }
 
-fn append(message: &Message, batch: &mut Vec<u8>, log: &Logger) {
-    if let Err(err) = encode(message, batch) {
-        warn!(log, "message not sent"; "why" => %err);
+fn append(message: &Message, batch: &mut Vec<u8>, station: &Station) {
+    let before = batch.len();
+    match encode(message, batch) {
+        Ok(()) => station.counters.message_sent(message, batch.len() - before),
+        Err(err) => warn!(station.log, "message not sent"; "why" => %err),
     }
 }
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,8 +19,12 @@
 use crate::name::NodeName;
 use crate::net::Mesh;
 use crate::net::NetEvent;
+use crate::net::TimelineSource;
 use crate::node::NodeError;
+use crate::observe::Counters;
+use crate::observe::Metrics;
 use crate::observe::Recorder;
+use crate::observe::monitor;
 use crate::observe::open_log;
 use crate::observe::unix_millis;
 use crate::record::Change;
@@ -50,6 +55,8 @@
     ready: Rc<Cell<bool>>,
     log: Logger,
     recorder: Recorder,
+    counters: Arc<Counters>,
+    metrics: Metrics,
 }
 
 impl Node {
@@ -94,6 +101,12 @@
             fresh: None,
         };
         compio::runtime::spawn(watch.run(follower.subscribe())).detach();
+        let counters = mesh.counters();
+        let recorder = mesh.recorder();
+        let told = (role == Role::Fleet).then(|| recorder.clone());
+        let monitoring = monitor(Arc::clone(&counters), told, follower.subscribe());
+        compio::runtime::spawn(monitoring).detach();
+        let metrics = Metrics::open(&counters, mesh.refresh()).map_err(std::io::Error::other)?;
         info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
         Ok(Self {
             hello,
@@ -103,7 +116,9 @@
             core: Some(events.core),
             ready,
             log,
-            recorder: Recorder::default(),
+            recorder,
+            counters,
+            metrics,
         })
     }
 
@@ -125,6 +140,24 @@
         self.recorder.clone()
     }
 
+    /// The time line over all processes.
+    #[must_use]
+    pub fn timeline(&self) -> TimelineSource {
+        self.mesh.timeline()
+    }
+
+    /// What the process has counted.
+    #[must_use]
+    pub fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.counters)
+    }
+
+    /// Metrics of the process.
+    #[must_use]
+    pub fn metrics(&self) -> Metrics {
+        self.metrics.clone()
+    }
+
     /// Log of the process.
     pub const fn log(&self) -> &Logger {
         &self.log
--- /dev/null
+++ b/src/observe/metrics.rs
@@ -0,0 +1,293 @@
+//! Metrics of a process in the Prometheus text format.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use hyper::StatusCode;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::http::Handler;
+use crate::http::Outcome;
+use crate::http::Reply;
+use crate::http::text_reply;
+use crate::observe::Counters;
+use crate::observe::MessageKind;
+use crate::observe::counters::Flow;
+use crate::observe::unix_millis;
+
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+/// Bounds of the latency histogram, in seconds.
+const BOUNDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0,
+];
+
+/// Called before a scrape, to bring counters up to date that are kept elsewhere.
+pub type Refresh = Rc<dyn Fn()>;
+
+/// Metrics of a process; clones share them.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    durations: Histogram<f64>,
+    requests: Counter<u64>,
+    refresh: Refresh,
+}
+
+impl Metrics {
+    /// Instruments over `counters`.
+    ///
+    /// # Errors
+    /// An [`OTelSdkError`] if the exporter cannot be registered.
+    pub fn open(counters: &Arc<Counters>, refresh: Refresh) -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("mimosastep");
+        observe_messages(&meter, counters);
+        observe_links(&meter, counters);
+        observe_requests(&meter, counters);
+        observe_state(&meter, counters);
+        observe_notes(&meter, counters);
+        Ok(Self {
+            durations: meter
+                .f64_histogram("http.server.request.duration")
+                .with_unit("s")
+                .with_boundaries(BOUNDS.to_vec())
+                .build(),
+            requests: meter.u64_counter("mimosa.requests").build(),
+            registry,
+            _provider: provider,
+            refresh,
+        })
+    }
+
+    /// Serves the metrics beside `handler`, and measures what `handler` serves.
+    #[must_use]
+    pub fn watch(&self, handler: Handler) -> Handler {
+        let metrics = self.clone();
+        Rc::new(move |request| {
+            if request.uri().path() == PATH {
+                let reply = metrics.scrape();
+                return async move { reply }.boxed_local();
+            }
+            let route = route(request.uri().path());
+            let reply = handler(request);
+            let metrics = metrics.clone();
+            let start = Instant::now();
+            async move {
+                let reply = reply.await;
+                metrics.measure(route, start, &reply);
+                reply
+            }
+            .boxed_local()
+        })
+    }
+
+    /// The metrics as a reply.
+    #[must_use]
+    pub fn scrape(&self) -> Reply {
+        (self.refresh)();
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(text) => text_reply(StatusCode::OK, text),
+            Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+
+    fn measure(&self, route: &'static str, start: Instant, reply: &Reply) {
+        let status = i64::from(reply.status().as_u16());
+        let labels = [
+            KeyValue::new("http.route", route),
+            KeyValue::new("http.response.status_code", status),
+        ];
+        self.durations
+            .record(start.elapsed().as_secs_f64(), &labels);
+        if route == SERVICE_ROUTE {
+            self.requests.add(1, &outcome(reply));
+        }
+    }
+}
+
+/// Route of callers' requests.
+const SERVICE_ROUTE: &str = "/v1/services/{service}/requests";
+
+/// The route of a path; all unknown paths are one, so that callers cannot add labels.
+fn route(path: &str) -> &'static str {
+    const FIXED: [&str; 5] = [
+        "/healthz",
+        "/readyz",
+        "/v1/changes",
+        "/v1/state",
+        "/v1/events",
+    ];
+    if path.starts_with("/v1/services/") {
+        return SERVICE_ROUTE;
+    }
+    let known = FIXED.into_iter().find(|fixed| *fixed == path);
+    known.unwrap_or("other")
+}
+
+fn outcome(reply: &Reply) -> [KeyValue; 2] {
+    let (code, verdict) = match reply.extensions().get::<Outcome>() {
+        Some(outcome) => (outcome.code, outcome.verdict.as_str()),
+        None => ("none", "answered"),
+    };
+    [
+        KeyValue::new("mimosa.code", code),
+        KeyValue::new("mimosa.verdict", verdict),
+    ]
+}
+
+fn observe_messages(meter: &Meter, counters: &Arc<Counters>) {
+    type Pick = fn(&Flow) -> &AtomicU64;
+    let parts: [(&'static str, &'static str, Pick); 2] = [
+        ("mimosa.messages", "{message}", |flow| &flow.count),
+        ("mimosa.messages.io", "By", |flow| &flow.bytes),
+    ];
+    for (name, unit, pick) in parts {
+        let counters = Arc::clone(counters);
+        let builder = meter.u64_observable_counter(name).with_unit(unit);
+        let callback = builder.with_callback(move |observer| {
+            let ways = [
+                ("transmit", &counters.sent),
+                ("receive", &counters.received),
+            ];
+            for (way, flows) in ways {
+                for kind in MessageKind::ALL {
+                    let labels = [
+                        KeyValue::new("network.io.direction", way),
+                        KeyValue::new("mimosa.message.kind", kind.as_str()),
+                    ];
+                    observer.observe(pick(&flows[kind as usize]).load(Relaxed), &labels);
+                }
+            }
+        });
+        callback.build();
+    }
+}
+
+fn observe_links(meter: &Meter, counters: &Arc<Counters>) {
+    gauge(meter, counters, "mimosa.links", "{link}", |c| &c.links);
+    let counters = Arc::clone(counters);
+    meter
+        .u64_observable_counter("mimosa.links.io")
+        .with_unit("By")
+        .with_callback(move |observer| {
+            let ways = [
+                ("transmit", &counters.datagrams_out),
+                ("receive", &counters.datagrams_in),
+            ];
+            for (way, bytes) in ways {
+                let labels = [KeyValue::new("network.io.direction", way)];
+                observer.observe(bytes.load(Relaxed), &labels);
+            }
+        })
+        .build();
+}
+
+fn observe_requests(meter: &Meter, counters: &Arc<Counters>) {
+    gauge(meter, counters, "mimosa.queue.length", "{request}", |c| {
+        &c.waiting
+    });
+    gauge(meter, counters, "mimosa.slots.used", "{slot}", |c| {
+        &c.running
+    });
+    counter(meter, counters, "mimosa.retries", "{attempt}", |c| {
+        &c.retries
+    });
+    counter(meter, counters, "mimosa.permits.granted", "{permit}", |c| {
+        &c.permits
+    });
+    counter(meter, counters, "mimosa.grants", "{grant}", |c| {
+        &c.sent[MessageKind::Grant as usize].count
+    });
+    let counters = Arc::clone(counters);
+    meter
+        .u64_observable_counter("mimosa.refusals")
+        .with_unit("{refusal}")
+        .with_callback(move |observer| {
+            for (code, count) in counters.refusals() {
+                observer.observe(count, &[KeyValue::new("mimosa.code", code)]);
+            }
+        })
+        .build();
+}
+
+fn observe_state(meter: &Meter, counters: &Arc<Counters>) {
+    gauge(meter, counters, "mimosa.log.offset", "{record}", |c| {
+        &c.offset
+    });
+    gauge(meter, counters, "mimosa.state.revision", "{change}", |c| {
+        &c.revision
+    });
+    gauge(meter, counters, "mimosa.state.epoch", "{change}", |c| {
+        &c.epoch
+    });
+    let counters = Arc::clone(counters);
+    meter
+        .f64_observable_gauge("mimosa.state.freshness")
+        .with_unit("s")
+        .with_callback(move |observer| {
+            let until = counters.fresh.load(Relaxed);
+            let left = until.saturating_sub(unix_millis());
+            observer.observe(left as f64 / 1_000.0, &[]);
+        })
+        .build();
+}
+
+fn observe_notes(meter: &Meter, counters: &Arc<Counters>) {
+    counter(meter, counters, "mimosa.notes", "{note}", |c| &c.notes);
+    counter(meter, counters, "mimosa.notes.dropped", "{note}", |c| {
+        &c.dropped
+    });
+}
+
+type Field = fn(&Counters) -> &AtomicU64;
+
+fn gauge(
+    meter: &Meter,
+    counters: &Arc<Counters>,
+    name: &'static str,
+    unit: &'static str,
+    field: Field,
+) {
+    let counters = Arc::clone(counters);
+    meter
+        .u64_observable_gauge(name)
+        .with_unit(unit)
+        .with_callback(move |observer| observer.observe(field(&counters).load(Relaxed), &[]))
+        .build();
+}
+
+fn counter(
+    meter: &Meter,
+    counters: &Arc<Counters>,
+    name: &'static str,
+    unit: &'static str,
+    field: Field,
+) {
+    let counters = Arc::clone(counters);
+    meter
+        .u64_observable_counter(name)
+        .with_unit(unit)
+        .with_callback(move |observer| observer.observe(field(&counters).load(Relaxed), &[]))
+        .build();
+}
--- a/src/observe/note.rs
+++ b/src/observe/note.rs
@@ -1,5 +1,8 @@
 //! What a decision explains about itself.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::name::DcName;
 use crate::name::HostName;
 use crate::name::NodeName;
@@ -8,7 +11,7 @@
 use crate::observe::NoteKind;
 
 /// One decision for the time line: what was decided, about what, and why.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Note {
     /// What was decided.
     pub kind: NoteKind,
--- /dev/null
+++ b/src/observe/stamp.rs
@@ -0,0 +1,42 @@
+//! A reading of a hybrid logical clock.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Bits of the counter below the milliseconds.
+const COUNTER_BITS: u32 = 16;
+
+/// Unix milliseconds, and a counter that orders what happens within one millisecond.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Stamp(u64);
+
+impl Stamp {
+    /// The first stamp of a millisecond.
+    #[must_use]
+    pub const fn at(millis: u64) -> Self {
+        Self(millis << COUNTER_BITS)
+    }
+
+    /// The next stamp; a counter that is full runs over into the milliseconds.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+
+    /// Its Unix time in milliseconds.
+    #[must_use]
+    pub const fn millis(self) -> u64 {
+        self.0 >> COUNTER_BITS
+    }
+}
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counter = self.0 & ((1 << COUNTER_BITS) - 1);
+        write!(f, "{}.{counter}", self.millis())
+    }
+}
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// Requests that wait, and slots in use.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize) {
+        (self.queue.len(), self.slots.len())
+    }
+
     /// Refuses everything that waits, because another process serves the service now.
     pub fn close(mut self, out: &mut Vec<Action>) {
         let left = self.queue.remove_where(|_| true);
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -77,6 +77,15 @@
         }
     }
 
+    /// Requests that wait, and slots in use, over all services.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize) {
+        self.services
+            .values()
+            .map(Dispatcher::load)
+            .fold((0, 0), |sum, load| (sum.0 + load.0, sum.1 + load.1))
+    }
+
     fn may_grant(&self, now: Instant) -> bool {
         let member = self.state.members.get(&self.node);
         self.fresh.is_some_and(|until| now < until)
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -30,8 +30,10 @@
             node.take_events(),
             node.subscribe(),
             node.recorder(),
+            node.counters(),
         );
         let handler: Handler = probes(node.readiness());
+        let handler = node.metrics().watch(handler);
         let http = HttpServer::bind(settings.common.http, Limits::default(), handler)?;
         node.announce();
         Ok(Self { node, http })
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -101,6 +101,12 @@
         self.teams.get(team).copied().unwrap_or(0)
     }
 
+    /// Slots in use.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
     /// Slots of all usable hosts.
     #[must_use]
     pub fn capacity(&self) -> u32 {
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -1,6 +1,8 @@
 //! The task that owns a scheduler's decisions.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +16,7 @@
 use crate::net::Link;
 use crate::net::LinkId;
 use crate::net::NetEvent;
+use crate::observe::Counters;
 use crate::observe::Recorder;
 use crate::record::Role;
 use crate::sched::Action;
@@ -37,6 +40,7 @@
     scheduler: Scheduler,
     links: HashMap<LinkId, Link>,
     recorder: Recorder,
+    counters: Arc<Counters>,
 }
 
 impl SchedTask {
@@ -46,6 +50,7 @@
         net: UnboundedReceiver<NetEvent>,
         state: UnboundedReceiver<StateEvent>,
         recorder: Recorder,
+        counters: Arc<Counters>,
     ) {
         let ticks = futures_util::stream::unfold((), |()| async {
             compio::time::sleep(Duration::from_millis(TICK_MS)).await;
@@ -60,6 +65,7 @@
             scheduler,
             links: HashMap::new(),
             recorder,
+            counters,
         };
         compio::runtime::spawn(task.run(sources)).detach();
     }
@@ -77,6 +83,9 @@
             }
             self.scheduler.grant(now, &mut actions);
             actions.drain(..).for_each(|action| self.carry_out(action));
+            let (waiting, running) = self.scheduler.load();
+            self.counters.waiting.store(waiting as u64, Relaxed);
+            self.counters.running.store(running as u64, Relaxed);
         }
     }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 
 use crate::name::TeamName;
+use crate::observe::Share;
+use crate::observe::Stamp;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
@@ -91,6 +93,22 @@
         /// Most that the holder should keep; it hands back the rest as they come free.
         target: u32,
     },
+    /// The sender's clock, ahead of the messages behind it.
+    Clock(Stamp),
+    /// Fleet process to any: send your time line.
+    Recall {
+        /// Repeated in the answer.
+        nonce: u64,
+        /// First stamp wanted.
+        since: Stamp,
+    },
+    /// Answer to a recall.
+    Recalled {
+        /// From the recall.
+        nonce: u64,
+        /// The time line.
+        share: Share,
+    },
 }
 
 impl Message {
