Measure slopes on the real code

Each row is a least-squares line with its error; rows whose error is above 15 % of the largest value say so.

--- /dev/null
+++ b/examples/slopes/state.rs
@@ -0,0 +1,194 @@
+//! Size of the state, and the time to fold a record and to take a snapshot.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use mimosastep::member::Freshness;
+use mimosastep::member::FreshnessEvent;
+use mimosastep::member::Replica;
+use mimosastep::member::Voter;
+use mimosastep::member::place;
+use mimosastep::record::Change;
+use mimosastep::record::Role;
+use mimosastep::record::State;
+use mimosastep::wire::Hello;
+
+use crate::fit::Slope;
+use crate::fleet::Size;
+use crate::fleet::apply;
+use crate::fleet::host;
+use crate::fleet::node;
+use crate::fleet::record;
+use crate::micros;
+
+const HOSTS: [u32; 5] = [550, 1_100, 2_200, 4_400, 8_800];
+const TEAMS: [u32; 4] = [33, 65, 130, 260];
+const POOLS: [u32; 4] = [5, 10, 20, 40];
+const ENTRIES: [u32; 5] = [9, 18, 36, 72, 144];
+const RECORDS: [u32; 4] = [512, 1_024, 2_048, 4_096];
+
+/// All slopes of the state.
+pub fn slopes() -> Vec<Slope> {
+    let bytes = |size: Size| size.state().snapshot().len() as f64;
+    let least = Size::LEAST;
+    let with_hosts = |hosts| Size {
+        hosts,
+        ..Size::DESIGN
+    };
+    vec![
+        Slope::measure("snapshot, bytes", "hosts", &HOSTS, |hosts| {
+            bytes(Size { hosts, ..least })
+        }),
+        Slope::measure("snapshot, bytes", "teams with a key", &TEAMS, |teams| {
+            bytes(Size { teams, ..least })
+        }),
+        Slope::measure("snapshot, bytes", "pools", &POOLS, |pools| {
+            bytes(Size {
+                pools,
+                hosts: 40,
+                ..least
+            })
+        }),
+        Slope::measure(
+            "snapshot, bytes",
+            "entry hosts (3 members)",
+            &ENTRIES,
+            |entries| bytes(Size { entries, ..least }),
+        ),
+        Slope::measure(
+            "snapshot, bytes",
+            "records remembered",
+            &RECORDS,
+            |records| {
+                let mut state = least.state();
+                mark(&mut state, records);
+                state.snapshot().len() as f64
+            },
+        ),
+        Slope::measure(
+            "fold of a mark, µs, state not shared",
+            "hosts",
+            &HOSTS,
+            |hosts| {
+                let mut state = with_hosts(hosts).state();
+                let mut active = false;
+                micros(|| {
+                    apply(&mut state, mark_of(0, active));
+                    active = !active;
+                })
+            },
+        ),
+        Slope::measure(
+            "fold of a mark, µs, readers hold the last state",
+            "hosts",
+            &HOSTS,
+            |hosts| {
+                let mut replica = replica(&with_hosts(hosts).state());
+                let mut active = false;
+                micros(|| {
+                    let held = Rc::clone(replica.state());
+                    let data = record(mark_of(0, active)).encode();
+                    replica.fold(Instant::now(), [(held.offset, data)]);
+                    active = !active;
+                    held
+                })
+            },
+        ),
+        Slope::measure("fold of a table, µs", "teams", &TEAMS, |teams| {
+            let size = Size {
+                teams,
+                ..Size::DESIGN
+            };
+            let mut state = size.state();
+            micros(|| apply(&mut state, size.table()))
+        }),
+        Slope::measure("snapshot taken, µs", "hosts", &HOSTS, |hosts| {
+            let state = with_hosts(hosts).state();
+            micros(|| state.snapshot())
+        }),
+        Slope::measure("snapshot read, µs", "hosts", &HOSTS, |hosts| {
+            let state = with_hosts(hosts).state();
+            let bytes = state.snapshot();
+            micros(|| State::from_snapshot(state.offset, &bytes))
+        }),
+        Slope::measure(
+            "search of an unknown id, µs",
+            "records remembered",
+            &RECORDS,
+            |records| {
+                let mut state = least.state();
+                mark(&mut state, records);
+                let id = record(mark_of(0, true)).id;
+                micros(|| state.recent.find(id).is_some())
+            },
+        ),
+        Slope::measure(
+            "answer to a probe taken in, µs",
+            "fleet members",
+            &ENTRIES,
+            freshness,
+        ),
+        Slope::measure(
+            "placement of a service, µs",
+            "schedulers",
+            &ENTRIES,
+            |entries| {
+                let state = Size { entries, ..least }.state();
+                micros(|| place(&state, Role::Sched, b"service-00").is_some())
+            },
+        ),
+    ]
+}
+
+/// A replica at `state`.
+pub fn replica(state: &State) -> Replica {
+    let mut replica = Replica::new(hello(0));
+    replica
+        .adopt(Instant::now(), state.offset, &state.snapshot())
+        .expect("a snapshot");
+    replica
+}
+
+fn hello(i: u32) -> Hello {
+    Hello {
+        node: node(i, Role::Fleet),
+        incarnation: 1,
+        role: Role::Fleet,
+    }
+}
+
+fn mark(state: &mut State, records: u32) {
+    (0..records).for_each(|i| apply(state, mark_of(0, i % 2 == 0)));
+}
+
+fn mark_of(i: u32, active: bool) -> Change {
+    Change::MarkHost {
+        host: host(i),
+        active,
+    }
+}
+
+fn freshness(voters: u32) -> f64 {
+    let now = Instant::now();
+    let voter = |i| Voter::from(&hello(i));
+    let mut freshness = Freshness::new(voter(0));
+    let folded = FreshnessEvent::Folded {
+        offset: 1,
+        voters: (0..voters).map(voter).collect(),
+    };
+    freshness.observe(now, folded);
+    let voters: Vec<Voter> = (0..voters).map(voter).collect();
+    let mut turn = 0;
+    micros(|| {
+        turn += 1;
+        let vouched = FreshnessEvent::Vouched {
+            by: voters[turn % voters.len()].clone(),
+            asked: now,
+            offset: 1,
+            age: Some(Duration::from_millis(100)),
+        };
+        freshness.observe(now, vouched);
+        freshness.until()
+    })
+}
--- /dev/null
+++ b/scenarios/src/bin/slopes.rs
@@ -0,0 +1,328 @@
+//! Measures what real processes use, and prints Markdown tables.
+
+use std::error::Error;
+use std::fs;
+use std::process::Command;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+
+use scenarios::fit::Slope;
+use scenarios::layout::Layout;
+use scenarios::process::beside;
+use scenarios::site::ROLES;
+use scenarios::site::Site;
+use scenarios::site::node;
+use scenarios::usage::Usage;
+
+type Fallible<T> = Result<T, Box<dyn Error>>;
+
+/// Entry hosts of the sites measured; each has three processes, and five stand-ins come on top.
+const ENTRIES: [usize; 6] = [3, 5, 7, 9, 12, 16];
+/// Requests a second.
+const RATES: [u32; 4] = [200, 400, 800, 1_600];
+/// Hosts in the state.
+const HOSTS: [u32; 4] = [550, 1_100, 2_200, 4_400];
+/// Changes a second.
+const CHANGES: [u32; 4] = [2, 5, 10, 15];
+/// Marks that are timed at each size.
+const MARKS: u32 = 60;
+/// Time for a site to become quiet, in milliseconds.
+const QUIET_MS: u64 = 3_000;
+/// Length of a measurement, in milliseconds.
+const SPAN_MS: u64 = 8_000;
+
+fn main() -> Fallible<()> {
+    println!("{}", Slope::HEAD);
+    idle()?;
+    loaded()?;
+    rolled()?;
+    stocked()?;
+    changed()
+}
+
+/// Use of each role's process, averaged over the entry hosts.
+fn measure(site: &mut Site, work: impl FnOnce(&mut Site) -> Fallible<()>) -> Fallible<[Usage; 3]> {
+    let before = usages(site)?;
+    let start = Instant::now();
+    work(site)?;
+    let rest = Duration::from_millis(SPAN_MS).saturating_sub(start.elapsed());
+    sleep(rest);
+    let seconds = start.elapsed().as_secs_f64();
+    let after = usages(site)?;
+    let entries = after.len() as f64;
+    let mut mean = [Usage::default(); 3];
+    for (after, before) in after.iter().zip(&before) {
+        for (mean, (after, before)) in mean.iter_mut().zip(after.iter().zip(before)) {
+            let used = after.since(before);
+            mean.cpu += used.cpu / seconds / entries;
+            mean.resident += used.resident / entries;
+            mean.bytes += used.bytes / seconds / entries;
+            mean.messages += used.messages / seconds / entries;
+        }
+    }
+    Ok(mean)
+}
+
+fn usages(site: &mut Site) -> Fallible<Vec<[Usage; 3]>> {
+    let addresses = site.addresses.clone();
+    let mut all = Vec::new();
+    for (entry, addresses) in addresses.iter().enumerate() {
+        let mut usages = [Usage::default(); 3];
+        for (place, usage) in usages.iter_mut().enumerate() {
+            let pid = site.process(&node(entry, ROLES[place]))?.id();
+            *usage = Usage::read(pid, addresses[place].http)?;
+        }
+        all.push(usages);
+    }
+    Ok(all)
+}
+
+/// Values of a measure against a size, one list of points a role.
+struct Series {
+    what: &'static str,
+    against: &'static str,
+    value: fn(&Usage) -> f64,
+}
+
+const CPU: fn(&Usage) -> f64 = |usage| usage.cpu * 100.0;
+const MEMORY: fn(&Usage) -> f64 = |usage| usage.resident / 1e6;
+const BYTES: fn(&Usage) -> f64 = |usage| usage.bytes / 1e3;
+const MESSAGES: fn(&Usage) -> f64 = |usage| usage.messages;
+
+fn print(points: &[(f64, [Usage; 3])], series: &[Series]) {
+    for Series {
+        what,
+        against,
+        value,
+    } in series
+    {
+        for (place, role) in ROLES.iter().enumerate() {
+            let points = points.iter().map(|(x, usages)| (*x, value(&usages[place])));
+            let slope = Slope {
+                what: format!("{role}: {what}"),
+                against: (*against).to_owned(),
+                points: points.collect(),
+            };
+            println!("{slope}");
+        }
+    }
+}
+
+fn small(entries: usize) -> Layout {
+    Layout {
+        entries,
+        ..Layout::small()
+    }
+}
+
+fn quiet_site(entries: usize) -> Fallible<Site> {
+    let site = Site::spawn(small(entries))?;
+    sleep(Duration::from_millis(QUIET_MS));
+    Ok(site)
+}
+
+fn idle() -> Fallible<()> {
+    let mut points = Vec::new();
+    for entries in ENTRIES {
+        let mut site = quiet_site(entries)?;
+        points.push((entries as f64, measure(&mut site, |_| Ok(()))?));
+    }
+    let against = "entry hosts, idle";
+    let series = [
+        Series {
+            what: "% of a core",
+            against,
+            value: CPU,
+        },
+        Series {
+            what: "KB/s on links, both ways",
+            against,
+            value: BYTES,
+        },
+        Series {
+            what: "messages/s, both ways",
+            against,
+            value: MESSAGES,
+        },
+        Series {
+            what: "resident MB",
+            against,
+            value: MEMORY,
+        },
+    ];
+    print(&points, &series);
+    Ok(())
+}
+
+fn loaded() -> Fallible<()> {
+    let mut site = quiet_site(3)?;
+    let mut points = Vec::new();
+    for rate in RATES {
+        let mut answered = 0.0;
+        let usages = measure(&mut site, |site| {
+            answered = load(site, rate)?;
+            Ok(())
+        })?;
+        points.push((answered, usages));
+    }
+    let against = "requests/s over 3 entry hosts";
+    let series = [
+        Series {
+            what: "% of a core",
+            against,
+            value: CPU,
+        },
+        Series {
+            what: "KB/s on links, both ways",
+            against,
+            value: BYTES,
+        },
+    ];
+    print(&points, &series);
+    Ok(())
+}
+
+/// Sends requests at `rate` a second, and tells how many a second were answered.
+fn load(site: &Site, rate: u32) -> Fallible<f64> {
+    let mut command = Command::new(beside("standin-load")?);
+    for gate in site.gates() {
+        command.arg("--target").arg(gate.to_string());
+    }
+    let (team, ..) = &site.layout.teams[0];
+    let path = format!("/v1/services/{}/requests", site.layout.services[0]);
+    command.args(["--path", &path, "--key", &Site::key(team)]);
+    command.args(["--json", "--callers", "128", "--pace", &rate.to_string()]);
+    command.args(["--seconds", &(SPAN_MS / 1_000).to_string()]);
+    let output = command.output()?;
+    if !output.status.success() {
+        return Err(String::from_utf8_lossy(&output.stderr).into());
+    }
+    let report: Value = serde_json::from_slice(&output.stdout)?;
+    report["rate"]
+        .as_f64()
+        .ok_or_else(|| "a report without a rate".into())
+}
+
+/// Times marks from the command to the answer that they are in force, at the design size.
+fn rolled() -> Fallible<()> {
+    let mut points = [Vec::new(), Vec::new()];
+    for entries in [3, 6, 9, 16] {
+        let site = quiet_site(entries)?;
+        stock(&site, 0, 4_400)?;
+        let times = times_of_marks(&site)?;
+        points[0].push((entries as f64, times[times.len() / 2]));
+        points[1].push((entries as f64, times[times.len() - 1]));
+    }
+    for (points, what) in points.into_iter().zip(["median", "largest"]) {
+        let slope = Slope {
+            what: format!("command to in force, ms, {what} of {MARKS}"),
+            against: "entry hosts, 4,400 hosts in the state".to_owned(),
+            points,
+        };
+        println!("{slope}");
+    }
+    Ok(())
+}
+
+fn times_of_marks(site: &Site) -> Fallible<Vec<f64>> {
+    let mut times = Vec::new();
+    for turn in 0..MARKS {
+        let way = if turn % 2 == 0 { "out" } else { "in" };
+        let start = Instant::now();
+        let told = site.must(&["host", way, "stock-0"])?;
+        if !told.contains(", in force") {
+            return Err(format!("mark {turn}: {told}").into());
+        }
+        times.push(start.elapsed().as_secs_f64() * 1_000.0);
+    }
+    times.sort_by(f64::total_cmp);
+    Ok(times)
+}
+
+/// Adds hosts that exist only in the state.
+fn stock(site: &Site, from: u32, to: u32) -> Fallible<()> {
+    let dcs = &site.layout.dcs;
+    for start in (from..to).step_by(500) {
+        let mut rows = "host,dc,rack,addr,slots,pool\n".to_owned();
+        for i in start..to.min(start + 500) {
+            let dc = &dcs[i as usize % dcs.len()];
+            let (high, low) = (i / 250, i % 250);
+            rows += &format!("stock-{i},{dc},{dc}-{high},10.9.{high}.{low}:7100,8,spare\n");
+        }
+        let path = site.path("stock.csv");
+        fs::write(&path, rows)?;
+        site.must(&["hosts", &path.display().to_string()])?;
+    }
+    Ok(())
+}
+
+fn stocked() -> Fallible<()> {
+    let mut site = quiet_site(3)?;
+    let (mut points, mut stocked) = (Vec::new(), 0);
+    for hosts in HOSTS {
+        stock(&site, stocked, hosts)?;
+        stocked = hosts;
+        points.push((f64::from(hosts), measure(&mut site, |_| Ok(()))?));
+    }
+    let against = "hosts in the state, idle";
+    let series = [
+        Series {
+            what: "resident MB",
+            against,
+            value: MEMORY,
+        },
+        Series {
+            what: "% of a core",
+            against,
+            value: CPU,
+        },
+    ];
+    print(&points, &series);
+    Ok(())
+}
+
+fn changed() -> Fallible<()> {
+    let mut site = quiet_site(3)?;
+    stock(&site, 0, 4_400)?;
+    let mut points = Vec::new();
+    for rate in CHANGES {
+        let mut made = 0.0;
+        let usages = measure(&mut site, |site| {
+            made = mark(site, rate)?;
+            Ok(())
+        })?;
+        points.push((made, usages));
+    }
+    let against = "changes/s, 4,400 hosts in the state";
+    let series = [
+        Series {
+            what: "% of a core",
+            against,
+            value: CPU,
+        },
+        Series {
+            what: "KB/s on links, both ways",
+            against,
+            value: BYTES,
+        },
+    ];
+    print(&points, &series);
+    Ok(())
+}
+
+/// Marks a host out and in at `rate` a second, and tells the rate that was reached.
+fn mark(site: &Site, rate: u32) -> Fallible<f64> {
+    let start = Instant::now();
+    let mut count = 0_u32;
+    while start.elapsed() < Duration::from_millis(SPAN_MS) {
+        let way = if count.is_multiple_of(2) { "out" } else { "in" };
+        site.must(&["host", way, "stock-0"])?;
+        count += 1;
+        let due = Duration::from_secs_f64(f64::from(count) / f64::from(rate));
+        sleep(due.saturating_sub(start.elapsed()));
+    }
+    Ok(f64::from(count) / start.elapsed().as_secs_f64())
+}
--- /dev/null
+++ b/scenarios/src/fit.rs
@@ -0,0 +1,134 @@
+//! Straight lines through measured points.
+
+use std::fmt;
+
+/// Largest relative error of a line that still counts as straight.
+const STRAIGHT: f64 = 0.15;
+
+/// The least-squares line through a set of points.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fit {
+    /// Value at zero.
+    pub base: f64,
+    /// Growth for each unit.
+    pub slope: f64,
+    /// Root mean square of the residuals, as a part of the largest value.
+    pub error: f64,
+}
+
+impl Fit {
+    /// The line through `points`; flat if all have one abscissa.
+    #[must_use]
+    pub fn of(points: &[(f64, f64)]) -> Self {
+        let count = points.len() as f64;
+        let mean = |pick: fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
+        let (x_mean, y_mean) = (mean(|p| p.0), mean(|p| p.1));
+        let spread: f64 = points.iter().map(|(x, _)| (x - x_mean).powi(2)).sum();
+        let joint: f64 = points
+            .iter()
+            .map(|(x, y)| (x - x_mean) * (y - y_mean))
+            .sum();
+        let slope = if spread > 0.0 { joint / spread } else { 0.0 };
+        let base = y_mean - slope * x_mean;
+        let squares: f64 = points
+            .iter()
+            .map(|(x, y)| (y - base - slope * x).powi(2))
+            .sum();
+        let largest = points.iter().map(|(_, y)| y.abs()).fold(0.0, f64::max);
+        let error = if largest > 0.0 {
+            (squares / count).sqrt() / largest
+        } else {
+            0.0
+        };
+        Self { base, slope, error }
+    }
+
+    /// The value of the line at `x`.
+    #[must_use]
+    pub fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+
+    /// Whether the points lie near enough to the line.
+    #[must_use]
+    pub fn is_straight(&self) -> bool {
+        self.error <= STRAIGHT
+    }
+}
+
+/// A measured dependence, printed as a row of a Markdown table.
+#[derive(Debug, Clone)]
+pub struct Slope {
+    /// What was measured, with its unit.
+    pub what: String,
+    /// What it was measured against.
+    pub against: String,
+    /// Abscissa and value of each point.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Slope {
+    /// Head of the table.
+    pub const HEAD: &str = "| what | against | points | at 0 | a unit | error | straight |\n|---|---|---|---|---|---|---|";
+
+    /// Measures `value` at each of `sizes`.
+    pub fn measure(
+        what: &str,
+        against: &str,
+        sizes: &[u32],
+        mut value: impl FnMut(u32) -> f64,
+    ) -> Self {
+        let points = sizes.iter().map(|&x| (f64::from(x), value(x)));
+        Self {
+            what: what.to_owned(),
+            against: against.to_owned(),
+            points: points.collect(),
+        }
+    }
+
+    /// The line through the points.
+    #[must_use]
+    pub fn fit(&self) -> Fit {
+        Fit::of(&self.points)
+    }
+}
+
+impl fmt::Display for Slope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fit = self.fit();
+        let points = self.points.iter().map(|(x, y)| format!("{x:.0}: {y:.5}"));
+        let points: Vec<String> = points.map(|point| trim(&point)).collect();
+        write!(
+            f,
+            "| {} | {} | {} | {} | {} | {:.1} % | {} |",
+            self.what,
+            self.against,
+            points.join("; "),
+            digits(fit.base),
+            digits(fit.slope),
+            fit.error * 100.0,
+            if fit.is_straight() { "yes" } else { "no" },
+        )
+    }
+}
+
+/// Drops decimals that say nothing about a large number.
+fn trim(point: &str) -> String {
+    let Some((x, y)) = point.split_once(": ") else {
+        return point.to_owned();
+    };
+    format!("{x}: {}", digits(y.parse().unwrap_or_default()))
+}
+
+/// `value` with about three digits.
+#[must_use]
+pub fn digits(value: f64) -> String {
+    match value.abs() {
+        0.0 => "0".to_owned(),
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 10.0 => format!("{value:.1}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        size if size >= 0.01 => format!("{value:.4}"),
+        _ => format!("{value:.6}"),
+    }
+}
--- a/scenarios/src/lib.rs
+++ b/scenarios/src/lib.rs
@@ -1,8 +1,10 @@
 //! Starts a whole site of real processes on loopback addresses and drives it.
 
 pub mod authority;
+pub mod fit;
 pub mod http;
 pub mod layout;
 pub mod ports;
 pub mod process;
 pub mod site;
+pub mod usage;
