--- a/scenarios/src/bin/slopes.rs
+++ b/scenarios/src/bin/slopes.rs
@@ -35,14 +35,25 @@
 const SPAN_MS: u64 = 8_000;
 
 fn main() -> Fallible<()> {
+    let only: Option<String> = std::env::args().nth(1);
     println!("{}", Slope::HEAD);
-    idle()?;
-    loaded()?;
-    rolled()?;
-    stocked()?;
-    changed()
+    for (name, part) in PARTS {
+        if only.as_ref().is_none_or(|only| only == name) {
+            part()?;
+        }
+    }
+    Ok(())
 }
 
+/// Parts of the measurement; the first argument picks one.
+const PARTS: [(&str, fn() -> Fallible<()>); 5] = [
+    ("idle", idle),
+    ("loaded", loaded),
+    ("rolled", rolled),
+    ("stocked", stocked),
+    ("changed", changed),
+];
+
 /// Use of each role's process, averaged over the entry hosts.
 fn measure(site: &mut Site, work: impl FnOnce(&mut Site) -> Fallible<()>) -> Fallible<[Usage; 3]> {
     let before = usages(site)?;
--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -6,6 +6,7 @@
 
 use crate::name::DcName;
 use crate::name::HostName;
+use crate::name::NodeName;
 use crate::name::TeamName;
 
 /// Manage the fleet: teams, pools, hosts and keys.
@@ -49,6 +50,10 @@
     Show(ShowArgs),
     /// Show how the fleet stands.
     Status(StatusArgs),
+    /// Show the events of all processes.
+    Timeline(TimelineArgs),
+    /// Tell why something is as it is.
+    Explain(ExplainArgs),
 }
 
 /// Replace the table of teams by a file, if nobody was faster.
@@ -190,6 +195,68 @@
 #[argh(subcommand, name = "status")]
 pub struct StatusArgs {}
 
+/// Show the events of all processes in one order.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "timeline")]
+pub struct TimelineArgs {
+    /// only events of this team
+    #[argh(option)]
+    pub team: Option<TeamName>,
+    /// only events of this host
+    #[argh(option)]
+    pub host: Option<HostName>,
+    /// only events of this data centre
+    #[argh(option)]
+    pub dc: Option<DcName>,
+    /// only events by or about this process
+    #[argh(option)]
+    pub node: Option<NodeName>,
+    /// only events of this request
+    #[argh(option)]
+    pub request: Option<String>,
+    /// only events of the last so many seconds
+    #[argh(option, arg_name = "seconds")]
+    pub since: Option<u64>,
+    /// draw the events to this file
+    #[argh(option, arg_name = "path")]
+    pub svg: Option<PathBuf>,
+}
+
+/// Tell why something is as it is.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// what it is: `host`, `team`, `dc` or `request`
+    #[argh(positional, from_str_fn(read_subject))]
+    pub subject: Subject,
+    /// its name
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// What can be explained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Subject {
+    /// A host.
+    Host,
+    /// A team.
+    Team,
+    /// A data centre.
+    Dc,
+    /// A request, by the identity that its answer carries.
+    Request,
+}
+
+fn read_subject(text: &str) -> Result<Subject, String> {
+    match text {
+        "host" => Ok(Subject::Host),
+        "team" => Ok(Subject::Team),
+        "dc" => Ok(Subject::Dc),
+        "request" => Ok(Subject::Request),
+        _ => Err(format!("`host`, `team`, `dc` or `request`, not {text:?}")),
+    }
+}
+
 /// A part of the state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Submission;
 use crate::fleet::View;
 use crate::http::ErrorBody;
+use crate::observe::Timeline;
 use crate::wire::Verdict;
 
 const ROUNDS: usize = 3;
@@ -64,13 +65,23 @@
     /// # Errors
     /// `CtlError::NotAppended` if none answers, or `CtlError::Usage` if the key is refused.
     pub async fn view(&self) -> Result<View, CtlError> {
+        self.get("/v1/state").await
+    }
+
+    /// The time line over all processes that the first process that answers can reach, from the
+    /// Unix time `since` in milliseconds on.
+    ///
+    /// # Errors
+    /// As [`Self::view`].
+    pub async fn timeline(&self, since: u64) -> Result<Timeline, CtlError> {
+        self.get(&format!("/v1/events?since={since}")).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CtlError> {
         let mut problem = String::new();
         for addr in &self.addrs {
-            match self
-                .attempt(addr, Method::GET, "/v1/state", Vec::new())
-                .await
-            {
-                Attempt::Answer(view) => return Ok(view),
+            match self.attempt(addr, Method::GET, path, Vec::new()).await {
+                Attempt::Answer(answer) => return Ok(answer),
                 Attempt::Refused(StatusCode::UNAUTHORIZED, error) => {
                     return Err(CtlError::usage(error.message));
                 }
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -1,5 +1,6 @@
 //! Runs the commands.
 
+use std::fs;
 use std::io;
 use std::path::Path;
 use std::path::PathBuf;
@@ -12,16 +13,23 @@
 use crate::ctl::Args;
 use crate::ctl::CtlError;
 use crate::ctl::FleetClient;
+use crate::ctl::Selection;
 use crate::ctl::TableDiff;
 use crate::ctl::args::ApplyArgs;
 use crate::ctl::args::CheckArgs;
 use crate::ctl::args::Command;
+use crate::ctl::args::ExplainArgs;
 use crate::ctl::args::KeyCommand;
+use crate::ctl::args::TimelineArgs;
+use crate::ctl::drawing::draw;
+use crate::ctl::explain::explain;
 use crate::ctl::files::read_key;
 use crate::ctl::files::read_rows;
+use crate::ctl::lines::lines;
 use crate::ctl::printer::Printer;
 use crate::fleet::Accepted;
 use crate::fleet::Submission;
+use crate::observe::unix_millis;
 use crate::record::Change;
 use crate::record::HostRow;
 use crate::record::KeyHash;
@@ -118,6 +126,8 @@
             .printer
             .part(&session.client()?.view().await?, args.part),
         Command::Status(_) => session.status().await,
+        Command::Timeline(args) => session.timeline(args).await,
+        Command::Explain(args) => session.explain(&args).await,
     }
 }
 
@@ -211,6 +221,33 @@
         }
     }
 
+    async fn timeline(&self, args: TimelineArgs) -> Result<(), CtlError> {
+        let since = args.since.map_or(0, |seconds| {
+            unix_millis().saturating_sub(seconds.saturating_mul(1_000))
+        });
+        let timeline = self.client()?.timeline(since).await?;
+        let wanted = Selection {
+            team: args.team,
+            host: args.host,
+            dc: args.dc,
+            node: args.node,
+            request: args.request,
+        };
+        let told = wanted.of(&timeline);
+        if let Some(path) = &args.svg {
+            fs::write(path, draw(&told)).map_err(CtlError::usage)?;
+        }
+        let events: Vec<_> = told.iter().map(|told| told.event).collect();
+        self.printer.print(&events, lines(&timeline, &told))
+    }
+
+    async fn explain(&self, args: &ExplainArgs) -> Result<(), CtlError> {
+        let client = self.client()?;
+        let (view, timeline) = (client.view().await?, client.timeline(0).await?);
+        let text = explain(&view, &timeline, args.subject, &args.name)?;
+        self.printer.print(&text, &text)
+    }
+
     async fn status(&self) -> Result<(), CtlError> {
         let client = self.client()?;
         let fleet = client.readiness().await;
--- a/src/observe/state_notes.rs
+++ b/src/observe/state_notes.rs
@@ -81,17 +81,31 @@
     before: &'a BTreeMap<HostName, Host>,
     after: &'a BTreeMap<HostName, Host>,
 ) -> Vec<HostChange<'a>> {
-    let gone = before.keys().filter(|name| !after.contains_key(*name));
-    let gone = gone.map(|name| (name, NoteKind::ChangeAccepted, "removed".to_owned()));
-    let changed = after.iter().filter_map(|(name, host)| {
-        let (kind, cause) = match before.get(name) {
-            Some(known) if known == host => return None,
-            Some(known) => host_change(known, host),
-            None => (NoteKind::ChangeAccepted, format!("added to {}", host.pool)),
-        };
-        Some((name, kind, cause))
-    });
-    gone.chain(changed).collect()
+    let mut changes = Vec::new();
+    let mut earlier = before.iter().peekable();
+    // Both maps are sorted by name, so one pass over them is enough.
+    for (name, host) in after {
+        while let Some((gone, _)) = earlier.next_if(|(known, _)| *known < name) {
+            changes.push(removed(gone));
+        }
+        match earlier.next_if(|(known, _)| *known == name) {
+            Some((_, known)) if known == host => {}
+            Some((_, known)) => {
+                let (kind, cause) = host_change(known, host);
+                changes.push((name, kind, cause));
+            }
+            None => {
+                let cause = format!("added to {}", host.pool);
+                changes.push((name, NoteKind::ChangeAccepted, cause));
+            }
+        }
+    }
+    changes.extend(earlier.map(|(gone, _)| removed(gone)));
+    changes
+}
+
+fn removed(name: &HostName) -> HostChange<'_> {
+    (name, NoteKind::ChangeAccepted, "removed".to_owned())
 }
 
 fn host_change(before: &Host, after: &Host) -> (NoteKind, String) {
