--- a/examples/slopes/fleet.rs
+++ b/examples/slopes/fleet.rs
@@ -184,6 +184,7 @@
     NodeName::new(&format!("entry-{i:03}-{role:?}").to_lowercase()).expect("a name")
 }
 
-fn addr(i: u32) -> SocketAddr {
+/// Address of anything.
+pub fn addr(i: u32) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + i), 7_100))
 }
--- a/examples/slopes/requests.rs
+++ b/examples/slopes/requests.rs
@@ -17,6 +17,7 @@
 use mimosastep::sched::Scheduler;
 use mimosastep::wire::Ask;
 use mimosastep::wire::AttemptId;
+use mimosastep::wire::Evidence;
 use mimosastep::wire::Grant;
 use mimosastep::wire::Message;
 use mimosastep::wire::RequestId;
@@ -185,7 +186,7 @@
         };
         self.handle(Event::Finished {
             attempt: grant.attempt,
-            healthy: true,
+            evidence: Evidence::Served,
         });
         self.ask();
         self.scheduler.grant(self.now, &mut self.out);
@@ -234,6 +235,7 @@
     out.clear();
     let submission = Submission {
         request: attempt(i).request,
+        caller: None,
         service: service(i % 20),
         key: Some(key(i % 130)),
         urgent: false,
@@ -257,7 +259,7 @@
     let mut next = pending;
     micros(|| {
         start(&mut gate, now, next, &mut out);
-        let ended = Ended::Answered { healthy: true };
+        let ended = Ended::Answered;
         gate.handle(now, GateEvent::Ended(attempt(next), ended), &mut out);
         next += 1;
     })
--- a/examples/slopes/state.rs
+++ b/examples/slopes/state.rs
@@ -8,6 +8,7 @@
 use mimosastep::member::FreshnessEvent;
 use mimosastep::member::Replica;
 use mimosastep::member::Voter;
+use mimosastep::member::Voters;
 use mimosastep::member::place;
 use mimosastep::record::Change;
 use mimosastep::record::Role;
@@ -16,6 +17,7 @@
 
 use crate::fit::Slope;
 use crate::fleet::Size;
+use crate::fleet::addr;
 use crate::fleet::apply;
 use crate::fleet::host;
 use crate::fleet::node;
@@ -143,7 +145,11 @@
 
 /// A replica at `state`.
 pub fn replica(state: &State) -> Replica {
-    let mut replica = Replica::new(hello(0));
+    let mut replica = Replica::new(
+        Instant::now(),
+        hello(0),
+        Voters::new([addr(0)], Some(addr(0))),
+    );
     replica
         .adopt(Instant::now(), state.offset, &state.snapshot())
         .expect("a snapshot");
@@ -171,19 +177,18 @@
 
 fn freshness(voters: u32) -> f64 {
     let now = Instant::now();
-    let voter = |i| Voter::from(&hello(i));
-    let mut freshness = Freshness::new(voter(0));
-    let folded = FreshnessEvent::Folded {
-        offset: 1,
-        voters: (0..voters).map(voter).collect(),
-    };
+    let all = Voters::new((0..voters).map(addr), Some(addr(0)));
+    let mut freshness = Freshness::new(now, all);
+    let folded = FreshnessEvent::Folded { offset: 1 };
     freshness.observe(now, folded);
-    let voters: Vec<Voter> = (0..voters).map(voter).collect();
+    let voters: Vec<Voter> = (1..voters)
+        .map(|i| Voter::new(addr(i), &hello(i)))
+        .collect();
     let mut turn = 0;
     micros(|| {
         turn += 1;
         let vouched = FreshnessEvent::Vouched {
-            by: voters[turn % voters.len()].clone(),
+            by: Some(voters[turn % voters.len()].clone()),
             asked: now,
             offset: 1,
             age: Some(Duration::from_millis(100)),
--- a/examples/slopes/wire.rs
+++ b/examples/slopes/wire.rs
@@ -8,6 +8,7 @@
 use mimosastep::record::Role;
 use mimosastep::wire::Ask;
 use mimosastep::wire::AttemptId;
+use mimosastep::wire::Evidence;
 use mimosastep::wire::Grant;
 use mimosastep::wire::Message;
 use mimosastep::wire::Refusal;
@@ -96,7 +97,7 @@
             "Finished",
             Message::Finished {
                 attempt,
-                healthy: true,
+                evidence: Evidence::Served,
             },
         ),
         ("Cancel", Message::Cancel(attempt)),
--- a/scenarios/src/bin/slopes.rs
+++ b/scenarios/src/bin/slopes.rs
@@ -45,8 +45,10 @@
     Ok(())
 }
 
+type Part = fn() -> Fallible<()>;
+
 /// Parts of the measurement; the first argument picks one.
-const PARTS: [(&str, fn() -> Fallible<()>); 5] = [
+const PARTS: [(&str, Part); 5] = [
     ("idle", idle),
     ("loaded", loaded),
     ("rolled", rolled),
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -19,6 +19,7 @@
 use crate::net::TimelineSource;
 use crate::node::Node;
 use crate::node::NodeError;
+use crate::node::Service;
 use crate::observe::Stamp;
 use crate::observe::Timeline;
 use crate::record::Author;
@@ -65,6 +66,12 @@
     }
 }
 
+impl Service for FleetServer {
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
 struct Operators {
     follower: Follower,
     ready: Rc<Cell<bool>>,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 for callers, operators and metrics.
 
+mod activity;
 mod body;
 mod body_error;
 mod error_body;
@@ -8,6 +9,7 @@
 mod outcome;
 mod reply;
 mod server;
+mod watched;
 
 pub use body::read_body;
 pub use body_error::BodyError;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -16,6 +16,7 @@
 use compio_quic::VarInt;
 use futures_channel::mpsc;
 use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::mpsc::UnboundedSender;
 use futures_util::StreamExt;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -146,14 +147,18 @@
         Ok((send, recv, decoder, peer))
     };
     match in_time(greeting, deadline).await {
-        Ok(streams) => run(&closing.0, streams, station).await,
+        Ok(streams) => {
+            let link = |peer, queue| Link::new(station.outlet.next_id(), peer, queue);
+            run(&closing.0, streams, link, &station).await
+        }
         Err(err) => err,
     }
 }
 
-/// Runs a connection that was dialled, until it ends; `stood` becomes true if its link stood.
+/// Runs a connection that was dialled at `addr`, until it ends; `stood` becomes true if its link stood.
 pub(super) async fn dialled(
     connection: Connection,
+    addr: SocketAddr,
     station: Rc<Station>,
     deadline: Instant,
     stood: &mut bool,
@@ -169,7 +174,8 @@
     match in_time(greeting, deadline).await {
         Ok(streams) => {
             *stood = true;
-            run(&closing.0, streams, station).await
+            let link = |peer, queue| Link::new(station.outlet.next_id(), peer, queue).dialled(addr);
+            run(&closing.0, streams, link, &station).await
         }
         Err(err) => err,
     }
@@ -227,15 +233,16 @@
 async fn run(
     connection: &Connection,
     (send, recv, decoder, peer): (SendStream, RecvStream, Decoder, Hello),
-    station: Rc<Station>,
+    link: impl FnOnce(Hello, UnboundedSender<Message>) -> Link,
+    station: &Rc<Station>,
 ) -> NetError {
     let (queue, queued) = mpsc::unbounded();
-    let link = Link::new(station.outlet.next_id(), peer, queue);
+    let link = link(peer, queue);
     station.traffic.add(link.id(), connection.clone());
     station.recalls.add(link.clone());
-    let _standing = Standing::announce(link.clone(), Rc::clone(&station));
-    let reader = pin!(read(recv, decoder, &link, &station));
-    let writer = pin!(write(send, queued, &station));
+    let _standing = Standing::announce(link.clone(), Rc::clone(station));
+    let reader = pin!(read(recv, decoder, &link, station));
+    let writer = pin!(write(send, queued, station));
     match select(reader, writer).await {
         Either::Left((err, _)) | Either::Right((err, _)) => err,
     }
