--- a/scenarios/src/lib.rs
+++ b/scenarios/src/lib.rs
@@ -1,6 +1,7 @@
 //! Starts a whole site of real processes on loopback addresses and drives it.
 
 pub mod authority;
+pub mod fit;
 pub mod http;
 pub mod layout;
 pub mod ports;
@@ -8,4 +9,6 @@
 pub mod runner;
 pub mod script;
 pub mod site;
+
 pub mod step;
+pub mod usage;
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -16,9 +16,12 @@
 use crate::member::Applied;
 use crate::member::ChangeError;
 use crate::member::Follower;
+use crate::net::TimelineSource;
 use crate::node::Node;
 use crate::node::NodeError;
 use crate::node::Service;
+use crate::observe::Stamp;
+use crate::observe::Timeline;
 use crate::platform::HostsClient;
 use crate::record::Author;
 use crate::record::Record;
@@ -47,12 +50,13 @@
         let operators = Operators {
             follower: node.follower(),
             ready: node.readiness(),
+            timeline: node.timeline(),
         };
         let api = OperatorsApi::new(Rc::new(operators), settings.operators);
         let http = HttpServer::bind(
             settings.common.http,
             OperatorsApi::LIMITS,
-            api.into_handler(),
+            node.metrics().watch(api.into_handler()),
         )?;
         let platform = HostsClient::new(&settings.hosts.to_string());
         let parts = UpkeepParts {
@@ -85,6 +89,7 @@
 struct Operators {
     follower: Follower,
     ready: Rc<Cell<bool>>,
+    timeline: TimelineSource,
 }
 
 impl Backend for Operators {
@@ -109,6 +114,10 @@
         View::from(&*self.follower.state())
     }
 
+    fn timeline(&self, since: Stamp) -> LocalBoxFuture<'static, Timeline> {
+        (self.timeline)(since)
+    }
+
     fn ready(&self) -> bool {
         self.ready.get()
     }
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,10 +25,14 @@
 use crate::name::NodeName;
 use crate::net::Mesh;
 use crate::net::NetEvent;
+use crate::net::TimelineSource;
 use crate::node::Ended;
 use crate::node::NodeError;
 use crate::node::incarnation;
+use crate::observe::Counters;
+use crate::observe::Metrics;
 use crate::observe::Recorder;
+use crate::observe::monitor;
 use crate::observe::open_log;
 use crate::record::Change;
 use crate::record::Member;
@@ -60,6 +65,8 @@
     quit: oneshot::Sender<()>,
     log: Logger,
     recorder: Recorder,
+    counters: Arc<Counters>,
+    metrics: Metrics,
 }
 
 impl Node {
@@ -110,6 +117,12 @@
         };
         let (quit, ending) = oneshot::channel();
         let watch = spawn(watch.run(follower.subscribe().take_until(ending)));
+        let counters = mesh.counters();
+        let recorder = mesh.recorder();
+        let told = (role == Role::Fleet).then(|| recorder.clone());
+        let monitoring = monitor(Arc::clone(&counters), told, follower.subscribe());
+        spawn(monitoring).detach();
+        let metrics = Metrics::open(&counters, mesh.refresh()).map_err(std::io::Error::other)?;
         info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
         Ok(Self {
             hello,
@@ -122,6 +135,8 @@
             quit,
             log,
             recorder,
+            counters,
+            metrics,
         })
     }
 
@@ -143,6 +158,24 @@
         self.recorder.clone()
     }
 
+    /// The time line over all processes.
+    #[must_use]
+    pub fn timeline(&self) -> TimelineSource {
+        self.mesh.timeline()
+    }
+
+    /// What the process has counted.
+    #[must_use]
+    pub fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.counters)
+    }
+
+    /// Metrics of the process.
+    #[must_use]
+    pub fn metrics(&self) -> Metrics {
+        self.metrics.clone()
+    }
+
     /// Log of the process.
     pub const fn log(&self) -> &Logger {
         &self.log
--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -234,6 +234,12 @@
         }
     }
 
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Load of the service.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -145,6 +145,15 @@
         }
     }
 
+    /// Requests that wait, and slots in use, over all services.
+    #[must_use]
+    pub fn backlog(&self) -> (usize, usize) {
+        self.services.values().fold((0, 0), |sum, dispatcher| {
+            let running = dispatcher.slots().in_use_everywhere() as usize;
+            (sum.0 + dispatcher.waiting(), sum.1 + running)
+        })
+    }
+
     fn may_grant(&self, now: Instant) -> bool {
         self.fresh.is_some_and(|until| now < until)
             && self.state.is_member(&self.me.node, self.me.incarnation)
--- a/src/sched/slots.rs
+++ b/src/sched/slots.rs
@@ -224,7 +224,7 @@
     /// Slots in use.
     #[must_use]
     pub fn in_use_everywhere(&self) -> u32 {
-        self.used.values().sum()
+        u32::try_from(self.held.len()).unwrap_or(u32::MAX)
     }
 
     /// Hosts with slots in use that take no new work.
--- a/src/sched/task.rs
+++ b/src/sched/task.rs
@@ -1,6 +1,8 @@
 //! The task that owns a scheduler's decisions.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +16,7 @@
 use crate::net::Link;
 use crate::net::LinkId;
 use crate::net::NetEvent;
+use crate::observe::Counters;
 use crate::observe::Recorder;
 use crate::observe::unix_millis;
 use crate::record::Role;
@@ -45,6 +48,7 @@
     /// When the scheduler is told the wall clock again.
     told: Option<Instant>,
     recorder: Recorder,
+    counters: Arc<Counters>,
 }
 
 impl SchedTask {
@@ -54,6 +58,7 @@
         net: UnboundedReceiver<NetEvent>,
         state: UnboundedReceiver<StateEvent>,
         recorder: Recorder,
+        counters: Arc<Counters>,
     ) {
         let ticks = futures_util::stream::unfold((), |()| async {
             compio::time::sleep(Duration::from_millis(TICK_MS)).await;
@@ -71,6 +76,7 @@
             ticks: 0,
             told: None,
             recorder,
+            counters,
         };
         compio::runtime::spawn(task.run(sources)).detach();
     }
@@ -88,6 +94,9 @@
             }
             self.scheduler.grant(now, &mut actions);
             actions.drain(..).for_each(|action| self.carry_out(action));
+            let (waiting, running) = self.scheduler.backlog();
+            self.counters.waiting.store(waiting as u64, Relaxed);
+            self.counters.running.store(running as u64, Relaxed);
         }
     }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::observe::Share;
+use crate::observe::Stamp;
 use crate::wire::Ask;
 use crate::wire::AttemptId;
 use crate::wire::Evidence;
@@ -85,6 +87,22 @@
         /// Its services.
         services: Vec<Load>,
     },
+    /// The sender's clock, ahead of the messages behind it.
+    Clock(Stamp),
+    /// Fleet process to any: send your time line.
+    Recall {
+        /// Repeated in the answer.
+        nonce: u64,
+        /// First stamp wanted.
+        since: Stamp,
+    },
+    /// Answer to a recall.
+    Recalled {
+        /// From the recall.
+        nonce: u64,
+        /// The time line.
+        share: Share,
+    },
 }
 
 impl Message {
--- a/tests/dispatch_gate.rs
+++ b/tests/dispatch_gate.rs
@@ -55,9 +55,13 @@
         addr: ([127, 0, 0, 1], 80).into(),
         slots: 1,
         pool: "p".parse().expect("a name"),
+        home: "p".parse().expect("a name"),
         active: true,
         draining: false,
         maintained: 0,
+        leaving: false,
+        listed: 0,
+        upkeep: None,
     };
     for name in ["h1", "h2"] {
         state
