--- a/src/sched/dispatcher.rs
+++ b/src/sched/dispatcher.rs
@@ -206,7 +206,7 @@
         );
     }
 
-    /// Grants slots until none is free or nothing may start.
+    /// Grants a slot if one is free and something may start; false if not.
     pub fn grant(
         &mut self,
         now: Instant,
@@ -214,17 +214,18 @@
         roster: &Roster,
         quotas: &mut Quotas,
         out: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         if self.queue.is_empty() || self.slots.vacant() == 0 {
-            return;
+            return false;
         }
         if now < self.opens && !roster.is_complete(state, self.since) {
-            return;
+            return false;
         }
         let reserve = self.reserve(now);
-        while let Some(action) = self.grant_one(now, reserve, roster, quotas) {
-            out.push(action);
-        }
+        let granted = self.grant_one(now, reserve, roster, quotas);
+        let any = granted.is_some();
+        out.extend(granted);
+        any
     }
 
     /// Refuses everything that waits, because another process serves the service now, and gives
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -44,6 +44,9 @@
     /// As of the last grants.
     quotas: Quotas,
     services: BTreeMap<ServiceName, Dispatcher>,
+    /// Which service was last offered a grant: they take turns, so that one does not take every
+    /// permit that a team has here.
+    turn: usize,
     /// What still runs of services that are placed elsewhere now; it occupies this scheduler's
     /// permits until it ends.
     closed: BTreeMap<ServiceName, Slots>,
@@ -62,6 +65,7 @@
             roster: Roster::default(),
             quotas: Quotas::new(),
             services: BTreeMap::new(),
+            turn: 0,
             closed: BTreeMap::new(),
         }
     }
@@ -125,8 +129,14 @@
         if !self.may_grant(now) {
             return;
         }
-        for dispatcher in self.services.values_mut() {
-            dispatcher.grant(now, &self.state, &self.roster, quotas, out);
+        let mut idle = 0;
+        while idle < self.services.len() {
+            self.turn = (self.turn + 1) % self.services.len();
+            let Some(dispatcher) = self.services.values_mut().nth(self.turn) else {
+                return;
+            };
+            let granted = dispatcher.grant(now, &self.state, &self.roster, quotas, out);
+            idle = if granted { 0 } else { idle + 1 };
         }
     }
 
--- a/tests/share_overload.rs
+++ b/tests/share_overload.rs
@@ -159,3 +159,26 @@
         "{found} of {again}, {refused} refused"
     );
 }
+
+/// One scheduler has both services; the team is at its limit.
+#[test]
+fn services_of_one_scheduler_take_turns_at_a_teams_permits() {
+    let limited = Team {
+        limit: 8,
+        ..row(1, false)
+    };
+    let state = table(2, 5, SLOTS / 5, &[("a", limited)]);
+    let mut fleet = Fleet::open(7, 1, 1, state, Break::None);
+    fleet.run_ms = short;
+    let mut sums = [0; 2];
+    while fleet.now < 6_000 {
+        fleet.submit(1, "a", "s0", false, 1_000);
+        fleet.submit(1, "a", "s1", false, 1_000);
+        fleet.step();
+        sums = [0, 1].map(|service| sums[service] + fleet.demand("a", service)[0]);
+    }
+    assert!(
+        sums[0].abs_diff(sums[1]) * 10 <= sums[0] + sums[1],
+        "{sums:?}"
+    );
+}
