--- a/tests/upkeep_rules.rs
+++ b/tests/upkeep_rules.rs
@@ -211,11 +211,13 @@
         leaving,
         seen,
     };
+    let usable = |world: &World| world.state.usable(&world.state.hosts["h0"]);
     world.append(listed(true, 10)).unwrap();
+    assert!(!usable(&world));
     let old = Err(Reject::OldList(name("h0"), 10));
     assert_eq!(world.append(listed(false, 9)), old);
     world.append(listed(false, 11)).unwrap();
-    assert!(!world.state.hosts["h0"].leaving);
+    assert!(usable(&world));
 }
 
 #[test]
