--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -129,6 +129,8 @@
     Withdraw(WithdrawArgs),
     /// Print a new random key.
     New(NewArgs),
+    /// Print the hash of a key.
+    Hash(HashArgs),
 }
 
 /// Let a key act for a team.
@@ -157,6 +159,15 @@
 #[argh(subcommand, name = "new")]
 pub struct NewArgs {}
 
+/// Print the hash of a key, as settings of fleet processes list operators' keys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hash")]
+pub struct HashArgs {
+    /// file with the key
+    #[argh(option)]
+    pub key_file: PathBuf,
+}
+
 /// Take a host out of service or bring it back.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "host")]
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -214,6 +214,10 @@
                 let hash = KeyHash::of(read_key(&args.key_file)?.as_bytes());
                 self.change(Change::WithdrawKey { hash }).await
             }
+            KeyCommand::Hash(args) => {
+                let hash = KeyHash::of(read_key(&args.key_file)?.as_bytes()).to_string();
+                self.printer.print(&hash, format!("{hash}\n"))
+            }
             KeyCommand::New(_) => {
                 let key = KeyHash(rand::random()).to_string();
                 self.printer.print(&key, format!("{key}\n"))
