--- a/tests/ctl_timeline.rs
+++ b/tests/ctl_timeline.rs
@@ -71,9 +71,13 @@
         addr: ([10, 0, 0, 1], 80).into(),
         slots: 8,
         pool: name("captions"),
+        home: name("captions"),
         active: false,
         draining: false,
         maintained: 0,
+        leaving: false,
+        listed: 0,
+        upkeep: None,
     };
     let row = Team {
         weight: 4,
