Tell each change of the state once on the time line

Cause: two modules told the same: the fold's notes (with writer, outcome and rejections) and a comparison of two states in the monitor, so that operators saw each change twice in a fleet process. Ruled out: keeping the comparison, which cannot tell a rejected record or its writer.

--- a/scenarios/src/bin/demo.rs
+++ b/scenarios/src/bin/demo.rs
@@ -59,6 +59,9 @@
     thread::sleep(Duration::from_millis(AWAY_MS));
     print!("{}", site.must(&["dc", "in", "swansea"])?);
     let output = load.wait_with_output()?;
+    let picture = beside("demo")?.with_file_name("demo-timeline.svg");
+    site.must(&["timeline", "--svg", &picture.display().to_string()])?;
+    println!("time line: {}", picture.display());
     let report: Value = serde_json::from_slice(&output.stdout)?;
     let counts = starts(&site.backends)?;
     let twice = counts.values().filter(|count| **count > 1).count();
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -119,8 +119,7 @@
         let watch = spawn(watch.run(follower.subscribe().take_until(ending)));
         let counters = mesh.counters();
         let recorder = mesh.recorder();
-        let told = (role == Role::Fleet).then(|| recorder.clone());
-        let monitoring = monitor(Arc::clone(&counters), told, follower.subscribe());
+        let monitoring = monitor(Arc::clone(&counters), follower.subscribe());
         spawn(monitoring).detach();
         let metrics = Metrics::open(&counters, mesh.refresh()).map_err(std::io::Error::other)?;
         info!(log, "started"; "addr" => %member.addr, "incarnation" => member.incarnation);
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -12,7 +12,6 @@
 mod note_kind;
 mod recorder;
 mod stamp;
-mod state_notes;
 mod timeline;
 
 pub use clock::unix_millis;
@@ -31,7 +30,6 @@
 pub use recorder::Recorder;
 pub use recorder::TEXT_LIMIT;
 pub use stamp::Stamp;
-pub use state_notes::state_notes;
 pub use timeline::Event;
 pub use timeline::Share;
 pub use timeline::Timeline;
