--- a/scenarios/src/bin/slopes.rs
+++ b/scenarios/src/bin/slopes.rs
@@ -172,16 +172,25 @@
 
 fn loaded() -> Fallible<()> {
     let mut site = quiet_site(3)?;
+    by_rate(&mut site, &RATES, "requests/s over 3 entry hosts", load)
+}
+
+/// Measures while `act` works at each of the rates, against the rate that it reaches.
+fn by_rate(
+    site: &mut Site,
+    rates: &[u32],
+    against: &'static str,
+    act: fn(&Site, u32) -> Fallible<f64>,
+) -> Fallible<()> {
     let mut points = Vec::new();
-    for rate in RATES {
-        let mut answered = 0.0;
-        let usages = measure(&mut site, |site| {
-            answered = load(site, rate)?;
+    for rate in rates {
+        let mut reached = 0.0;
+        let usages = measure(site, |site| {
+            reached = act(site, *rate)?;
             Ok(())
         })?;
-        points.push((answered, usages));
+        points.push((reached, usages));
     }
-    let against = "requests/s over 3 entry hosts";
     let series = [
         Series {
             what: "% of a core",
@@ -300,30 +309,12 @@
 fn changed() -> Fallible<()> {
     let mut site = quiet_site(3)?;
     stock(&site, 0, 4_400)?;
-    let mut points = Vec::new();
-    for rate in CHANGES {
-        let mut made = 0.0;
-        let usages = measure(&mut site, |site| {
-            made = mark(site, rate)?;
-            Ok(())
-        })?;
-        points.push((made, usages));
-    }
-    let against = "changes/s, 4,400 hosts in the state";
-    let series = [
-        Series {
-            what: "% of a core",
-            against,
-            value: CPU,
-        },
-        Series {
-            what: "KB/s on links, both ways",
-            against,
-            value: BYTES,
-        },
-    ];
-    print(&points, &series);
-    Ok(())
+    by_rate(
+        &mut site,
+        &CHANGES,
+        "changes/s, 4,400 hosts in the state",
+        mark,
+    )
 }
 
 /// Marks a host out and in at `rate` a second, and tells the rate that was reached.
