Put folded records on the time line that operators read

Cause: a process had two recorders since the parts were merged; the follower of the log wrote to one that nobody reads, so an operator's change was missing on the time line. Seen in the demo's picture: no mark of the data centre. Ruled out: the filter and the picture, which showed every other event.

--- a/scenarios/src/runner.rs
+++ b/scenarios/src/runner.rs
@@ -218,6 +218,11 @@
         match words.as_slice() {
             ["run-twice"] => Ok(self.counts()?.values().filter(|n| **n > 1).count() as f64),
             ["runs"] => Ok(self.counts()?.values().sum::<u64>() as f64),
+            ["marked-out", dc] => {
+                let told = self.site()?.must(&["timeline", "--dc", dc])?;
+                let marks = told.lines().filter(|line| line.contains("marked out"));
+                Ok(marks.count() as f64)
+            }
             ["running", host] => self.summary(host, "running"),
             ["started", host] => self.summary(host, "started"),
             [name, load] => {
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -87,7 +87,7 @@
             NodeError::Io(std::io::Error::other("the events of the links were taken"))
         })?;
         mesh.dial(FLEET_GROUP, settings.fleet.clone());
-        let recorder = Recorder::default();
+        let recorder = mesh.recorder();
         let own = (role == Role::Fleet).then(|| mesh.local_addr());
         let voters = Voters::new(settings.fleet.iter().copied(), own);
         let follower = Follower::spawn(
@@ -118,7 +118,6 @@
         let (quit, ending) = oneshot::channel();
         let watch = spawn(watch.run(follower.subscribe().take_until(ending)));
         let counters = mesh.counters();
-        let recorder = mesh.recorder();
         let monitoring = monitor(Arc::clone(&counters), follower.subscribe());
         spawn(monitoring).detach();
         let metrics = Metrics::open(&counters, mesh.refresh()).map_err(std::io::Error::other)?;
