--- a/src/http/error_body.rs
+++ b/src/http/error_body.rs
@@ -17,6 +17,10 @@
     /// Whether the request may have run.
     pub verdict: Verdict,
     /// When a repeat makes sense, in milliseconds from now.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub retry_after_ms: Option<u64>,
+    #[serde(
+        rename = "retry_after_ms",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub retry_after: Option<u64>,
 }
--- a/src/http/fault.rs
+++ b/src/http/fault.rs
@@ -42,7 +42,7 @@
             code: Cow::Borrowed(code),
             message: message.to_string(),
             verdict,
-            retry_after_ms: None,
+            retry_after: None,
         };
         Self { status, body }
     }
@@ -50,14 +50,14 @@
     /// The same error, naming when a repeat makes sense, in milliseconds from now.
     #[must_use]
     pub fn retry_after(mut self, millis: u64) -> Self {
-        self.body.retry_after_ms = Some(millis);
+        self.body.retry_after = Some(millis);
         self
     }
 
     /// The error as a reply; `Retry-After` is in whole seconds, rounded up.
     #[must_use]
     pub fn into_reply(self) -> Reply {
-        let wait = self.body.retry_after_ms;
+        let wait = self.body.retry_after;
         let outcome = Outcome {
             code: match self.body.code {
                 Cow::Borrowed(code) => code,
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -25,7 +25,8 @@
 /// The list.
 #[derive(Debug, Deserialize)]
 pub(super) struct ListWire {
-    as_of_ms: u64,
+    #[serde(rename = "as_of_ms")]
+    as_of: u64,
     hosts: Vec<HostWire>,
 }
 
@@ -46,7 +47,7 @@
             Some((HostName::new(&host.name).ok()?, listed))
         });
         Self {
-            as_of: wire.as_of_ms,
+            as_of: wire.as_of,
             hosts: hosts.collect(),
         }
     }
