--- /dev/null
+++ b/src/batch/book.rs
@@ -0,0 +1,64 @@
+//! All jobs, as folded from the log.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::batch::Entry;
+use crate::batch::Fence;
+use crate::batch::JobId;
+use crate::batch::Record;
+use crate::name::ExecutorId;
+
+/// Jobs, and executors on which something may run.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// Jobs by their id.
+    pub jobs: BTreeMap<JobId, Entry>,
+    /// Executors that may have been given work.
+    pub engaged: BTreeMap<ExecutorId, SocketAddr>,
+    /// Number of the reign that began last.
+    pub fence: Fence,
+}
+
+impl Book {
+    /// Takes the next record of the log into account; returns the job that it changed, if any.
+    /// A repeated record changes nothing.
+    pub fn apply(&mut self, record: Record) -> Option<JobId> {
+        match record {
+            Record::Accepted(job) => {
+                let id = job.id;
+                if self.jobs.contains_key(&id) {
+                    return None;
+                }
+                self.jobs.insert(id, Entry::new(job));
+                return Some(id);
+            }
+            Record::Cancelled(id) => {
+                self.jobs.get_mut(&id)?.cancel();
+                return Some(id);
+            }
+            Record::Took { fence, .. } => self.take_over(fence),
+            Record::Ended(ends) => {
+                for end in &ends {
+                    if let Some(entry) = self.jobs.get_mut(&end.task.job) {
+                        entry.end(end);
+                    }
+                }
+            }
+            Record::Engaged { executor, addr } => {
+                self.engaged.insert(executor, addr);
+            }
+            Record::Released(executor) => {
+                self.engaged.remove(&executor);
+            }
+        }
+        None
+    }
+
+    fn take_over(&mut self, fence: Fence) {
+        self.fence = self.fence.max(fence);
+        for entry in self.jobs.values_mut() {
+            entry.inherited = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/dispatcher.rs
@@ -0,0 +1,209 @@
+//! Decides which task runs where, for all services of a site.
+
+mod holding;
+mod placing;
+mod seating;
+mod starting;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use slog::Logger;
+use slog::info;
+
+use crate::batch::Action;
+use crate::batch::Answer;
+use crate::batch::Ask;
+use crate::batch::Demand;
+use crate::batch::Event;
+use crate::batch::Fence;
+use crate::batch::JobId;
+use crate::batch::JobState;
+use crate::batch::Now;
+use crate::batch::Orders;
+use crate::batch::Record;
+use crate::batch::book::Book;
+use crate::batch::seat::Seat;
+use crate::name::ExecutorId;
+use crate::name::QueueName;
+use crate::name::TeamName;
+
+/// Runs of an owner are numbered from its fence times this on, so that they rise over all owners.
+const RUNS_PER_FENCE: u64 = 1_000_000;
+/// How long a job that is over can be asked for, in milliseconds.
+const RETENTION_MS: u64 = 150_000;
+
+/// Ends of an executor that are on their way into the log.
+struct Noting {
+    executor: ExecutorId,
+    number: u64,
+    jobs: Vec<JobId>,
+}
+
+/// The decisions of one owner. Events in, actions out; it reads no clock and opens no socket.
+pub struct Dispatcher {
+    fence: Fence,
+    log: Logger,
+    book: Book,
+    seats: BTreeMap<ExecutorId, Seat>,
+    orders: Orders,
+    usage: BTreeMap<TeamName, Demand>,
+    active: BTreeSet<JobId>,
+    noting: BTreeMap<u64, Noting>,
+    engaging: BTreeMap<u64, ExecutorId>,
+    receipts: u64,
+    dirty: bool,
+    actions: Vec<Action>,
+}
+
+impl Dispatcher {
+    /// An owner that begins its reign with what the log holds.
+    #[must_use]
+    pub fn new(fence: Fence, book: Book, log: Logger) -> Self {
+        let active = book.jobs.iter().filter(|(_, entry)| entry.is_active());
+        let active = active.map(|(&id, _)| id).collect();
+        Self {
+            fence,
+            log,
+            book,
+            seats: BTreeMap::new(),
+            orders: Orders::default(),
+            usage: BTreeMap::new(),
+            active,
+            noting: BTreeMap::new(),
+            engaging: BTreeMap::new(),
+            receipts: 0,
+            dirty: true,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Learns something. What follows from it is told by [`Self::poll`].
+    pub fn handle(&mut self, now: Now, event: Event) {
+        match event {
+            Event::Orders(orders) => {
+                self.orders = orders;
+                self.dirty = true;
+            }
+            Event::Executors(list) => self.list(now, list),
+            Event::Records(records) => self.read(now, records),
+            Event::Appended(receipt) => self.appended(now, receipt),
+            Event::Held {
+                order,
+                sent,
+                result,
+            } => self.held(now, &order, sent, result),
+            Event::Started { order, result } => self.started(now, &order, result),
+            Event::Stopped { order, result } => self.stopped(now, &order, result),
+        }
+    }
+
+    /// What is to be done now.
+    pub fn poll(&mut self, now: Now) -> Vec<Action> {
+        self.expire(now);
+        self.open_due(now);
+        if self.dirty {
+            self.dirty = false;
+            self.place(now);
+        }
+        self.probe(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Answers a gate.
+    #[must_use]
+    pub fn answer(&self, ask: &Ask) -> Answer {
+        match ask {
+            Ask::State(queue, id) => Answer::State(self.state(queue, *id)),
+            Ask::Waiting(queue) => Answer::Waiting(self.waiting(queue)),
+        }
+    }
+
+    fn state(&self, queue: &QueueName, id: JobId) -> Option<JobState> {
+        let entry = self.book.jobs.get(&id)?;
+        (entry.job.queue == *queue).then(|| entry.state())
+    }
+
+    fn waiting(&self, queue: &QueueName) -> u64 {
+        let jobs = self.active.iter().filter_map(|id| self.book.jobs.get(id));
+        let waiting = jobs.filter(|entry| entry.job.queue == *queue && !entry.started);
+        waiting.count() as u64
+    }
+
+    fn read(&mut self, now: Now, records: Vec<Record>) {
+        for record in records {
+            if let Record::Took { fence, .. } = &record
+                && *fence > self.fence
+            {
+                info!(self.log, "superseded"; "fence" => self.fence, "by" => *fence);
+                self.actions.push(Action::Abdicate);
+                return;
+            }
+            // This owner's own records are acted on when they are written.
+            if !matches!(record, Record::Accepted(_) | Record::Cancelled(_)) {
+                continue;
+            }
+            if let Some(id) = self.book.apply(record) {
+                self.changed(now, id);
+            }
+        }
+    }
+
+    fn changed(&mut self, now: Now, id: JobId) {
+        let Some(entry) = self.book.jobs.get(&id) else {
+            return;
+        };
+        info!(self.log, "job in the log"; "job" => %id, "queue" => %entry.job.queue,
+            "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted));
+        if entry.is_active() {
+            self.active.insert(id);
+        } else {
+            self.close(now, id);
+        }
+        self.dirty = true;
+    }
+
+    /// Ends a job that is over: nothing of it runs on.
+    fn close(&mut self, now: Now, id: JobId) {
+        self.active.remove(&id);
+        let Some(entry) = self.book.jobs.get_mut(&id) else {
+            return;
+        };
+        if entry.closed.is_some() {
+            return;
+        }
+        entry.closed = Some(now.unix);
+        info!(self.log, "job over"; "job" => %id, "done" => entry.is_done(),
+            "age_ms" => now.unix.saturating_sub(entry.job.accepted));
+        self.stop_all(id);
+    }
+
+    fn open_due(&mut self, now: Now) {
+        for id in &self.active {
+            if let Some(entry) = self.book.jobs.get_mut(id)
+                && entry.open_due(now.unix)
+            {
+                self.dirty = true;
+            }
+        }
+        let old = |closed: u64| closed + RETENTION_MS < now.unix;
+        let jobs = &mut self.book.jobs;
+        jobs.retain(|_, entry| !entry.closed.is_some_and(old) || entry.unnoted > 0);
+    }
+
+    fn append(&mut self, records: Vec<Record>) -> u64 {
+        self.receipts += 1;
+        let receipt = self.receipts;
+        self.actions.push(Action::Append { receipt, records });
+        receipt
+    }
+
+    fn appended(&mut self, now: Now, receipt: u64) {
+        if let Some(executor) = self.engaging.remove(&receipt) {
+            self.engaged(&executor);
+        }
+        if let Some(noting) = self.noting.remove(&receipt) {
+            self.noted(now, noting);
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/dispatcher/holding.rs
@@ -0,0 +1,316 @@
+//! Leases, and what executors tell of their runs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::info;
+use slog::warn;
+
+use crate::batch::Action;
+use crate::batch::Dispatcher;
+use crate::batch::End;
+use crate::batch::Hold;
+use crate::batch::How;
+use crate::batch::JobId;
+use crate::batch::Now;
+use crate::batch::OrderError;
+use crate::batch::Record;
+use crate::batch::Report;
+use crate::batch::Running;
+use crate::batch::Target;
+use crate::batch::TaskId;
+use crate::batch::dispatcher::Noting;
+use crate::batch::seat::LEASE_MS;
+use crate::batch::seat::Probe;
+use crate::batch::slot::Phase;
+use crate::batch::slot::Slot;
+use crate::name::ExecutorId;
+
+/// Longest that an executor's answer waits for an end, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+/// Time between two orders to an executor that doesn't answer, in milliseconds.
+const RETRY_MS: u64 = 250;
+/// Time between two orders to an executor that has nothing new to tell, in milliseconds.
+const PACE_MS: u64 = 150;
+
+impl Dispatcher {
+    /// Asks the executors whose turn it is.
+    pub(super) fn probe(&mut self, now: Now) {
+        for (id, seat) in &mut self.seats {
+            let Probe::At(due) = seat.probe else {
+                continue;
+            };
+            if due > now.at || !seat.wants_probe() {
+                continue;
+            }
+            let deadline = if seat.silent || !seat.resolved {
+                None
+            } else {
+                seat.renew(now.at);
+                seat.deadline(now.at, LEASE_MS)
+            };
+            seat.probe = Probe::Sent(now.at);
+            self.actions.push(Action::Hold(Hold {
+                target: Target {
+                    executor: id.clone(),
+                    addr: seat.addr,
+                    fence: self.fence,
+                },
+                deadline,
+                acked: seat.acked,
+                wait: if seat.is_urgent() { 0 } else { WAIT_MS },
+            }));
+        }
+    }
+
+    pub(super) fn held(
+        &mut self,
+        now: Now,
+        order: &Hold,
+        sent: Instant,
+        result: Result<Report, OrderError>,
+    ) {
+        let id = &order.target.executor;
+        match result {
+            Ok(report) => self.reported(now, id, sent, report),
+            Err(OrderError::Fenced) => self.fenced(id),
+            Err(OrderError::Reborn) => {
+                self.reset(now, id);
+                self.unanswered(now, id, OrderError::Reborn);
+            }
+            Err(err) => self.unanswered(now, id, err),
+        }
+    }
+
+    pub(super) fn fenced(&mut self, id: &ExecutorId) {
+        warn!(self.log, "fenced"; "executor" => %id, "fence" => self.fence);
+        self.actions.push(Action::Abdicate);
+    }
+
+    fn unanswered(&mut self, now: Now, id: &ExecutorId, err: OrderError) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        if !seat.silent {
+            warn!(self.log, "executor silent"; "executor" => %id, "why" => %err);
+        }
+        seat.silent = true;
+        seat.probe = Probe::At(now.at + Duration::from_millis(RETRY_MS));
+    }
+
+    fn reported(&mut self, now: Now, id: &ExecutorId, sent: Instant, report: Report) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        if let Some(born) = report.born {
+            let reborn = seat.born.is_some_and(|known| known != born);
+            seat.born = Some(born);
+            if reborn {
+                self.reset(now, id);
+            }
+        }
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        if seat.silent {
+            info!(self.log, "executor answers again"; "executor" => %id);
+            self.dirty = true;
+        }
+        let first = !seat.resolved;
+        seat.silent = false;
+        seat.resolved = true;
+        seat.cleared = true;
+        seat.clock = Some((report.clock, now.at));
+        self.dirty |= first;
+        let fresh = self.take_ends(now, id, &report.ended);
+        self.compare(now, id, sent, &report.running);
+        self.schedule(now, id, sent, first, fresh);
+    }
+
+    fn schedule(&mut self, now: Now, id: &ExecutorId, sent: Instant, first: bool, fresh: bool) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        if fresh {
+            seat.probe = Probe::Noting;
+            return;
+        }
+        // An answer that came at once though it could have waited has nothing new.
+        let pace = if first { 0 } else { PACE_MS };
+        let next = sent + Duration::from_millis(pace);
+        seat.probe = Probe::At(next.max(now.at));
+    }
+
+    /// Takes the ends that were not seen before; returns whether the log must learn of them.
+    fn take_ends(&mut self, now: Now, id: &ExecutorId, ends: &[End]) -> bool {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return false;
+        };
+        let seen = seat.seen;
+        let fresh: Vec<End> = ends
+            .iter()
+            .filter(|end| end.number > seen)
+            .cloned()
+            .collect();
+        let Some(highest) = fresh.iter().map(|end| end.number).max() else {
+            return false;
+        };
+        seat.seen = highest;
+        self.dirty = true;
+        let mut known = Vec::new();
+        for end in fresh {
+            if self.take_end(now, id, &end) {
+                known.push(end);
+            }
+        }
+        let jobs: Vec<JobId> = known.iter().map(|end| end.task.job).collect();
+        let records = Some(known).filter(|known| !known.is_empty());
+        let receipt = self.append(records.map(Record::Ended).into_iter().collect());
+        let executor = id.clone();
+        self.noting.insert(
+            receipt,
+            Noting {
+                executor,
+                number: highest,
+                jobs,
+            },
+        );
+        true
+    }
+
+    fn take_end(&mut self, now: Now, id: &ExecutorId, end: &End) -> bool {
+        self.free(id, end.task, end.run);
+        let Some(entry) = self.book.jobs.get_mut(&end.task.job) else {
+            return false;
+        };
+        let fresh = entry.end(end);
+        entry.unnoted += 1;
+        info!(self.log, "run ended"; "task" => %end.task, "run" => end.run, "how" => ?end.how,
+            "executor" => %id, "end" => end.number, "new" => fresh);
+        let over = !entry.is_active();
+        if end.how == How::Done && fresh {
+            self.stop_copies(end.task);
+        }
+        if over {
+            self.close(now, end.task.job);
+        }
+        true
+    }
+
+    /// The ends of an executor are in the log.
+    pub(super) fn noted(&mut self, now: Now, noting: Noting) {
+        if let Some(seat) = self.seats.get_mut(&noting.executor) {
+            // A new life of the executor numbers its ends anew.
+            if seat.seen >= noting.number {
+                seat.acked = seat.acked.max(noting.number);
+            }
+            if seat.probe == Probe::Noting {
+                seat.probe = Probe::At(now.at);
+            }
+        }
+        for id in noting.jobs {
+            if let Some(entry) = self.book.jobs.get_mut(&id) {
+                entry.unnoted = entry.unnoted.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Compares what an executor runs with what it should.
+    fn compare(&mut self, now: Now, id: &ExecutorId, sent: Instant, running: &[Running]) {
+        for run in running {
+            self.see(now, id, run);
+        }
+        let Some(seat) = self.seats.get(id) else {
+            return;
+        };
+        let present = |task: &TaskId, number: u64| {
+            running
+                .iter()
+                .any(|run| run.task == *task && run.run == number)
+        };
+        let absent = seat
+            .slots
+            .iter()
+            .filter(|((task, run), _)| !present(task, *run));
+        let absent: Vec<(TaskId, u64, Phase)> = absent
+            .map(|((task, run), slot)| (*task, *run, slot.phase))
+            .collect();
+        for (task, run, phase) in absent {
+            match phase {
+                Phase::Running(at) if at < sent => {
+                    warn!(self.log, "run vanished"; "task" => %task, "run" => run, "executor" => %id);
+                    self.free(id, task, run);
+                }
+                Phase::Stopped(at) if at < sent => self.free(id, task, run),
+                Phase::Doubtful(at) if at < sent => self.stop(id, task, run),
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes note of a run that an executor has.
+    fn see(&mut self, now: Now, id: &ExecutorId, run: &Running) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        if let Some(slot) = seat.slots.get_mut(&(run.task, run.run)) {
+            if matches!(slot.phase, Phase::Doubtful(_)) {
+                slot.phase = Phase::Running(now.at);
+            }
+            return self.save(run);
+        }
+        self.adopt(now, id, run);
+    }
+
+    fn save(&mut self, run: &Running) {
+        let Some(saved) = &run.saved else {
+            return;
+        };
+        let entry = self.book.jobs.get_mut(&run.task.job);
+        if let Some(task) = entry.and_then(|entry| entry.task_mut(&run.task)) {
+            task.saved = Some(saved.clone());
+        }
+    }
+
+    /// Takes over a run that an earlier owner started, or stops it.
+    fn adopt(&mut self, now: Now, id: &ExecutorId, run: &Running) {
+        let Some(entry) = self.book.jobs.get_mut(&run.task.job) else {
+            self.occupy(id, run.task, run.run, Slot::stray(now.at));
+            return self.stop(id, run.task, run.run);
+        };
+        entry.started = true;
+        entry.open_due(now.unix);
+        let slot = Slot::of(&entry.job, &run.task, Phase::Running(now.at), now.at);
+        let wanted = entry.is_active();
+        let wanted = entry.task_mut(&run.task).is_some_and(|task| {
+            task.run = task.run.max(run.run);
+            let wanted = wanted && task.is_idle() && run.run > task.ended;
+            if wanted {
+                task.placed = Some(id.clone());
+            }
+            wanted
+        });
+        info!(self.log, "run found"; "task" => %run.task, "run" => run.run, "executor" => %id,
+            "kept" => wanted);
+        self.occupy(id, run.task, run.run, slot);
+        if wanted {
+            self.save(run);
+        } else {
+            self.stop(id, run.task, run.run);
+        }
+    }
+
+    /// Gives up on executors whose leases are surely over.
+    pub(super) fn expire(&mut self, now: Now) {
+        let over = self.seats.iter().filter(|(_, seat)| seat.is_lapsed(now.at));
+        let ids: Vec<ExecutorId> = over.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            warn!(self.log, "leases are over"; "executor" => %id);
+            self.free_all(&id);
+            if let Some(seat) = self.seats.get_mut(&id) {
+                seat.cleared = true;
+            }
+            self.dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/dispatcher/seating.rs
@@ -0,0 +1,115 @@
+//! Which executors there are.
+
+use std::collections::BTreeSet;
+
+use slog::info;
+
+use crate::batch::Dispatcher;
+use crate::batch::Executor;
+use crate::batch::Now;
+use crate::batch::Record;
+use crate::batch::seat::Engagement;
+use crate::batch::seat::Probe;
+use crate::batch::seat::Seat;
+use crate::name::ExecutorId;
+
+impl Dispatcher {
+    /// Begins the reign: every executor that may have work of an earlier owner is asked for it.
+    pub fn begin(&mut self, now: Now) {
+        for (id, &addr) in &self.book.engaged {
+            self.seats.insert(id.clone(), Seat::inherited(addr, now.at));
+        }
+    }
+
+    /// Takes the platform's list of executors.
+    pub(super) fn list(&mut self, now: Now, list: Vec<Executor>) {
+        let ids: BTreeSet<ExecutorId> = list.iter().map(|executor| executor.id.clone()).collect();
+        for (id, seat) in &mut self.seats {
+            if !ids.contains(id) {
+                seat.info = None;
+            }
+        }
+        for executor in list {
+            self.list_one(now, executor);
+        }
+        self.release_gone();
+        self.dirty = true;
+    }
+
+    fn list_one(&mut self, now: Now, executor: Executor) {
+        let id = executor.id.clone();
+        let Some(seat) = self.seats.get_mut(&id) else {
+            info!(self.log, "executor listed"; "executor" => %id, "service" => %executor.service);
+            self.seats.insert(id.clone(), Seat::fresh(executor, now.at));
+            return self.engage(&id);
+        };
+        if seat.born.is_some_and(|born| executor.born < born) {
+            return;
+        }
+        let leaves = seat.info.as_ref().is_none_or(|info| !info.draining);
+        if executor.draining && leaves {
+            info!(self.log, "executor leaves"; "executor" => %id);
+        }
+        let reborn = seat.born.is_some_and(|born| executor.born > born);
+        let moved = seat.addr != executor.addr;
+        seat.addr = executor.addr;
+        seat.born = Some(executor.born);
+        seat.info = Some(executor);
+        if reborn {
+            self.reset(now, &id);
+        }
+        if moved {
+            self.engage(&id);
+        }
+    }
+
+    fn engage(&mut self, id: &ExecutorId) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        seat.engagement = Engagement::Asked;
+        let addr = seat.addr;
+        let executor = id.clone();
+        let receipt = self.append(vec![Record::Engaged { executor, addr }]);
+        self.engaging.insert(receipt, id.clone());
+    }
+
+    pub(super) fn engaged(&mut self, id: &ExecutorId) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        seat.engagement = Engagement::Recorded;
+        let addr = seat.addr;
+        self.book.engaged.insert(id.clone(), addr);
+    }
+
+    fn release_gone(&mut self) {
+        let gone = |seat: &Seat| seat.info.is_none() && seat.is_empty();
+        let ids = self.seats.iter().filter(|(_, seat)| gone(seat));
+        let ids: Vec<ExecutorId> = ids.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            info!(self.log, "executor gone"; "executor" => %id);
+            self.seats.remove(&id);
+            self.book.engaged.remove(&id);
+            self.append(vec![Record::Released(id)]);
+        }
+    }
+
+    /// Forgets what ran on an executor that began another life.
+    pub(super) fn reset(&mut self, now: Now, id: &ExecutorId) {
+        info!(self.log, "executor began another life"; "executor" => %id);
+        self.free_all(id);
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        seat.seen = 0;
+        seat.acked = 0;
+        seat.clock = None;
+        seat.resolved = false;
+        seat.cleared = true;
+        seat.expires = now.at;
+        if !matches!(seat.probe, Probe::Sent(_)) {
+            seat.probe = Probe::At(now.at);
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/dispatcher/starting.rs
@@ -0,0 +1,245 @@
+//! Orders to start and stop runs.
+
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+
+use crate::batch::Action;
+use crate::batch::Dispatcher;
+use crate::batch::JobId;
+use crate::batch::Now;
+use crate::batch::OrderError;
+use crate::batch::Start;
+use crate::batch::Stop;
+use crate::batch::Target;
+use crate::batch::TaskId;
+use crate::batch::dispatcher::RUNS_PER_FENCE;
+use crate::batch::seat::LEASE_MS;
+use crate::batch::seat::Probe;
+use crate::batch::slot::Phase;
+use crate::batch::slot::Slot;
+use crate::name::ExecutorId;
+
+/// How long an executor without room gets no new work, in milliseconds.
+const FULL_MS: u64 = 200;
+/// How long an executor that refuses work for another reason gets none, in milliseconds.
+const SHUN_MS: u64 = 1_000;
+
+impl Dispatcher {
+    /// Starts a task on an executor that has room for it.
+    pub(super) fn start(&mut self, now: Now, id: &ExecutorId, task: TaskId, run: u64) {
+        let Some(entry) = self.book.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        let Some(deadline) = seat.deadline(now.at, LEASE_MS) else {
+            return;
+        };
+        let job = entry.job.clone();
+        let Some(state) = entry.task_mut(&task) else {
+            return;
+        };
+        state.run = run;
+        state.placed = Some(id.clone());
+        let saved = state.saved.clone();
+        seat.renew(now.at);
+        let target = Target {
+            executor: id.clone(),
+            addr: seat.addr,
+            fence: self.fence,
+        };
+        info!(self.log, "start"; "task" => %task, "run" => run, "executor" => %id,
+            "load" => seat.load(), "saved" => saved.is_some());
+        self.occupy(
+            id,
+            task,
+            run,
+            Slot::of(&job, &task, Phase::Starting, now.at),
+        );
+        self.actions.push(Action::Start(Start {
+            target,
+            task,
+            run,
+            spec: job.spec.clone(),
+            deadline,
+            saved,
+        }));
+    }
+
+    /// Number of the next run of a task whose highest was `last`.
+    pub(super) fn next_run(&self, last: u64) -> u64 {
+        last.max(self.fence * RUNS_PER_FENCE) + 1
+    }
+
+    pub(super) fn started(&mut self, now: Now, order: &Start, result: Result<(), OrderError>) {
+        let id = &order.target.executor;
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        let Some(slot) = seat.slots.get_mut(&(order.task, order.run)) else {
+            return;
+        };
+        let Err(err) = result else {
+            if slot.phase == Phase::Starting {
+                slot.phase = Phase::Running(now.at);
+            }
+            return self.note_started(order);
+        };
+        warn!(self.log, "start not carried out"; "task" => %order.task, "run" => order.run,
+            "executor" => %id, "why" => %err);
+        match err {
+            OrderError::Fenced => self.fenced(id),
+            OrderError::Reborn => self.reset(now, id),
+            OrderError::Silent | OrderError::Old => {
+                if slot.phase == Phase::Starting {
+                    slot.phase = Phase::Doubtful(now.at);
+                }
+                if let Probe::At(_) = seat.probe {
+                    seat.probe = Probe::At(now.at);
+                }
+            }
+            OrderError::Full => self.refused(now, order, FULL_MS),
+            _ => self.refused(now, order, SHUN_MS),
+        }
+    }
+
+    fn note_started(&mut self, order: &Start) {
+        if let Some(entry) = self.book.jobs.get_mut(&order.task.job) {
+            entry.started = true;
+        }
+    }
+
+    /// An executor surely did not start a task.
+    fn refused(&mut self, now: Now, order: &Start, pause: u64) {
+        let id = &order.target.executor;
+        self.free(id, order.task, order.run);
+        if let Some(seat) = self.seats.get_mut(id) {
+            seat.shunned = Some(now.at + Duration::from_millis(pause));
+        }
+        self.dirty = true;
+    }
+
+    /// Stops a run, unless that is under way.
+    pub(super) fn stop(&mut self, id: &ExecutorId, task: TaskId, run: u64) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        let Some(slot) = seat.slots.get_mut(&(task, run)) else {
+            return;
+        };
+        if matches!(slot.phase, Phase::Stopping | Phase::Stopped(_)) {
+            return;
+        }
+        slot.phase = Phase::Stopping;
+        info!(self.log, "stop"; "task" => %task, "run" => run, "executor" => %id);
+        self.actions.push(Action::Stop(Stop {
+            target: Target {
+                executor: id.clone(),
+                addr: seat.addr,
+                fence: self.fence,
+            },
+            task,
+            run,
+        }));
+    }
+
+    pub(super) fn stopped(&mut self, now: Now, order: &Stop, result: Result<(), OrderError>) {
+        let id = &order.target.executor;
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        let Some(slot) = seat.slots.get_mut(&(order.task, order.run)) else {
+            return;
+        };
+        match result {
+            Ok(()) => {
+                slot.phase = Phase::Stopped(now.at);
+                if let Probe::At(_) = seat.probe {
+                    seat.probe = Probe::At(now.at);
+                }
+            }
+            Err(OrderError::Fenced) => self.fenced(id),
+            Err(OrderError::Reborn) => self.reset(now, id),
+            Err(err) => {
+                warn!(self.log, "stop not carried out"; "task" => %order.task,
+                    "run" => order.run, "executor" => %id, "why" => %err);
+                slot.phase = Phase::Doubtful(now.at);
+            }
+        }
+    }
+
+    /// Stops all runs of a job.
+    pub(super) fn stop_all(&mut self, job: JobId) {
+        let runs = self.seats.iter().flat_map(|(id, seat)| {
+            let runs = seat.slots.keys().filter(|(task, _)| task.job == job);
+            runs.map(|&(task, run)| (id.clone(), task, run))
+        });
+        let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
+        for (id, task, run) in runs {
+            self.stop(&id, task, run);
+        }
+    }
+
+    /// Stops other runs of a task that is done.
+    pub(super) fn stop_copies(&mut self, done: TaskId) {
+        let runs = self.seats.iter().flat_map(|(id, seat)| {
+            let runs = seat.slots.keys().filter(|(task, _)| *task == done);
+            runs.map(|&(task, run)| (id.clone(), task, run))
+        });
+        let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
+        for (id, task, run) in runs {
+            self.stop(&id, task, run);
+        }
+    }
+
+    /// Takes a run's room on its executor and under its team's limit.
+    pub(super) fn occupy(&mut self, id: &ExecutorId, task: TaskId, run: u64, slot: Slot) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        seat.used.add(&slot.reserved);
+        if let Some(team) = &slot.team {
+            let used = self.usage.entry(team.clone()).or_default();
+            used.add(&slot.demand);
+        }
+        seat.slots.insert((task, run), slot);
+    }
+
+    /// Gives a run's room back, and lets its task be started anew.
+    pub(super) fn free(&mut self, id: &ExecutorId, task: TaskId, run: u64) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        let Some(slot) = seat.slots.remove(&(task, run)) else {
+            return;
+        };
+        seat.used.sub(&slot.reserved);
+        if let Some(team) = &slot.team
+            && let Some(used) = self.usage.get_mut(team)
+        {
+            used.sub(&slot.demand);
+        }
+        self.dirty = true;
+        let entry = self.book.jobs.get_mut(&task.job);
+        if let Some(state) = entry.and_then(|entry| entry.task_mut(&task))
+            && state.placed.as_ref() == Some(id)
+            && state.run == run
+        {
+            state.placed = None;
+        }
+    }
+
+    /// Gives back the room of all runs of an executor.
+    pub(super) fn free_all(&mut self, id: &ExecutorId) {
+        let Some(seat) = self.seats.get(id) else {
+            return;
+        };
+        let runs: Vec<(TaskId, u64)> = seat.slots.keys().copied().collect();
+        for (task, run) in runs {
+            self.free(id, task, run);
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/election.rs
@@ -0,0 +1,118 @@
+//! Which process is the owner.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_channel::oneshot;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::batch::Answer;
+use crate::batch::Ask;
+use crate::batch::Fence;
+use crate::batch::Platform;
+use crate::batch::owner::Owner;
+use crate::batch::view::View;
+use crate::name::NodeName;
+
+/// Time between two renewals of the membership, in milliseconds.
+const RENEW_MS: u64 = 300;
+
+/// This process's part in the election, and the owner if it is elected.
+pub struct Election<P> {
+    platform: Rc<P>,
+    view: Rc<View>,
+    node: NodeName,
+    log: Logger,
+    owner: RefCell<Option<Owner>>,
+    stopping: Cell<bool>,
+}
+
+impl<P: Platform> Election<P> {
+    /// Takes part until [`Self::stop`].
+    pub fn spawn(platform: Rc<P>, view: Rc<View>, node: NodeName, log: Logger) -> Rc<Self> {
+        let election = Rc::new(Self {
+            platform,
+            view,
+            node,
+            log,
+            owner: RefCell::new(None),
+            stopping: Cell::new(false),
+        });
+        compio::runtime::spawn(election.clone().run()).detach();
+        election
+    }
+
+    /// Asks the owner, if it is here.
+    pub fn ask(&self, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
+        let owner = self.owner.borrow();
+        owner.as_ref().map(|owner| owner.ask(ask))
+    }
+
+    /// Ends this process's reign, if it has one, and lets another process begin.
+    pub async fn stop(&self) {
+        self.stopping.set(true);
+        self.owner.take();
+        self.platform.leave().await;
+    }
+
+    async fn run(self: Rc<Self>) {
+        let mut generation = 0;
+        let mut reached = true;
+        while !self.stopping.get() {
+            match self.platform.join(generation).await {
+                Ok(_) if self.stopping.get() => return,
+                Ok(membership) => {
+                    if !reached {
+                        info!(self.log, "election reached again");
+                    }
+                    reached = true;
+                    generation = membership.generation;
+                    self.follow(membership.leads, generation);
+                }
+                Err(err) => {
+                    if reached {
+                        warn!(self.log, "election out of reach"; "why" => %err);
+                    }
+                    reached = false;
+                }
+            }
+            if self.is_over() {
+                // The election's own view lags behind the executors' or the log's.
+                self.owner.take();
+                self.platform.leave().await;
+                generation = 0;
+            }
+            compio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.owner.borrow().as_ref().is_some_and(Owner::is_over)
+    }
+
+    fn follow(&self, leads: bool, generation: Fence) {
+        let mut owner = self.owner.borrow_mut();
+        match (leads, owner.as_ref()) {
+            (true, None) => {
+                info!(self.log, "elected"; "fence" => generation);
+                *owner = Some(Owner::spawn(
+                    self.platform.clone(),
+                    self.view.clone(),
+                    generation,
+                    self.node.clone(),
+                    self.log.clone(),
+                ));
+            }
+            (false, Some(old)) => {
+                info!(self.log, "no longer elected"; "fence" => old.fence(),
+                    "generation" => generation);
+                *owner = None;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/entry.rs
@@ -0,0 +1,235 @@
+//! What is known of one job.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::batch::End;
+use crate::batch::How;
+use crate::batch::Job;
+use crate::batch::TaskId;
+use crate::batch::stage::Stage;
+use crate::batch::task::Task;
+
+/// State of a job as clients see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has begun.
+    Queued,
+    /// Some task has begun.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// Its client cancelled it.
+    Cancelled,
+}
+
+/// Why a job is over before its tasks are done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Failed,
+    Cancelled,
+}
+
+/// A job and how far it is.
+#[derive(Debug)]
+pub struct Entry {
+    /// The job.
+    pub job: Rc<Job>,
+    /// Its steps by occurrence, for those that are due and not done.
+    pub occurrences: BTreeMap<u32, Vec<Stage>>,
+    /// Number of occurrences that have become due.
+    pub opened: u32,
+    /// A task has begun.
+    pub started: bool,
+    /// Ends that are acted on, but not in the log yet.
+    pub unnoted: u32,
+    /// It was accepted under an earlier owner.
+    pub inherited: bool,
+    /// When it ended, in Unix milliseconds.
+    pub closed: Option<u64>,
+    verdict: Option<Verdict>,
+}
+
+impl Entry {
+    /// A job that has just been accepted.
+    #[must_use]
+    pub fn new(job: Job) -> Self {
+        Self {
+            job: Rc::new(job),
+            occurrences: BTreeMap::new(),
+            opened: 0,
+            started: false,
+            unnoted: 0,
+            inherited: false,
+            closed: None,
+            verdict: None,
+        }
+    }
+
+    /// Number of its occurrences.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        self.job
+            .schedule
+            .map_or(1, |schedule| schedule.count.max(1))
+    }
+
+    /// Opens the occurrences that are due at `unix` (in milliseconds).
+    pub fn open_due(&mut self, unix: u64) -> bool {
+        let before = self.opened;
+        while self.verdict.is_none() && self.opened < self.count() && self.is_due(unix) {
+            self.open(self.opened);
+            self.opened += 1;
+        }
+        self.opened > before
+    }
+
+    fn is_due(&self, unix: u64) -> bool {
+        let schedule = self.job.schedule;
+        schedule.is_none_or(|schedule| schedule.due(self.opened) <= unix)
+    }
+
+    fn open(&mut self, occurrence: u32) {
+        let steps = &self.job.steps;
+        let stages = || steps.iter().map(|step| Stage::new(step.count)).collect();
+        self.occurrences.entry(occurrence).or_insert_with(stages);
+    }
+
+    /// Its state as clients may see it: an end counts once it is in the log.
+    #[must_use]
+    pub fn state(&self) -> JobState {
+        match self.verdict {
+            Some(Verdict::Cancelled) => JobState::Cancelled,
+            Some(Verdict::Failed) if self.unnoted == 0 => JobState::Failed,
+            None if self.is_done() && self.unnoted == 0 => JobState::Completed,
+            _ if self.started => JobState::Running,
+            _ => JobState::Queued,
+        }
+    }
+
+    /// Whether all tasks of all occurrences are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.opened == self.count() && self.occurrences.is_empty()
+    }
+
+    /// Whether more tasks of it may be started.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.verdict.is_none() && !self.is_done()
+    }
+
+    /// Cancels it, unless it is over.
+    pub fn cancel(&mut self) {
+        if self.is_active() {
+            self.verdict = Some(Verdict::Cancelled);
+        }
+    }
+
+    /// A task of it, if its occurrence is due and not done.
+    #[must_use]
+    pub fn task(&self, id: &TaskId) -> Option<&Task> {
+        let stage = self
+            .occurrences
+            .get(&id.occurrence)?
+            .get(id.step as usize)?;
+        stage.tasks.get(id.index as usize)
+    }
+
+    /// A task of it, to change.
+    pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        let stages = self.occurrences.get_mut(&id.occurrence)?;
+        let stage = stages.get_mut(id.step as usize)?;
+        stage.tasks.get_mut(id.index as usize)
+    }
+
+    /// Takes an end into account, once however often it is given; returns whether it was new.
+    pub fn end(&mut self, end: &End) -> bool {
+        let attempts = self.job.attempts;
+        self.started = true;
+        self.open_up_to(end.task.occurrence);
+        let gang = self.is_gang(&end.task);
+        let lasting = self.is_lasting(&end.task);
+        let Some(task) = self.task_mut(&end.task) else {
+            return false;
+        };
+        if end.run <= task.ended || task.done {
+            return false;
+        }
+        task.ended = end.run;
+        task.run = task.run.max(end.run);
+        if end.saved.is_some() {
+            task.saved.clone_from(&end.saved);
+        }
+        match end.how {
+            How::Done if lasting => {}
+            How::Done => self.finish(&end.task, gang),
+            How::Failed if !lasting => self.fail(end, gang, attempts),
+            _ => {}
+        }
+        true
+    }
+
+    fn open_up_to(&mut self, occurrence: u32) {
+        while self.opened <= occurrence && self.opened < self.count() {
+            self.open(self.opened);
+            self.opened += 1;
+        }
+    }
+
+    fn is_gang(&self, id: &TaskId) -> bool {
+        let step = self.job.steps.get(id.step as usize);
+        step.is_some_and(|step| step.gang)
+    }
+
+    fn is_lasting(&self, id: &TaskId) -> bool {
+        let step = self.job.steps.get(id.step as usize);
+        step.is_some_and(|step| step.lasting)
+    }
+
+    fn finish(&mut self, id: &TaskId, gang: bool) {
+        let Some(stages) = self.occurrences.get_mut(&id.occurrence) else {
+            return;
+        };
+        let Some(stage) = stages.get_mut(id.step as usize) else {
+            return;
+        };
+        for (index, task) in stage.tasks.iter_mut().enumerate() {
+            if !task.done && (gang || index == id.index as usize) {
+                task.done = true;
+                stage.done += 1;
+            }
+        }
+        if stages.iter().all(Stage::is_done) {
+            self.occurrences.remove(&id.occurrence);
+        }
+    }
+
+    fn fail(&mut self, end: &End, gang: bool, attempts: u32) {
+        let Some(stages) = self.occurrences.get_mut(&end.task.occurrence) else {
+            return;
+        };
+        let Some(stage) = stages.get_mut(end.task.step as usize) else {
+            return;
+        };
+        let failures = if gang {
+            if end.run > stage.failed {
+                stage.failed = end.run;
+                stage.failures += 1;
+            }
+            stage.failures
+        } else {
+            let task = &mut stage.tasks[end.task.index as usize];
+            task.failures += 1;
+            task.failures
+        };
+        if failures >= attempts.max(1) && self.verdict.is_none() {
+            self.verdict = Some(Verdict::Failed);
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/event.rs
@@ -0,0 +1,103 @@
+//! What an owner learns and what it does.
+
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::batch::Executor;
+use crate::batch::Hold;
+use crate::batch::JobId;
+use crate::batch::JobState;
+use crate::batch::OrderError;
+use crate::batch::Orders;
+use crate::batch::Record;
+use crate::batch::Report;
+use crate::batch::Start;
+use crate::batch::Stop;
+use crate::name::QueueName;
+
+/// The time, on the steady clock and by the calendar.
+#[derive(Debug, Clone, Copy)]
+pub struct Now {
+    /// Steady.
+    pub at: Instant,
+    /// Unix milliseconds.
+    pub unix: u64,
+}
+
+/// What an owner learns.
+#[derive(Debug)]
+pub enum Event {
+    /// What operators have written.
+    Orders(Orders),
+    /// All executors that the platform lists.
+    Executors(Vec<Executor>),
+    /// Records that followed in the log.
+    Records(Vec<Record>),
+    /// The records of an append are in the log.
+    Appended(u64),
+    /// An executor told what it runs, or didn't.
+    Held {
+        /// The order.
+        order: Hold,
+        /// When it was sent.
+        sent: Instant,
+        /// The answer.
+        result: Result<Report, OrderError>,
+    },
+    /// An order to start a task was answered, or not.
+    Started {
+        /// The order.
+        order: Start,
+        /// The answer.
+        result: Result<(), OrderError>,
+    },
+    /// An order to stop a run was answered, or not.
+    Stopped {
+        /// The order.
+        order: Stop,
+        /// The answer.
+        result: Result<(), OrderError>,
+    },
+}
+
+/// What an owner does.
+#[derive(Debug)]
+pub enum Action {
+    /// Append records to the log, until they are in it.
+    Append {
+        /// Number to tell of in [`Event::Appended`].
+        receipt: u64,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// Ask an executor.
+    Hold(Hold),
+    /// Start a task.
+    Start(Start),
+    /// Stop a run.
+    Stop(Stop),
+    /// Give up the reign: another owner has begun.
+    Abdicate,
+}
+
+/// What a gate asks an owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// The state of a job.
+    State(QueueName, JobId),
+    /// The number of a queue's jobs of which no task has begun.
+    Waiting(QueueName),
+}
+
+/// What an owner answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The job's state, if it's known.
+    State(Option<JobState>),
+    /// The number.
+    Waiting(u64),
+    /// It doesn't know now.
+    Unsure,
+}
--- /dev/null
+++ b/src/batch/executor.rs
@@ -0,0 +1,30 @@
+//! Executors as the platform lists them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::batch::Demand;
+use crate::name::DcName;
+use crate::name::ExecutorId;
+use crate::name::ServiceName;
+
+/// What an executor says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Executor {
+    /// Its id.
+    pub id: ExecutorId,
+    /// Service whose tasks it runs.
+    pub service: ServiceName,
+    /// Where it is reached.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub dc: DcName,
+    /// It leaves soon.
+    pub draining: bool,
+    /// What it has.
+    pub capacity: Demand,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+    /// When this life of it began, in Unix milliseconds.
+    pub born: u64,
+}
--- /dev/null
+++ b/src/batch/gate.rs
@@ -0,0 +1,229 @@
+//! Answers clients' calls.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::batch::Answer;
+use crate::batch::Ask;
+use crate::batch::Call;
+use crate::batch::Done;
+use crate::batch::Job;
+use crate::batch::JobId;
+use crate::batch::Platform;
+use crate::batch::Policy;
+use crate::batch::Queue;
+use crate::batch::Record;
+use crate::batch::Refusal;
+use crate::batch::desk::Desk;
+use crate::batch::view::View;
+use crate::log::AppendError;
+use crate::name::TeamName;
+use crate::observe::unix_millis;
+
+/// When to come back after a passing trouble, in seconds.
+const RETRY_S: u64 = 1;
+/// Longest that an append may take, in milliseconds.
+const APPEND_MS: u64 = 2_000;
+/// Time kept back from a client's deadline to answer it, in milliseconds.
+const REPLY_MS: u64 = 50;
+
+/// A call as it came in.
+#[derive(Debug, Clone, Copy)]
+pub struct Incoming<'a> {
+    /// Host name that the client called.
+    pub host: &'a str,
+    /// Path of its request.
+    pub path: &'a str,
+    /// Key that came with it.
+    pub key: Option<&'a str>,
+    /// Until when the client waits.
+    pub deadline: Instant,
+}
+
+/// Queue and team of a call that is let in.
+#[derive(Debug, Clone)]
+pub struct Admitted {
+    /// The queue.
+    pub queue: Queue,
+    /// The team, if a key came.
+    pub team: Option<TeamName>,
+    /// What follows the queue's prefix.
+    pub rest: String,
+    /// Version of the configuration by which it was let in.
+    pub version: u64,
+}
+
+/// Takes jobs in, and tells what became of them.
+pub struct Gate<P> {
+    platform: Rc<P>,
+    view: Rc<View>,
+    desk: Rc<Desk<P>>,
+    log: Logger,
+}
+
+impl<P: Platform> Gate<P> {
+    /// A gate that asks at `desk`.
+    #[must_use]
+    pub const fn new(platform: Rc<P>, view: Rc<View>, desk: Rc<Desk<P>>, log: Logger) -> Self {
+        Self {
+            platform,
+            view,
+            desk,
+            log,
+        }
+    }
+
+    /// Whether calls can be answered now.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.view.policy(Instant::now()).is_some()
+    }
+
+    /// Largest body of a request, in bytes, by the configuration.
+    #[must_use]
+    pub fn body_limit(&self) -> Option<usize> {
+        let policy = self.view.policy(Instant::now())?;
+        (policy.body > 0).then_some(policy.body)
+    }
+
+    /// Finds the queue of a call and checks its key.
+    ///
+    /// # Errors
+    /// A [`Refusal`].
+    pub fn admit(&self, call: &Incoming) -> Result<Admitted, Refusal> {
+        let Some(policy) = self.view.policy(Instant::now()) else {
+            let refusal = Refusal::Unavailable("the configuration is not up to date", RETRY_S);
+            return Err(self.refuse(call, None, refusal));
+        };
+        let version = Some(policy.version);
+        let Some(queue) = policy.queue(call.host, call.path) else {
+            return Err(self.refuse(call, version, Refusal::NoQueue));
+        };
+        let team = call.key.and_then(|key| team(&policy, key));
+        if team.is_none() && !queue.public {
+            return Err(self.refuse(call, version, Refusal::NoKey));
+        }
+        Ok(Admitted {
+            queue: queue.clone(),
+            team,
+            rest: call.path[queue.prefix.len()..].to_owned(),
+            version: policy.version,
+        })
+    }
+
+    fn refuse(&self, call: &Incoming, version: Option<u64>, refusal: Refusal) -> Refusal {
+        info!(self.log, "refused"; "path" => call.path, "why" => %refusal, "version" => version);
+        refusal
+    }
+
+    /// Answers a call.
+    ///
+    /// # Errors
+    /// A [`Refusal`].
+    pub async fn answer(
+        &self,
+        call: Call,
+        admitted: Admitted,
+        deadline: Instant,
+    ) -> Result<Done, Refusal> {
+        if admitted.rest.is_empty() && call == Call::State {
+            return self.waiting(&admitted, deadline).await;
+        }
+        let id: Result<JobId, _> = admitted.rest.parse();
+        let id = id.map_err(|err| Refusal::Invalid(err.to_string()))?;
+        let result = match call {
+            Call::Submit(draft) => {
+                let job = Job {
+                    id,
+                    queue: admitted.queue.name.clone(),
+                    service: admitted.queue.service.clone(),
+                    team: admitted.team.clone(),
+                    spec: draft.spec,
+                    steps: draft.steps,
+                    attempts: admitted.queue.attempts,
+                    schedule: draft.schedule,
+                    accepted: unix_millis(),
+                };
+                self.submit(job, deadline).await
+            }
+            Call::State => return self.state(&admitted, id, deadline).await,
+            Call::Cancel => {
+                let record = Record::Cancelled(id);
+                self.store(&record, deadline)
+                    .await
+                    .map(|()| Done::Cancelled)
+            }
+        };
+        match &result {
+            Ok(done) => info!(self.log, "answered"; "job" => %id, "done" => ?done,
+                "queue" => %admitted.queue.name, "version" => admitted.version),
+            Err(err) => warn!(self.log, "refused"; "job" => %id, "why" => %err,
+                "queue" => %admitted.queue.name, "version" => admitted.version),
+        }
+        result
+    }
+
+    async fn submit(&self, job: Job, deadline: Instant) -> Result<Done, Refusal> {
+        job.check()
+            .map_err(|err| Refusal::Invalid(err.to_string()))?;
+        let record = Record::Accepted(job);
+        self.store(&record, deadline).await.map(|()| Done::Accepted)
+    }
+
+    async fn store(&self, record: &Record, deadline: Instant) -> Result<(), Refusal> {
+        let bytes = record.encode();
+        let bytes = bytes.map_err(|err| Refusal::Invalid(err.to_string()))?;
+        let latest = Instant::now() + Duration::from_millis(APPEND_MS);
+        let deadline = (deadline - Duration::from_millis(REPLY_MS)).min(latest);
+        match self.platform.append(&[bytes], None, deadline).await {
+            Ok(_) => Ok(()),
+            Err(AppendError::Unknown(why)) => {
+                warn!(self.log, "store did not answer"; "why" => why);
+                Err(Refusal::Unknown("the store did not answer"))
+            }
+            Err(err) => {
+                warn!(self.log, "store refused"; "why" => %err);
+                Err(Refusal::Unavailable("the store takes nothing now", RETRY_S))
+            }
+        }
+    }
+
+    async fn state(
+        &self,
+        admitted: &Admitted,
+        id: JobId,
+        deadline: Instant,
+    ) -> Result<Done, Refusal> {
+        let ask = Ask::State(admitted.queue.name.clone(), id);
+        match self.desk.ask(&ask, deadline).await {
+            Some(Answer::State(Some(state))) => Ok(Done::State(state)),
+            Some(Answer::State(None)) => {
+                info!(self.log, "job not known"; "job" => %id);
+                Err(Refusal::NoJob)
+            }
+            _ => Err(self.no_owner(&format!("job {id}"))),
+        }
+    }
+
+    async fn waiting(&self, admitted: &Admitted, deadline: Instant) -> Result<Done, Refusal> {
+        let ask = Ask::Waiting(admitted.queue.name.clone());
+        match self.desk.ask(&ask, deadline).await {
+            Some(Answer::Waiting(count)) => Ok(Done::Waiting(count)),
+            _ => Err(self.no_owner(&format!("queue {}", admitted.queue.name))),
+        }
+    }
+
+    fn no_owner(&self, what: &str) -> Refusal {
+        warn!(self.log, "owner out of reach"; "what" => what);
+        Refusal::Unavailable("the state can't be told now", RETRY_S)
+    }
+}
+
+fn team(policy: &Policy, key: &str) -> Option<TeamName> {
+    policy.keys.get(key).cloned()
+}
--- /dev/null
+++ b/src/batch/platform.rs
@@ -0,0 +1,132 @@
+//! What the decisions on jobs need of the platform below.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use quick_error::quick_error;
+
+use crate::batch::Executor;
+use crate::batch::Fence;
+use crate::batch::Hold;
+use crate::batch::OrderError;
+use crate::batch::Orders;
+use crate::batch::Report;
+use crate::batch::Start;
+use crate::batch::Stop;
+use crate::log::AppendError;
+use crate::log::ReadError;
+
+quick_error! {
+    /// The platform's store gave no answer that can be used.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Unreachable {
+        /// Why.
+        Because(why: String) {
+            display("{}", why)
+        }
+    }
+}
+
+/// The writer of an owner's records; the log refuses those of earlier owners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Writer {
+    /// Number of the owner's reign.
+    pub fence: Fence,
+    /// Number of the append, from 0 on; a repeat has the same.
+    pub sequence: u64,
+}
+
+/// Records that were read from the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Offset behind the last of them.
+    pub next: u64,
+    /// Offset behind the last record of the log.
+    pub end: u64,
+    /// Their bytes, in order.
+    pub records: Vec<Vec<u8>>,
+}
+
+/// A process's part in the election of the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Membership {
+    /// Rises with each change of the members or of the owner.
+    pub generation: u64,
+    /// This process is the owner.
+    pub leads: bool,
+}
+
+/// Something that changes and that the platform tells of.
+#[allow(async_fn_in_trait)]
+pub trait Watch<T> {
+    /// Waits a while for a change: the new value, or `None` if it is confirmed that there was none.
+    ///
+    /// # Errors
+    /// [`Unreachable`] if nothing could be confirmed.
+    async fn next(&mut self) -> Result<Option<T>, Unreachable>;
+}
+
+/// The platform: its log, its election, and the executors.
+#[allow(async_fn_in_trait)]
+pub trait Platform: 'static {
+    /// Tells of what operators write.
+    type Orders: Watch<Orders>;
+    /// Tells of the executors.
+    type Executors: Watch<Vec<Executor>>;
+
+    /// Watches what operators write.
+    fn orders(&self) -> Self::Orders;
+
+    /// Watches the list of executors.
+    fn executors(&self) -> Self::Executors;
+
+    /// Appends records, all or none; gives the offset of the first.
+    ///
+    /// # Errors
+    /// An [`AppendError`] that tells whether the records may be in the log.
+    async fn append(
+        &self,
+        records: &[Vec<u8>],
+        writer: Option<Writer>,
+        deadline: Instant,
+    ) -> Result<u64, AppendError>;
+
+    /// Reads from offset `from` on, and waits up to `wait` milliseconds for a record.
+    ///
+    /// # Errors
+    /// A [`ReadError`] if the records are gone or the log can't be reached.
+    async fn read(&self, from: u64, wait: u64) -> Result<Batch, ReadError>;
+
+    /// Joins the election, or stays in it; `generation` is the last one that was told, or 0.
+    ///
+    /// # Errors
+    /// [`Unreachable`] if there was no answer.
+    async fn join(&self, generation: u64) -> Result<Membership, Unreachable>;
+
+    /// Leaves the election, so that another process becomes the owner at once.
+    async fn leave(&self);
+
+    /// Address of the owner's process, if there is one.
+    ///
+    /// # Errors
+    /// [`Unreachable`] if there was no answer.
+    async fn owner(&self) -> Result<Option<SocketAddr>, Unreachable>;
+
+    /// Renews an executor's lease and asks what it runs.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn hold(&self, order: &Hold) -> Result<Report, OrderError>;
+
+    /// Starts a task.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn start(&self, order: &Start) -> Result<(), OrderError>;
+
+    /// Stops a run.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn stop(&self, order: &Stop) -> Result<(), OrderError>;
+}
--- /dev/null
+++ b/src/batch/rank.rs
@@ -0,0 +1,73 @@
+//! Which job's tasks come first.
+
+use crate::batch::Entry;
+use crate::batch::Queue;
+
+/// Objective of a job whose queue is gone: times its chain, and milliseconds besides.
+const DEFAULT_STRETCH: f64 = 2.0;
+const DEFAULT_LATENCY_MS: u64 = 1_000;
+/// A job is worth less after its objective and next to nothing after this many times it.
+const LATE_FACTOR: u64 = 3;
+
+/// Place of a job in its service's line; the lowest comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    priority: u32,
+    lateness: u8,
+    remaining: u64,
+    accepted: u64,
+}
+
+impl Rank {
+    /// Place of a job at `unix` (in milliseconds): by the priority of its queue, then jobs that
+    /// can still meet their objective, then those with the least work left.
+    #[must_use]
+    pub fn of(entry: &Entry, queue: Option<&Queue>, unix: u64) -> Self {
+        let job = &entry.job;
+        let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
+        let latency = queue.map_or(DEFAULT_LATENCY_MS, |queue| queue.latency);
+        let objective = scaled(job.chain(), stretch) + latency;
+        let (chain, work) = left(entry);
+        let expected = unix.saturating_sub(job.accepted) + chain;
+        let lateness = match expected {
+            _ if job.lasts() || job.schedule.is_some() => 0,
+            time if time <= objective => 0,
+            time if time <= objective * LATE_FACTOR => 1,
+            _ => 2,
+        };
+        Self {
+            priority: queue.map_or(0, |queue| queue.priority),
+            lateness,
+            remaining: work,
+            accepted: job.accepted,
+        }
+    }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+fn scaled(time: u64, factor: f64) -> u64 {
+    (time as f64 * factor.max(0.0)) as u64
+}
+
+/// Time of the chain that is left, in milliseconds, and the work, in core-milliseconds.
+fn left(entry: &Entry) -> (u64, u64) {
+    let mut chain = 0;
+    let mut work = 0;
+    for stages in entry.occurrences.values() {
+        let mut ends = Vec::with_capacity(stages.len());
+        for (stage, step) in stages.iter().zip(&entry.job.steps) {
+            let before = step.after.iter().filter_map(|&n| ends.get(n as usize));
+            let start = before.max().copied().unwrap_or(0);
+            let count = stage.tasks.len() as u64 - u64::from(stage.done);
+            let own = if count == 0 { 0 } else { step.estimate };
+            ends.push(start + own);
+            work += count * step.estimate * step.demand.cpu.max(1) / 1_000;
+        }
+        chain = chain.max(ends.into_iter().max().unwrap_or(0));
+    }
+    (chain, work)
+}
--- /dev/null
+++ b/src/batch/record.rs
@@ -0,0 +1,93 @@
+//! Records of the platform's log about jobs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::batch::Job;
+use crate::batch::JobId;
+use crate::batch::TaskId;
+use crate::name::ExecutorId;
+use crate::name::NodeName;
+
+/// Number of an owner's reign; each owner's is higher than all before.
+pub type Fence = u64;
+
+/// How a run of a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed, by its own fault or its executor's.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited too long for its gang.
+    Alone,
+}
+
+/// An end of a run that an executor has listed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The executor's number of this end.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Which of the task's runs.
+    pub run: u64,
+    /// How it ended.
+    pub how: How,
+    /// Progress from which another run can go on.
+    pub saved: Option<Arc<str>>,
+}
+
+/// A record of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job was accepted.
+    Accepted(Job),
+    /// A client cancelled a job.
+    Cancelled(JobId),
+    /// An owner began its reign.
+    Took {
+        /// Its number.
+        fence: Fence,
+        /// Its process.
+        node: NodeName,
+    },
+    /// Runs ended; the executor may forget these ends.
+    Ended(Vec<End>),
+    /// An executor may be given work from here on.
+    Engaged {
+        /// The executor.
+        executor: ExecutorId,
+        /// Its address.
+        addr: SocketAddr,
+    },
+    /// Nothing runs on an executor any more, and it will be given nothing.
+    Released(ExecutorId),
+}
+
+impl Record {
+    /// Its bytes in the log.
+    ///
+    /// # Errors
+    /// A [`postcard::Error`] if it has none.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(self)
+    }
+
+    /// Reads it from its bytes in the log.
+    ///
+    /// # Errors
+    /// A [`postcard::Error`] if the bytes hold no record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/src/batch/seat.rs
@@ -0,0 +1,178 @@
+//! What an owner knows of one executor.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::batch::Demand;
+use crate::batch::Executor;
+use crate::batch::TaskId;
+use crate::batch::slot::Phase;
+use crate::batch::slot::Slot;
+
+/// Lease that an order asks for, in milliseconds.
+pub const LEASE_MS: u64 = 4_500;
+/// Longest time until such a lease is over, on an executor whose clock is 2% slow, in milliseconds.
+pub const EXPIRY_MS: u64 = 4_800;
+
+/// Whether the log says that the executor may have work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Engagement {
+    /// It does not.
+    None,
+    /// The record is on its way.
+    Asked,
+    /// It does.
+    Recorded,
+}
+
+/// When the executor is asked what it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// At that time, if there is anything to ask for.
+    At(Instant),
+    /// The order is on its way since then.
+    Sent(Instant),
+    /// Once the ends that it listed are in the log.
+    Noting,
+}
+
+/// One executor and the runs on it.
+#[derive(Debug)]
+pub struct Seat {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// When this life of it began, in Unix milliseconds, once it's known.
+    pub born: Option<u64>,
+    /// What it says of itself, while the platform lists it.
+    pub info: Option<Executor>,
+    /// Whether it may be given work.
+    pub engagement: Engagement,
+    /// It has told this owner what it runs.
+    pub resolved: bool,
+    /// Nothing that an earlier owner started can run there unknown to this one.
+    pub cleared: bool,
+    /// Its last order got no answer.
+    pub silent: bool,
+    /// It gets no new work before that time.
+    pub shunned: Option<Instant>,
+    /// Its clock in milliseconds, and when it showed that.
+    pub clock: Option<(u64, Instant)>,
+    /// When all leases on it are surely over.
+    pub expires: Instant,
+    /// When it is asked next.
+    pub probe: Probe,
+    /// Highest end that it listed.
+    pub seen: u64,
+    /// Highest end that is in the log.
+    pub acked: u64,
+    /// Runs, by their task and number.
+    pub slots: BTreeMap<(TaskId, u64), Slot>,
+    /// What the runs take off its capacity.
+    pub used: Demand,
+}
+
+impl Seat {
+    /// An executor that nobody has given work yet.
+    #[must_use]
+    pub fn fresh(info: Executor, now: Instant) -> Self {
+        Self {
+            born: Some(info.born),
+            cleared: true,
+            engagement: Engagement::None,
+            ..Self::inherited(info.addr, now)
+        }
+        .with(info)
+    }
+
+    /// An executor that an earlier owner may have given work.
+    #[must_use]
+    pub fn inherited(addr: SocketAddr, now: Instant) -> Self {
+        Self {
+            addr,
+            born: None,
+            info: None,
+            engagement: Engagement::Recorded,
+            resolved: false,
+            cleared: false,
+            silent: false,
+            shunned: None,
+            clock: None,
+            expires: now + Duration::from_millis(EXPIRY_MS),
+            probe: Probe::At(now),
+            seen: 0,
+            acked: 0,
+            slots: BTreeMap::new(),
+            used: Demand::default(),
+        }
+    }
+
+    fn with(mut self, info: Executor) -> Self {
+        self.info = Some(info);
+        self
+    }
+
+    /// A time on its clock, `ahead` milliseconds after `now`.
+    #[must_use]
+    pub fn deadline(&self, now: Instant, ahead: u64) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let since = u64::try_from(now.saturating_duration_since(at).as_millis()).ok()?;
+        Some(clock + since + ahead)
+    }
+
+    /// Notes that an order renews its leases.
+    pub fn renew(&mut self, now: Instant) {
+        self.expires = now + Duration::from_millis(EXPIRY_MS);
+    }
+
+    /// Whether it may be given work.
+    #[must_use]
+    pub fn is_open(&self, now: Instant) -> bool {
+        let shunned = self.shunned.is_some_and(|until| now < until);
+        let known = self.resolved && self.engagement == Engagement::Recorded;
+        let stays = self.info.as_ref().is_some_and(|info| !info.draining);
+        known && stays && !self.silent && !shunned
+    }
+
+    /// Whether there is anything to ask it for.
+    #[must_use]
+    pub fn wants_probe(&self) -> bool {
+        let known = self.engagement == Engagement::Recorded;
+        known && (!self.resolved || !self.slots.is_empty() || self.seen > self.acked)
+    }
+
+    /// Whether the executor's answer must not wait for an end.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        let doubtful = |slot: &Slot| matches!(slot.phase, Phase::Doubtful(_) | Phase::Stopped(_));
+        !self.resolved || self.silent || self.slots.values().any(doubtful)
+    }
+
+    /// Whether its leases are over while something may run there by what is known.
+    #[must_use]
+    pub fn is_lapsed(&self, now: Instant) -> bool {
+        let holding = !self.cleared || (self.silent && !self.slots.is_empty());
+        holding && self.expires <= now
+    }
+
+    /// Whether nothing runs there and nothing is to be asked.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.cleared && self.slots.is_empty() && self.seen == self.acked
+    }
+
+    /// Whether it has a label, such as its rack.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        let labels = self.info.iter().flat_map(|info| &info.labels);
+        labels.into_iter().any(|own| **own == *label)
+    }
+
+    /// Share of its processor that is taken, in thousandths.
+    #[must_use]
+    pub fn load(&self) -> u64 {
+        let capacity = self.info.as_ref().map_or(0, |info| info.capacity.cpu);
+        (self.used.cpu * 1_000).checked_div(capacity).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/batch/stage.rs
@@ -0,0 +1,52 @@
+//! What is known of one step of one occurrence of a job.
+
+use std::collections::BTreeMap;
+
+use crate::batch::task::Task;
+use crate::name::ExecutorId;
+
+/// The tasks of a step.
+#[derive(Debug, Clone, Default)]
+pub struct Stage {
+    /// The tasks, by their index.
+    pub tasks: Vec<Task>,
+    /// Number of tasks that are done.
+    pub done: u32,
+    /// Runs of the whole gang that failed, if the step is one.
+    pub failures: u32,
+    /// Highest run of the gang that failed.
+    pub failed: u64,
+}
+
+impl Stage {
+    /// A step of `count` tasks of which none has begun.
+    #[must_use]
+    pub fn new(count: u32) -> Self {
+        Self {
+            tasks: vec![Task::default(); count as usize],
+            ..Self::default()
+        }
+    }
+
+    /// Whether all tasks are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Whether a task may be started.
+    #[must_use]
+    pub fn has_idle(&self) -> bool {
+        self.tasks.iter().any(Task::is_idle)
+    }
+
+    /// Number of tasks on each executor.
+    #[must_use]
+    pub fn spread(&self) -> BTreeMap<ExecutorId, u32> {
+        let mut counts = BTreeMap::new();
+        for executor in self.tasks.iter().filter_map(|task| task.placed.as_ref()) {
+            *counts.entry(executor.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/src/batch/task_id.rs
@@ -0,0 +1,68 @@
+//! Ids of tasks.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::batch::JobId;
+
+quick_error! {
+    /// Why a text is not the id of a task.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum TaskIdError {
+        /// Not a job's id and three numbers, separated by dots.
+        Malformed {
+            display("a task's id has the form JOB.OCCURRENCE.STEP.INDEX")
+        }
+    }
+}
+
+/// Id of a task, written `JOB.OCCURRENCE.STEP.INDEX`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// Its job.
+    pub job: JobId,
+    /// Which of the job's occurrences, counted from 0.
+    pub occurrence: u32,
+    /// Which of the job's steps, counted from 0.
+    pub step: u32,
+    /// Which of the step's tasks, counted from 0.
+    pub index: u32,
+}
+
+impl FromStr for TaskId {
+    type Err = TaskIdError;
+
+    fn from_str(text: &str) -> Result<Self, TaskIdError> {
+        let mut parts = text.split('.');
+        let job = parts.next().and_then(|part| part.parse().ok());
+        let mut number = || parts.next().and_then(|part| part.parse().ok());
+        let (occurrence, step, index) = (number(), number(), number());
+        let (Some(job), Some(occurrence), Some(step), Some(index), None) =
+            (job, occurrence, step, index, parts.next())
+        else {
+            return Err(TaskIdError::Malformed);
+        };
+        Ok(Self {
+            job,
+            occurrence,
+            step,
+            index,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index}")
+    }
+}
--- a/src/gate/attempt.rs
+++ b/src/gate/attempt.rs
@@ -11,9 +11,9 @@
 use hyper::header::HeaderValue;
 
 use crate::gate::Ended;
-use crate::gate::backend::Backend;
-use crate::gate::backend::BackendError;
 use crate::gate::headers;
+use crate::http::Backend;
+use crate::http::BackendError;
 use crate::name::TeamName;
 use crate::wire::Evidence;
 use crate::wire::Grant;
--- a/src/gate/controls.rs
+++ b/src/gate/controls.rs
@@ -17,8 +17,8 @@
 
 use crate::gate::Settled;
 use crate::gate::attempt::LEASE_MS;
-use crate::gate::backend::Backend;
 use crate::gate::step::Input;
+use crate::http::Backend;
 use crate::wire::AttemptId;
 
 /// Longest that a renewal or cancellation may take, in milliseconds.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,7 +2,6 @@
 
 mod action;
 mod attempt;
-mod backend;
 mod budget;
 mod budgets;
 mod callers;
@@ -14,7 +13,6 @@
 mod failure;
 mod handler;
 mod headers;
-mod idle;
 mod links;
 mod pending;
 mod server;
--- a/src/gate/step.rs
+++ b/src/gate/step.rs
@@ -8,7 +8,7 @@
 use crate::gate::Failure;
 use crate::gate::Settled;
 use crate::gate::Submission;
-use crate::gate::backend::Backend;
+use crate::http::Backend;
 use crate::name::TeamName;
 use crate::wire::AttemptId;
 use crate::wire::Grant;
--- a/src/gate/idle.rs
+++ b/src/http/idle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::gate::backend::Backend;
+use crate::http::Backend;
 
 /// Idle connections kept to one backend server.
 const IDLE_LIMIT: usize = 4;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 #![recursion_limit = "256"]
 
 pub mod admit;
+pub mod batch;
 pub mod ctl;
 pub mod fleet;
 pub mod gate;
--- a/src/log/error.rs
+++ b/src/log/error.rs
@@ -14,6 +14,10 @@
         Unknown(why: String) {
             display("unknown whether appended: {}", why)
         }
+        /// A later writer has begun, so the log takes nothing of this one any more.
+        Fenced {
+            display("a later writer has begun")
+        }
     }
 }
 
--- a/src/member/tasks.rs
+++ b/src/member/tasks.rs
@@ -224,6 +224,9 @@
         let offset = match answer.await {
             Ok(offset) => Some(offset),
             Err(AppendError::NotAppended(why)) => return Err(ChangeError::NotAppended(why)),
+            Err(err @ AppendError::Fenced) => {
+                return Err(ChangeError::NotAppended(err.to_string()));
+            }
             Err(AppendError::Unknown(why)) => {
                 info!(self.logger, "append unsettled"; "id" => %id, "why" => why);
                 None
--- a/src/name.rs
+++ b/src/name.rs
@@ -138,3 +138,11 @@
     /// Name of one of the system's own processes.
     NodeName
 );
+name!(
+    /// Name of a queue that jobs are handed in to.
+    QueueName
+);
+name!(
+    /// Id of an executor: one life of a host in a pool.
+    ExecutorId
+);
--- a/src/observe/log.rs
+++ b/src/observe/log.rs
@@ -6,6 +6,7 @@
 use slog::Logger;
 use slog::o;
 use slog_async::Async;
+use slog_async::OverflowStrategy;
 use slog_json::Json;
 
 use crate::name::NodeName;
@@ -20,3 +21,20 @@
     let role = format!("{role:?}").to_lowercase();
     Logger::root(drain, o!("node" => node.to_string(), "role" => role))
 }
+
+/// Lines that wait for the writer; beyond these, lines are dropped and counted.
+const LINE_LIMIT: usize = 4_096;
+
+/// A log of JSON lines on stdout, each with the node.
+///
+/// A task of its own writes, so that logging never waits: if lines come faster than they are
+/// written, some are dropped and a line tells how many.
+pub fn open_stdout(node: &NodeName) -> Logger {
+    let lines = Json::default(io::stdout()).ignore_res();
+    let drain = Async::new(lines)
+        .chan_size(LINE_LIMIT)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build()
+        .ignore_res();
+    Logger::root(drain, o!("node" => node.to_string()))
+}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -20,6 +20,7 @@
 pub use entry::Entry;
 pub use hybrid_clock::HybridClock;
 pub use log::open_log;
+pub use log::open_stdout;
 pub use message_kind::MessageKind;
 pub use metrics::Metrics;
 pub use metrics::Refresh;
