Do the upkeep that operators ask for, in waves

Change: hosts of a wave are emptied (tasks that last are stopped one a step where the step allows it), taken down within the wave's limit, and recorded in the log; operators are told how far it is.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -1,6 +1,7 @@
 //! All jobs, as folded from the log.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::batch::Entry;
@@ -8,6 +9,7 @@
 use crate::batch::JobId;
 use crate::batch::Record;
 use crate::name::ExecutorId;
+use crate::name::HostName;
 
 /// Jobs, and executors on which something may run.
 #[derive(Debug, Default)]
@@ -16,6 +18,8 @@
     pub jobs: BTreeMap<JobId, Entry>,
     /// Executors that may have been given work.
     pub engaged: BTreeMap<ExecutorId, SocketAddr>,
+    /// Hosts that have had their upkeep, by wave.
+    pub kept: BTreeMap<u64, BTreeSet<HostName>>,
     /// Number of the reign that began last.
     pub fence: Fence,
 }
@@ -48,6 +52,9 @@
             Record::Engaged { executor, addr } => {
                 self.engaged.insert(executor, addr);
             }
+            Record::Kept { wave, host } => {
+                self.kept.entry(wave).or_default().insert(host);
+            }
             Record::Released(executor) => {
                 self.engaged.remove(&executor);
             }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -2,11 +2,14 @@
 
 mod holding;
 mod placing;
+mod pooling;
 mod seating;
 mod starting;
+mod upkeeping;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use slog::Logger;
 use slog::info;
@@ -17,14 +20,19 @@
 use crate::batch::Demand;
 use crate::batch::Event;
 use crate::batch::Fence;
+use crate::batch::Host;
 use crate::batch::JobId;
 use crate::batch::JobState;
 use crate::batch::Now;
 use crate::batch::Orders;
 use crate::batch::Record;
 use crate::batch::book::Book;
+use crate::batch::demand_meter::DemandMeter;
+use crate::batch::pools::Pools;
 use crate::batch::seat::Seat;
+use crate::batch::upkeep::Waves;
 use crate::name::ExecutorId;
+use crate::name::NodeName;
 use crate::name::QueueName;
 use crate::name::TeamName;
 
@@ -43,8 +51,13 @@
 /// The decisions of one owner. Events in, actions out; it reads no clock and opens no socket.
 pub struct Dispatcher {
     fence: Fence,
+    node: NodeName,
     log: Logger,
     book: Book,
+    waves: Waves,
+    pools: Pools,
+    hosts: Vec<Host>,
+    meter: DemandMeter,
     seats: BTreeMap<ExecutorId, Seat>,
     orders: Orders,
     usage: BTreeMap<TeamName, Demand>,
@@ -52,6 +65,8 @@
     noting: BTreeMap<u64, Noting>,
     engaging: BTreeMap<u64, ExecutorId>,
     receipts: u64,
+    begun: Instant,
+    balanced: Instant,
     dirty: bool,
     actions: Vec<Action>,
 }
@@ -59,12 +74,17 @@
 impl Dispatcher {
     /// An owner that begins its reign with what the log holds.
     #[must_use]
-    pub fn new(fence: Fence, book: Book, log: Logger) -> Self {
+    pub fn new(now: Now, fence: Fence, node: NodeName, book: Book, log: Logger) -> Self {
         let active = book.jobs.iter().filter(|(_, entry)| entry.is_active());
         let active = active.map(|(&id, _)| id).collect();
         Self {
             fence,
+            node,
             log,
+            waves: Waves::new(&book.kept),
+            pools: Pools::default(),
+            hosts: Vec::new(),
+            meter: DemandMeter::default(),
             book,
             seats: BTreeMap::new(),
             orders: Orders::default(),
@@ -73,6 +93,8 @@
             noting: BTreeMap::new(),
             engaging: BTreeMap::new(),
             receipts: 0,
+            begun: now.at,
+            balanced: now.at,
             dirty: true,
             actions: Vec::new(),
         }
@@ -82,6 +104,7 @@
     pub fn handle(&mut self, now: Now, event: Event) {
         match event {
             Event::Orders(orders) => {
+                self.waves.ask(now.at, &orders.waves);
                 self.orders = orders;
                 self.dirty = true;
             }
@@ -94,6 +117,10 @@
                 result,
             } => self.held(now, &order, sent, result),
             Event::Started { order, result } => self.started(now, &order, result),
+            Event::Hosts(hosts) => self.hosts = hosts,
+            Event::Transferred { order, result } => self.transferred(now, &order, result),
+            Event::Maintained { order, result } => self.maintained(now, &order, result),
+            Event::Reported { wave, state, told } => self.waves.reported(now.at, wave, state, told),
             Event::Stopped { order, result } => self.stopped(now, &order, result),
         }
     }
@@ -102,6 +129,8 @@
     pub fn poll(&mut self, now: Now) -> Vec<Action> {
         self.expire(now);
         self.open_due(now);
+        self.upkeep(now);
+        self.balance(now);
         if self.dirty {
             self.dirty = false;
             self.place(now);
@@ -156,6 +185,7 @@
         info!(self.log, "job in the log"; "job" => %id, "queue" => %entry.job.queue,
             "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted));
         if entry.is_active() {
+            self.meter.note(now.at, &entry.job);
             self.active.insert(id);
         } else {
             self.close(now, id);
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -257,6 +257,7 @@
             if matches!(slot.phase, Phase::Doubtful(_)) {
                 slot.phase = Phase::Running(now.at);
             }
+            slot.percent = run.percent;
             return self.save(run);
         }
         self.adopt(now, id, run);
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -1,5 +1,6 @@
 //! Which waiting tasks start now, and where.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::batch::Demand;
@@ -171,12 +172,14 @@
                 && self.suits(now, service, step, seat, &planned)
         });
         let best = fitting.min_by_key(|(id, seat)| {
+            // Tasks that last are packed, so that other hosts can leave the pool.
+            let lasting = if step.lasting { seat.lasting() } else { 0 };
             let far = step
                 .rack
                 .as_deref()
                 .is_some_and(|rack| !seat.has_label(rack));
             let beside = spread.get(*id).copied().unwrap_or(0);
-            (far, seat.load(), beside)
+            (far, Reverse(lasting), seat.load(), beside)
         });
         best.map(|(id, _)| id.clone())
     }
@@ -195,7 +198,10 @@
         if info.service != *service || !seat.is_open(now.at) {
             return false;
         }
-        if self.orders.closed.contains(&info.dc) {
+        if self.pools.is_closed(info.host.as_ref()) {
+            return false;
+        }
+        if self.orders.closed.contains(&info.dc) || self.waves.is_closed(info.host.as_ref()) {
             return false;
         }
         if step
--- /dev/null
+++ b/src/batch/dispatcher/pooling.rs
@@ -0,0 +1,139 @@
+//! Moves hosts between pools.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+
+use crate::batch::Action;
+use crate::batch::Dispatcher;
+use crate::batch::Host;
+use crate::batch::Now;
+use crate::batch::OrderError;
+use crate::batch::Transfer;
+use crate::batch::dispatcher::upkeeping::load;
+use crate::batch::dispatcher::upkeeping::stands_on;
+use crate::batch::pools::Member;
+use crate::batch::pools::PoolView;
+use crate::batch::upkeep::Load;
+use crate::name::ServiceName;
+
+/// Time after the begin of a reign in which hosts get no orders, in milliseconds: the owner
+/// before may have given some.
+const SETTLE_MS: u64 = 3_000;
+/// Time between two looks at the pools, in milliseconds.
+const LOOK_MS: u64 = 150;
+/// Fewest hosts of a pool that has work to do at times.
+const FLOOR: usize = 2;
+
+impl Dispatcher {
+    /// Moves hosts to where their capacity is needed.
+    pub(super) fn balance(&mut self, now: Now) {
+        let settled = now.at >= self.begun + Duration::from_millis(SETTLE_MS);
+        if !settled || now.at < self.balanced + Duration::from_millis(LOOK_MS) {
+            return;
+        }
+        self.balanced = now.at;
+        let views = self.views(now);
+        for step in self.pools.plan(now.at, &views) {
+            info!(self.log, "move ordered"; "host" => %step.host, "pool" => %step.pool);
+            self.actions.push(Action::Transfer(Transfer {
+                host: step.host,
+                pool: step.pool,
+                holder: self.node.clone(),
+                fence: self.fence,
+            }));
+        }
+    }
+
+    pub(super) fn transferred(
+        &mut self,
+        now: Now,
+        order: &Transfer,
+        result: Result<(), OrderError>,
+    ) {
+        let Transfer { host, pool, .. } = order;
+        match &result {
+            Ok(()) => {
+                info!(self.log, "move begun"; "host" => %host, "pool" => %pool);
+                self.retire(now, host);
+            }
+            Err(OrderError::Fenced) => {
+                warn!(self.log, "fenced"; "host" => %host, "fence" => self.fence);
+                self.actions.push(Action::Abdicate);
+            }
+            Err(err) => warn!(self.log, "move not begun"; "host" => %host, "why" => %err),
+        }
+        self.pools.answered(now.at, host, result);
+        self.dirty = true;
+    }
+
+    fn views(&mut self, now: Now) -> Vec<PoolView> {
+        let Some(policy) = self.orders.policy.clone() else {
+            return Vec::new();
+        };
+        let mut running = self.running();
+        let mut views = Vec::new();
+        for (service, pool) in &policy.pools {
+            let used = policy.queues.iter().any(|queue| queue.service == *service);
+            let forecast = self.meter.forecast(now.at, service);
+            let running = running.remove(service).unwrap_or_default();
+            let hosts = self.hosts.iter().filter(|host| host.pool == *service);
+            let hosts = hosts.map(|host| self.member(host, pool.spare)).collect();
+            views.push(PoolView {
+                service: service.clone(),
+                spare: pool.spare,
+                need: running.cpu.max(forecast),
+                floor: if used { FLOOR.max(running.spread) } else { 0 },
+                hosts,
+            });
+        }
+        views
+    }
+
+    fn member(&self, host: &Host, spare: bool) -> Member {
+        let seat = self.seats.values().find(|seat| stands_on(seat, &host.name));
+        let here = seat.and_then(|seat| seat.info.as_ref());
+        let here = here.is_some_and(|info| info.service == host.pool && !info.draining);
+        let closed = self.orders.closed.contains(&host.dc);
+        Member {
+            host: host.name.clone(),
+            cpu: host.capacity.cpu,
+            idle: load(self.seats.values(), &host.name) == Load::default(),
+            free: host.up && (spare || here) && !closed && !self.waves.is_closed(Some(&host.name)),
+        }
+    }
+
+    /// What runs or could run now, by service.
+    fn running(&self) -> BTreeMap<ServiceName, Running> {
+        let mut services: BTreeMap<ServiceName, Running> = BTreeMap::new();
+        for entry in self.active.iter().filter_map(|id| self.book.jobs.get(id)) {
+            let service = services.entry(entry.job.service.clone()).or_default();
+            for stages in entry.occurrences.values() {
+                for (stage, step) in stages.iter().zip(&entry.job.steps) {
+                    let open = step.after.iter().all(|&n| stages[n as usize].is_done());
+                    if !open {
+                        continue;
+                    }
+                    let left = stage.tasks.len() as u64 - u64::from(stage.done);
+                    service.cpu += left * step.reserved().cpu;
+                    if let Some(spread) = step.spread {
+                        let hosts = (stage.tasks.len() as u64).div_ceil(u64::from(spread));
+                        service.spread = service.spread.max(hosts as usize);
+                    }
+                }
+            }
+        }
+        services
+    }
+}
+
+/// What a service has to run.
+#[derive(Debug, Default)]
+struct Running {
+    /// Processor, in thousandths of a core.
+    cpu: u64,
+    /// Hosts that a step must be spread over.
+    spread: usize,
+}
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -12,6 +12,7 @@
 use crate::batch::seat::Probe;
 use crate::batch::seat::Seat;
 use crate::name::ExecutorId;
+use crate::name::HostName;
 
 impl Dispatcher {
     /// Begins the reign: every executor that may have work of an earlier owner is asked for it.
@@ -95,6 +96,25 @@
         }
     }
 
+    /// The executor of a host is gone with all that ran there; another one will come.
+    pub(super) fn retire(&mut self, now: Now, host: &HostName) {
+        let on = |seat: &Seat| {
+            seat.info
+                .as_ref()
+                .is_some_and(|info| info.host.as_ref() == Some(host))
+        };
+        let ids = self.seats.iter().filter(|(_, seat)| on(seat));
+        let ids: Vec<ExecutorId> = ids.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.free_all(&id);
+            if let Some(seat) = self.seats.get_mut(&id) {
+                seat.retired = seat.born;
+                seat.seen = seat.acked;
+                seat.expires = now.at;
+            }
+        }
+    }
+
     /// Forgets what ran on an executor that began another life.
     pub(super) fn reset(&mut self, now: Now, id: &ExecutorId) {
         info!(self.log, "executor began another life"; "executor" => %id);
--- /dev/null
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -0,0 +1,156 @@
+//! Takes hosts down for their upkeep, emptied first.
+
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+
+use crate::batch::Action;
+use crate::batch::Dispatcher;
+use crate::batch::Maintain;
+use crate::batch::Now;
+use crate::batch::OrderError;
+use crate::batch::Record;
+use crate::batch::TaskId;
+use crate::batch::seat::Seat;
+use crate::batch::slot::Phase;
+use crate::batch::upkeep::Load;
+use crate::batch::upkeep::Wish;
+use crate::name::ExecutorId;
+use crate::name::HostName;
+
+/// Time after the begin of a reign in which hosts get no orders, in milliseconds: the owner
+/// before may have given some.
+const SETTLE_MS: u64 = 3_000;
+
+impl Dispatcher {
+    /// Follows the waves that operators ask for.
+    pub(super) fn upkeep(&mut self, now: Now) {
+        if now.at < self.begun + Duration::from_millis(SETTLE_MS) {
+            return;
+        }
+        let seats = &self.seats;
+        let pools = &self.pools;
+        let load =
+            |host: &HostName| (!pools.is_closed(Some(host))).then(|| load(seats.values(), host));
+        for (wave, host, wish) in self.waves.plan(now.at, load) {
+            match wish {
+                Wish::TakeDown => self.take_down(wave, host),
+                Wish::Empty => self.empty(&host, false),
+                Wish::Clear => self.empty(&host, true),
+            }
+        }
+        for (wave, state) in self.waves.tell(now.at) {
+            info!(self.log, "wave"; "wave" => wave, "state" => ?state);
+            self.actions.push(Action::Report { wave, state });
+        }
+    }
+
+    fn take_down(&mut self, wave: u64, host: HostName) {
+        info!(self.log, "upkeep ordered"; "host" => %host, "wave" => wave);
+        self.waves.ordered(wave, &host);
+        self.actions.push(Action::Maintain(Maintain {
+            host,
+            wave,
+            holder: self.node.clone(),
+            fence: self.fence,
+        }));
+    }
+
+    pub(super) fn maintained(
+        &mut self,
+        now: Now,
+        order: &Maintain,
+        result: Result<(), OrderError>,
+    ) {
+        let Maintain { host, wave, .. } = order;
+        match result {
+            Ok(()) => {
+                info!(self.log, "upkeep begun"; "host" => %host, "wave" => wave);
+                self.retire(now, host);
+            }
+            Err(OrderError::Fenced) => {
+                warn!(self.log, "fenced"; "host" => %host, "fence" => self.fence);
+                self.actions.push(Action::Abdicate);
+            }
+            Err(err) => warn!(self.log, "upkeep not begun"; "host" => %host, "why" => %err),
+        }
+        if self.waves.answered(now.at, *wave, host, result) {
+            let (wave, host) = (*wave, host.clone());
+            self.append(vec![Record::Kept { wave, host }]);
+        }
+        self.dirty = true;
+    }
+
+    /// Stops tasks on a host: those that last, and the others as well if `all`.
+    pub(super) fn empty(&mut self, host: &HostName, all: bool) {
+        let on = |seat: &Seat| stands_on(seat, host);
+        let seats = self.seats.iter().filter(|(_, seat)| on(seat));
+        let runs = seats.flat_map(|(id, seat)| {
+            let running = seat.slots.iter();
+            let running = running.filter(|(_, slot)| matches!(slot.phase, Phase::Running(_)));
+            let wanted = running.filter(|(_, slot)| all || slot.lasting);
+            wanted.map(|(&(task, run), _)| (id.clone(), task, run))
+        });
+        let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
+        for (id, task, run) in runs {
+            if self.may_interrupt(&task) {
+                self.stop(&id, task, run);
+            }
+        }
+    }
+
+    /// Whether a task may be interrupted without too many of its step being away.
+    fn may_interrupt(&self, id: &TaskId) -> bool {
+        let Some(entry) = self.book.jobs.get(&id.job) else {
+            return true;
+        };
+        let Some(limit) = entry
+            .job
+            .steps
+            .get(id.step as usize)
+            .and_then(|step| step.away)
+        else {
+            return true;
+        };
+        let stages = entry.occurrences.get(&id.occurrence);
+        let Some(stage) = stages.and_then(|stages| stages.get(id.step as usize)) else {
+            return true;
+        };
+        let others = stage.tasks.iter().enumerate();
+        let others = others.filter(|(index, _)| *index != id.index as usize);
+        let away = others.filter(|(index, task)| {
+            let id = TaskId {
+                index: *index as u32,
+                ..*id
+            };
+            !self.is_at_work(&id, task.placed.as_ref(), task.run)
+        });
+        away.count() < limit as usize
+    }
+
+    fn is_at_work(&self, id: &TaskId, executor: Option<&ExecutorId>, run: u64) -> bool {
+        let seat = executor.and_then(|executor| self.seats.get(executor));
+        let slot = seat.and_then(|seat| seat.slots.get(&(*id, run)));
+        slot.is_some_and(|slot| matches!(slot.phase, Phase::Running(_)) && slot.percent >= 100)
+    }
+}
+
+pub(super) fn stands_on(seat: &Seat, host: &HostName) -> bool {
+    let info = seat.info.as_ref();
+    info.is_some_and(|info| info.host.as_ref() == Some(host)) && !seat.is_retired()
+}
+
+pub(super) fn load<'a>(seats: impl Iterator<Item = &'a Seat>, host: &HostName) -> Load {
+    let mut load = Load::default();
+    for seat in seats.filter(|seat| stands_on(seat, host)) {
+        for slot in seat.slots.values() {
+            if slot.lasting {
+                load.lasting += 1;
+            } else {
+                load.passing += 1;
+            }
+        }
+    }
+    load
+}
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -7,14 +7,18 @@
 
 use crate::batch::Executor;
 use crate::batch::Hold;
+use crate::batch::Host;
 use crate::batch::JobId;
 use crate::batch::JobState;
+use crate::batch::Maintain;
 use crate::batch::OrderError;
 use crate::batch::Orders;
 use crate::batch::Record;
 use crate::batch::Report;
 use crate::batch::Start;
 use crate::batch::Stop;
+use crate::batch::Transfer;
+use crate::batch::WaveState;
 use crate::name::QueueName;
 
 /// The time, on the steady clock and by the calendar.
@@ -53,6 +57,31 @@
         /// The answer.
         result: Result<(), OrderError>,
     },
+    /// An order to take a host down was answered, or not.
+    Maintained {
+        /// The order.
+        order: Maintain,
+        /// The answer.
+        result: Result<(), OrderError>,
+    },
+    /// All hosts that the platform lists.
+    Hosts(Vec<Host>),
+    /// An order to move a host was answered, or not.
+    Transferred {
+        /// The order.
+        order: Transfer,
+        /// The answer.
+        result: Result<(), OrderError>,
+    },
+    /// Operators were told how far a wave is, or not.
+    Reported {
+        /// Number of the wave.
+        wave: u64,
+        /// What they were told.
+        state: WaveState,
+        /// Whether it is in the store.
+        told: bool,
+    },
     /// An order to stop a run was answered, or not.
     Stopped {
         /// The order.
@@ -78,6 +107,17 @@
     Start(Start),
     /// Stop a run.
     Stop(Stop),
+    /// Take a host down for its upkeep.
+    Maintain(Maintain),
+    /// Move a host to another pool.
+    Transfer(Transfer),
+    /// Tell operators how far a wave is.
+    Report {
+        /// Number of the wave.
+        wave: u64,
+        /// How far it is.
+        state: WaveState,
+    },
     /// Give up the reign: another owner has begun.
     Abdicate,
 }
--- a/src/batch/executor.rs
+++ b/src/batch/executor.rs
@@ -6,13 +6,31 @@
 use crate::batch::Demand;
 use crate::name::DcName;
 use crate::name::ExecutorId;
+use crate::name::HostName;
 use crate::name::ServiceName;
 
+/// A host as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Host {
+    /// Its name.
+    pub name: HostName,
+    /// Service whose pool it is in.
+    pub pool: ServiceName,
+    /// It's neither away nor on its way to another pool.
+    pub up: bool,
+    /// Its data centre.
+    pub dc: DcName,
+    /// What it has.
+    pub capacity: Demand,
+}
+
 /// What an executor says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Executor {
     /// Its id.
     pub id: ExecutorId,
+    /// The host of which it is one life, if it tells.
+    pub host: Option<HostName>,
     /// Service whose tasks it runs.
     pub service: ServiceName,
     /// Where it is reached.
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -9,6 +9,9 @@
 use crate::batch::Fence;
 use crate::batch::TaskId;
 use crate::name::ExecutorId;
+use crate::name::HostName;
+use crate::name::NodeName;
+use crate::name::ServiceName;
 
 /// Whom an order is for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,6 +65,41 @@
     pub run: u64,
 }
 
+/// Takes a host down for its upkeep; it comes back by itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Maintain {
+    /// The host.
+    pub host: HostName,
+    /// Number of the wave that asks for it.
+    pub wave: u64,
+    /// Process that gives the order.
+    pub holder: NodeName,
+    /// Number of the owner's reign.
+    pub fence: Fence,
+}
+
+/// Moves a host to another pool; it comes back there by itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Transfer {
+    /// The host.
+    pub host: HostName,
+    /// Service whose pool it joins.
+    pub pool: ServiceName,
+    /// Process that gives the order.
+    pub holder: NodeName,
+    /// Number of the owner's reign.
+    pub fence: Fence,
+}
+
+/// How far a wave is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaveState {
+    /// Hosts are left.
+    Running,
+    /// All hosts have had their upkeep.
+    Completed,
+}
+
 /// A run that an executor has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Running {
@@ -127,6 +165,14 @@
         Reborn {
             display("the executor began another life")
         }
+        /// The host is away or leaving.
+        Away {
+            display("the host is away or leaving")
+        }
+        /// There is no such host, or it isn't in the wave.
+        Gone {
+            display("there is no such host, or it is not in the wave")
+        }
         /// The executor does not understand it.
         Invalid {
             display("not understood")
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -45,6 +45,8 @@
 const RETRY_MS: u64 = 150;
 /// Time between two reads of the list of executors, in milliseconds.
 const LIST_MS: u64 = 200;
+/// Time between two reads of the list of hosts, in milliseconds.
+const HOSTS_MS: u64 = 700;
 /// Time that the first append of a reign may take, in milliseconds.
 const APPEND_MS: u64 = 1_500;
 /// Age from which on the log as read is too old to deny that a job exists, in milliseconds.
@@ -130,7 +132,8 @@
         };
         info!(self.log, "owner"; "fence" => self.fence, "jobs" => book.jobs.len(),
             "executors" => book.engaged.len(), "took_ms" => millis(begun.elapsed()));
-        let mut dispatcher = Dispatcher::new(self.fence, book, self.log.clone());
+        let mut dispatcher =
+            Dispatcher::new(now(), self.fence, self.node.clone(), book, self.log.clone());
         dispatcher.begin(now());
         let (entries, queued) = unbounded();
         let writer = writer::run(
@@ -150,6 +153,11 @@
                 self.read.clone(),
                 self.log.clone(),
             )),
+            compio::runtime::spawn(hosts(
+                self.platform.clone(),
+                self.inbox.clone(),
+                self.log.clone(),
+            )),
             compio::runtime::spawn(list(
                 self.platform.clone(),
                 self.inbox.clone(),
@@ -292,6 +300,18 @@
                 let result = platform.start(&order).await;
                 Event::Started { order, result }
             }),
+            Action::Transfer(order) => spawn(inbox, async move {
+                let result = platform.transfer(&order).await;
+                Event::Transferred { order, result }
+            }),
+            Action::Maintain(order) => spawn(inbox, async move {
+                let result = platform.maintain(&order).await;
+                Event::Maintained { order, result }
+            }),
+            Action::Report { wave, state } => spawn(inbox, async move {
+                let told = platform.report(wave, state).await.is_ok();
+                Event::Reported { wave, state, told }
+            }),
             Action::Stop(order) => spawn(inbox, async move {
                 let result = platform.stop(&order).await;
                 Event::Stopped { order, result }
@@ -360,6 +380,19 @@
     }
 }
 
+/// Tells the owner of the hosts.
+async fn hosts<P: Platform>(platform: Rc<P>, inbox: UnboundedSender<Message>, log: Logger) {
+    loop {
+        match platform.hosts().await {
+            Ok(list) => {
+                let _ = inbox.unbounded_send(Message::Event(Event::Hosts(list)));
+            }
+            Err(err) => warn!(log, "list of hosts out of reach"; "why" => %err),
+        }
+        compio::time::sleep(Duration::from_millis(HOSTS_MS)).await;
+    }
+}
+
 fn decode(records: &[Vec<u8>], log: &Logger) -> Vec<Record> {
     let decoded = records.iter().filter_map(|bytes| {
         let record = Record::decode(bytes);
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -8,11 +8,15 @@
 use crate::batch::Executor;
 use crate::batch::Fence;
 use crate::batch::Hold;
+use crate::batch::Host;
+use crate::batch::Maintain;
 use crate::batch::OrderError;
 use crate::batch::Orders;
 use crate::batch::Report;
 use crate::batch::Start;
 use crate::batch::Stop;
+use crate::batch::Transfer;
+use crate::batch::WaveState;
 use crate::log::AppendError;
 use crate::log::ReadError;
 
@@ -124,6 +128,30 @@
     /// An [`OrderError`].
     async fn start(&self, order: &Start) -> Result<(), OrderError>;
 
+    /// All hosts.
+    ///
+    /// # Errors
+    /// [`Unreachable`] if there was no answer.
+    async fn hosts(&self) -> Result<Vec<Host>, Unreachable>;
+
+    /// Moves a host to another pool.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn transfer(&self, order: &Transfer) -> Result<(), OrderError>;
+
+    /// Takes a host down for its upkeep.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn maintain(&self, order: &Maintain) -> Result<(), OrderError>;
+
+    /// Tells operators how far a wave is.
+    ///
+    /// # Errors
+    /// An [`AppendError`].
+    async fn report(&self, wave: u64, state: WaveState) -> Result<(), AppendError>;
+
     /// Stops a run.
     ///
     /// # Errors
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -10,6 +10,7 @@
 use crate::batch::JobId;
 use crate::batch::TaskId;
 use crate::name::ExecutorId;
+use crate::name::HostName;
 use crate::name::NodeName;
 
 /// Number of an owner's reign; each owner's is higher than all before.
@@ -70,6 +71,13 @@
         /// Its address.
         addr: SocketAddr,
     },
+    /// A host has had its upkeep in a wave, or is gone.
+    Kept {
+        /// Number of the wave.
+        wave: u64,
+        /// The host.
+        host: HostName,
+    },
     /// Nothing runs on an executor any more, and it will be given nothing.
     Released(ExecutorId),
 }
--- a/src/batch/seat.rs
+++ b/src/batch/seat.rs
@@ -55,6 +55,8 @@
     pub cleared: bool,
     /// Its last order got no answer.
     pub silent: bool,
+    /// The life of it that was ended by an order, by when it began.
+    pub retired: Option<u64>,
     /// It gets no new work before that time.
     pub shunned: Option<Instant>,
     /// Its clock in milliseconds, and when it showed that.
@@ -97,6 +99,7 @@
             resolved: false,
             cleared: false,
             silent: false,
+            retired: None,
             shunned: None,
             clock: None,
             expires: now + Duration::from_millis(EXPIRY_MS),
@@ -132,13 +135,20 @@
         let shunned = self.shunned.is_some_and(|until| now < until);
         let known = self.resolved && self.engagement == Engagement::Recorded;
         let stays = self.info.as_ref().is_some_and(|info| !info.draining);
-        known && stays && !self.silent && !shunned
+        known && stays && !self.is_retired() && !self.silent && !shunned
+    }
+
+    /// Whether its life was ended by an order and no other has begun.
+    #[must_use]
+    pub fn is_retired(&self) -> bool {
+        self.retired.is_some() && self.retired >= self.born
     }
 
     /// Whether there is anything to ask it for.
     #[must_use]
     pub fn wants_probe(&self) -> bool {
         let known = self.engagement == Engagement::Recorded;
+        let known = known && !self.is_retired();
         known && (!self.resolved || !self.slots.is_empty() || self.seen > self.acked)
     }
 
@@ -162,6 +172,12 @@
         self.cleared && self.slots.is_empty() && self.seen == self.acked
     }
 
+    /// Number of tasks on it that last.
+    #[must_use]
+    pub fn lasting(&self) -> usize {
+        self.slots.values().filter(|slot| slot.lasting).count()
+    }
+
     /// Whether it has a label, such as its rack.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
--- a/src/batch/slot.rs
+++ b/src/batch/slot.rs
@@ -36,6 +36,10 @@
     pub team: Option<TeamName>,
     /// When it was started.
     pub begun: Instant,
+    /// Share of its work that is done, in hundredths; a task that lasts is at work at 100.
+    pub percent: u64,
+    /// It runs until it is stopped.
+    pub lasting: bool,
 }
 
 impl Slot {
@@ -49,6 +53,8 @@
             demand: step.map(|step| step.demand).unwrap_or_default(),
             team: job.team.clone(),
             begun,
+            percent: 0,
+            lasting: step.is_some_and(|step| step.lasting),
         }
     }
 
@@ -61,6 +67,8 @@
             demand: Demand::default(),
             team: None,
             begun,
+            percent: 0,
+            lasting: false,
         }
     }
 }
