--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -67,6 +67,7 @@
     receipts: u64,
     begun: Instant,
     balanced: Instant,
+    told: Instant,
     dirty: bool,
     actions: Vec<Action>,
 }
@@ -95,6 +96,7 @@
             receipts: 0,
             begun: now.at,
             balanced: now.at,
+            told: now.at,
             dirty: true,
             actions: Vec::new(),
         }
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -172,14 +172,14 @@
                 && self.suits(now, service, step, seat, &planned)
         });
         let best = fitting.min_by_key(|(id, seat)| {
-            // Tasks that last are packed, so that other hosts can leave the pool.
+            // Packed on few hosts, tasks leave others empty, and these can leave the pool.
             let lasting = if step.lasting { seat.lasting() } else { 0 };
             let far = step
                 .rack
                 .as_deref()
                 .is_some_and(|rack| !seat.has_label(rack));
             let beside = spread.get(*id).copied().unwrap_or(0);
-            (far, Reverse(lasting), seat.load(), beside)
+            (far, Reverse(lasting), Reverse(seat.load()), beside)
         });
         best.map(|(id, _)| id.clone())
     }
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -24,6 +24,8 @@
 const SETTLE_MS: u64 = 3_000;
 /// Time between two looks at the pools, in milliseconds.
 const LOOK_MS: u64 = 150;
+/// Time between two lines on the pools, in milliseconds.
+const TELL_MS: u64 = 1_000;
 /// Fewest hosts of a pool that has work to do at times.
 const FLOOR: usize = 2;
 
@@ -36,6 +38,7 @@
         }
         self.balanced = now.at;
         let views = self.views(now);
+        self.tell_pools(now, &views);
         for step in self.pools.plan(now.at, &views) {
             info!(self.log, "move ordered"; "host" => %step.host, "pool" => %step.pool);
             self.actions.push(Action::Transfer(Transfer {
@@ -47,6 +50,19 @@
         }
     }
 
+    /// Logs the pools' sizes and needs, once a while.
+    fn tell_pools(&mut self, now: Now, views: &[PoolView]) {
+        if now.at < self.told + Duration::from_millis(TELL_MS) {
+            return;
+        }
+        self.told = now.at;
+        for view in views {
+            let idle = view.hosts.iter().filter(|member| member.idle).count();
+            info!(self.log, "pool"; "service" => %view.service, "hosts" => view.hosts.len(),
+                "idle" => idle, "need" => view.need, "floor" => view.floor);
+        }
+    }
+
     pub(super) fn transferred(
         &mut self,
         now: Now,
