Count failed runs in any order, and interrupt lasting tasks only for a place elsewhere

Failed runs are a set now. Closed hosts no longer count, and a task is interrupted only if another executor would take it now.

--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -157,7 +157,7 @@
     }
 
     /// The executor on which a task of a step is best started now, if there is any.
-    fn choose(
+    pub(super) fn choose(
         &self,
         now: Now,
         service: &ServiceName,
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -112,12 +112,14 @@
         let seat = self.seats.values().find(|seat| stands_on(seat, &host.name));
         let here = seat.and_then(|seat| seat.info.as_ref());
         let here = here.is_some_and(|info| info.service == host.pool && !info.draining);
+        let here = here && seat.is_some_and(|seat| !seat.silent);
+        let due = self.waves.is_closed(Some(&host.name));
         let closed = self.orders.closed.contains(&host.dc);
         Member {
             host: host.name.clone(),
             cpu: host.capacity.cpu,
             idle: load(self.seats.values(), &host.name) == Load::default(),
-            free: host.up && (spare || here) && !closed && !self.waves.is_closed(Some(&host.name)),
+            open: host.up && (spare || here) && !closed && !due,
         }
     }
 
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -1,5 +1,6 @@
 //! Takes hosts down for their upkeep, emptied first.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slog::info;
@@ -14,6 +15,7 @@
 use crate::batch::TaskId;
 use crate::batch::seat::Seat;
 use crate::batch::slot::Phase;
+use crate::batch::stage::Stage;
 use crate::batch::upkeep::Load;
 use crate::batch::upkeep::Wish;
 use crate::name::ExecutorId;
@@ -36,8 +38,8 @@
         for (wave, host, wish) in self.waves.plan(now.at, load) {
             match wish {
                 Wish::TakeDown => self.take_down(wave, host),
-                Wish::Empty => self.empty(&host, false),
-                Wish::Clear => self.empty(&host, true),
+                Wish::Empty => self.empty(now, &host, false),
+                Wish::Clear => self.empty(now, &host, true),
             }
         }
         for (wave, state) in self.waves.tell(now.at) {
@@ -83,7 +85,7 @@
     }
 
     /// Stops tasks on a host: those that last, and the others as well if `all`.
-    pub(super) fn empty(&mut self, host: &HostName, all: bool) {
+    pub(super) fn empty(&mut self, now: Now, host: &HostName, all: bool) {
         let on = |seat: &Seat| stands_on(seat, host);
         let seats = self.seats.iter().filter(|(_, seat)| on(seat));
         let runs = seats.flat_map(|(id, seat)| {
@@ -94,12 +96,28 @@
         });
         let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
         for (id, task, run) in runs {
-            if self.may_interrupt(&task) {
+            if self.may_interrupt(&task) && (all || self.has_place(now, &task)) {
                 self.stop(&id, task, run);
             }
         }
     }
 
+    /// Whether another executor would take a task, were it started now.
+    fn has_place(&self, now: Now, id: &TaskId) -> bool {
+        let Some(entry) = self.book.jobs.get(&id.job) else {
+            return true;
+        };
+        let Some(step) = entry.job.steps.get(id.step as usize) else {
+            return true;
+        };
+        let stages = entry.occurrences.get(&id.occurrence);
+        let stage = stages.and_then(|stages| stages.get(id.step as usize));
+        let spread = stage.map(Stage::spread).unwrap_or_default();
+        let planned = BTreeMap::new();
+        self.choose(now, &entry.job.service, step, &spread, &planned)
+            .is_some()
+    }
+
     /// Whether a task may be interrupted without too many of its step being away.
     fn may_interrupt(&self, id: &TaskId) -> bool {
         let Some(entry) = self.book.jobs.get(&id.job) else {
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -158,21 +158,24 @@
         let Some(task) = self.task_mut(&end.task) else {
             return false;
         };
-        if end.run <= task.ended || task.done {
+        if task.done {
             return false;
         }
-        task.ended = end.run;
+        let latest = end.run > task.ended;
+        task.ended = task.ended.max(end.run);
         task.run = task.run.max(end.run);
-        if end.saved.is_some() {
+        if latest && end.saved.is_some() {
             task.saved.clone_from(&end.saved);
         }
         match end.how {
-            How::Done if lasting => {}
-            How::Done => self.finish(&end.task, gang),
+            How::Done if lasting => latest,
+            How::Done => {
+                self.finish(&end.task, gang);
+                true
+            }
             How::Failed if !lasting => self.fail(end, gang, attempts),
-            _ => {}
+            _ => latest,
         }
-        true
     }
 
     fn open_up_to(&mut self, occurrence: u32) {
@@ -210,26 +213,23 @@
         }
     }
 
-    fn fail(&mut self, end: &End, gang: bool, attempts: u32) {
+    /// Counts a failed run; returns whether it was not counted before.
+    fn fail(&mut self, end: &End, gang: bool, attempts: u32) -> bool {
         let Some(stages) = self.occurrences.get_mut(&end.task.occurrence) else {
-            return;
+            return false;
         };
         let Some(stage) = stages.get_mut(end.task.step as usize) else {
-            return;
+            return false;
         };
-        let failures = if gang {
-            if end.run > stage.failed {
-                stage.failed = end.run;
-                stage.failures += 1;
-            }
-            stage.failures
+        let failed = if gang {
+            &mut stage.failed
         } else {
-            let task = &mut stage.tasks[end.task.index as usize];
-            task.failures += 1;
-            task.failures
+            &mut stage.tasks[end.task.index as usize].failed
         };
-        if failures >= attempts.max(1) && self.verdict.is_none() {
+        let fresh = failed.insert(end.run);
+        if failed.len() >= attempts.max(1) as usize && self.verdict.is_none() {
             self.verdict = Some(Verdict::Failed);
         }
+        fresh
     }
 }
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -28,8 +28,8 @@
     pub cpu: u64,
     /// Nothing runs there.
     pub idle: bool,
-    /// It can be moved: up, not leaving, and not due for anything else.
-    pub free: bool,
+    /// It takes new work, or may be moved: up, not leaving, and not due for anything else.
+    pub open: bool,
 }
 
 /// A pool and what it needs.
@@ -194,31 +194,28 @@
         }
     }
 
+    /// Hosts of a pool that take new work and are not about to leave it.
+    fn staying<'a>(&self, pool: &'a PoolView) -> impl Iterator<Item = &'a Member> {
+        let hosts = pool.hosts.iter();
+        hosts.filter(|member| member.open && !self.going.contains_key(&member.host))
+    }
+
     /// Processor that a pool has or will have, in thousandths of a core.
     fn supply(&self, pool: &PoolView) -> u64 {
-        let here = pool
-            .hosts
-            .iter()
-            .filter(|member| !self.going.contains_key(&member.host));
-        let here: u64 = here.map(|member| member.cpu).sum();
+        let here: u64 = self.staying(pool).map(|member| member.cpu).sum();
         let coming = self
             .going
             .values()
             .filter(|going| going.pool == pool.service);
-        let coming: u64 = coming.map(|going| going.cpu).sum();
-        here + coming
+        here + coming.map(|going| going.cpu).sum::<u64>()
     }
 
     fn count(&self, pool: &PoolView) -> usize {
-        let here = pool
-            .hosts
-            .iter()
-            .filter(|member| !self.going.contains_key(&member.host));
         let coming = self
             .going
             .values()
             .filter(|going| going.pool == pool.service);
-        here.count() + coming.count()
+        self.staying(pool).count() + coming.count()
     }
 
     fn wanted(pool: &PoolView) -> u64 {
@@ -253,7 +250,7 @@
         let floor = if pool.spare { 0 } else { pool.floor };
         let mut found = Vec::new();
         for member in &pool.hosts {
-            let usable = member.idle && member.free && !self.going.contains_key(&member.host);
+            let usable = member.idle && member.open && !self.going.contains_key(&member.host);
             if usable && count > floor && supply >= wanted + member.cpu {
                 supply -= member.cpu;
                 count -= 1;
--- a/src/batch/stage.rs
+++ b/src/batch/stage.rs
@@ -1,6 +1,7 @@
 //! What is known of one step of one occurrence of a job.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::batch::task::Task;
 use crate::name::ExecutorId;
@@ -13,9 +14,7 @@
     /// Number of tasks that are done.
     pub done: u32,
     /// Runs of the whole gang that failed, if the step is one.
-    pub failures: u32,
-    /// Highest run of the gang that failed.
-    pub failed: u64,
+    pub failed: BTreeSet<u64>,
 }
 
 impl Stage {
--- a/src/batch/task.rs
+++ b/src/batch/task.rs
@@ -1,5 +1,6 @@
 //! What is known of one task.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::name::ExecutorId;
@@ -9,8 +10,8 @@
 pub struct Task {
     /// It has ended `done`.
     pub done: bool,
-    /// Runs that ended `failed`.
-    pub failures: u32,
+    /// Runs that ended `failed`; ends of different executors come in any order.
+    pub failed: BTreeSet<u64>,
     /// Highest run that has begun or ended.
     pub run: u64,
     /// Highest run that has ended.
