Take over without waiting for executors on which nothing of the job can run

Change: jobs are claimed in the log before their first task starts, so that unclaimed ones need not wait; the others wait for silent executors of their own service alone; executors of hosts that were ordered away are released at once. Hosts are now unknown until their executor has answered, and down ones count against the wave's limit; tested.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -10,6 +10,7 @@
 use crate::batch::Record;
 use crate::name::ExecutorId;
 use crate::name::HostName;
+use crate::name::ServiceName;
 
 /// Jobs, and executors on which something may run.
 #[derive(Debug, Default)]
@@ -17,7 +18,9 @@
     /// Jobs by their id.
     pub jobs: BTreeMap<JobId, Entry>,
     /// Executors that may have been given work.
-    pub engaged: BTreeMap<ExecutorId, SocketAddr>,
+    pub engaged: BTreeMap<ExecutorId, (ServiceName, SocketAddr)>,
+    /// When hosts were last ordered down or elsewhere, in Unix milliseconds.
+    pub ordered: BTreeMap<HostName, u64>,
     /// Hosts that have had their upkeep, by wave.
     pub kept: BTreeMap<u64, BTreeSet<HostName>>,
     /// Number of the reign that began last.
@@ -49,8 +52,22 @@
                     }
                 }
             }
-            Record::Engaged { executor, addr } => {
-                self.engaged.insert(executor, addr);
+            Record::Claimed(ids) => {
+                for id in ids {
+                    if let Some(entry) = self.jobs.get_mut(&id) {
+                        entry.claimed = true;
+                    }
+                }
+            }
+            Record::Ordered { host, at } => {
+                self.ordered.insert(host, at);
+            }
+            Record::Engaged {
+                executor,
+                service,
+                addr,
+            } => {
+                self.engaged.insert(executor, (service, addr));
             }
             Record::Kept { wave, host } => {
                 self.kept.entry(wave).or_default().insert(host);
@@ -65,7 +82,7 @@
     fn take_over(&mut self, fence: Fence) {
         self.fence = self.fence.max(fence);
         for entry in self.jobs.values_mut() {
-            entry.inherited = true;
+            entry.inherited = entry.claimed;
         }
     }
 }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -32,6 +32,7 @@
 use crate::batch::seat::Seat;
 use crate::batch::upkeep::Waves;
 use crate::name::ExecutorId;
+use crate::name::HostName;
 use crate::name::NodeName;
 use crate::name::QueueName;
 use crate::name::TeamName;
@@ -57,15 +58,17 @@
     waves: Waves,
     pools: Pools,
     hosts: Vec<Host>,
+    missing: BTreeMap<HostName, Instant>,
     meter: DemandMeter,
     seats: BTreeMap<ExecutorId, Seat>,
     orders: Orders,
     usage: BTreeMap<TeamName, Demand>,
     active: BTreeSet<JobId>,
+    unclaimed: Vec<JobId>,
     noting: BTreeMap<u64, Noting>,
     engaging: BTreeMap<u64, ExecutorId>,
+    claiming: BTreeMap<u64, Vec<JobId>>,
     receipts: u64,
-    begun: Instant,
     balanced: Instant,
     told: Instant,
     dirty: bool,
@@ -77,7 +80,9 @@
     #[must_use]
     pub fn new(now: Now, fence: Fence, node: NodeName, book: Book, log: Logger) -> Self {
         let active = book.jobs.iter().filter(|(_, entry)| entry.is_active());
-        let active = active.map(|(&id, _)| id).collect();
+        let active: BTreeSet<JobId> = active.map(|(&id, _)| id).collect();
+        let unclaimed = active.iter().filter(|id| !book.jobs[*id].claimed);
+        let unclaimed = unclaimed.copied().collect();
         Self {
             fence,
             node,
@@ -85,16 +90,18 @@
             waves: Waves::new(&book.kept),
             pools: Pools::default(),
             hosts: Vec::new(),
+            missing: BTreeMap::new(),
             meter: DemandMeter::default(),
             book,
             seats: BTreeMap::new(),
             orders: Orders::default(),
             usage: BTreeMap::new(),
             active,
+            unclaimed,
             noting: BTreeMap::new(),
             engaging: BTreeMap::new(),
+            claiming: BTreeMap::new(),
             receipts: 0,
-            begun: now.at,
             balanced: now.at,
             told: now.at,
             dirty: true,
@@ -133,6 +140,10 @@
         self.open_due(now);
         self.upkeep(now);
         self.balance(now);
+        if !self.unclaimed.is_empty() {
+            let ids = std::mem::take(&mut self.unclaimed);
+            self.claim(ids);
+        }
         if self.dirty {
             self.dirty = false;
             self.place(now);
@@ -189,6 +200,7 @@
         if entry.is_active() {
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
+            self.unclaimed.push(id);
         } else {
             self.close(now, id);
         }
@@ -223,6 +235,21 @@
         jobs.retain(|_, entry| !entry.closed.is_some_and(old) || entry.unnoted > 0);
     }
 
+    /// Asks for the record without which no task of these jobs may be started.
+    fn claim(&mut self, ids: Vec<JobId>) {
+        let receipt = self.append(vec![Record::Claimed(ids.clone())]);
+        self.claiming.insert(receipt, ids);
+    }
+
+    fn claimed(&mut self, ids: &[JobId]) {
+        for id in ids {
+            if let Some(entry) = self.book.jobs.get_mut(id) {
+                entry.claimed = true;
+            }
+        }
+        self.dirty = true;
+    }
+
     fn append(&mut self, records: Vec<Record>) -> u64 {
         self.receipts += 1;
         let receipt = self.receipts;
@@ -234,6 +261,9 @@
         if let Some(executor) = self.engaging.remove(&receipt) {
             self.engaged(&executor);
         }
+        if let Some(ids) = self.claiming.remove(&receipt) {
+            self.claimed(&ids);
+        }
         if let Some(noting) = self.noting.remove(&receipt) {
             self.noted(now, noting);
         }
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::batch::Demand;
 use crate::batch::Dispatcher;
@@ -20,12 +21,14 @@
 impl Dispatcher {
     /// Starts the tasks that are due, in the order of their jobs' ranks, while there is room.
     pub(super) fn place(&mut self, now: Now) {
-        let cleared = self.seats.values().all(|seat| seat.cleared);
+        let unclear = self.seats.values().filter(|seat| !seat.cleared);
+        let unclear: BTreeSet<ServiceName> = unclear.map(|seat| seat.service.clone()).collect();
         for id in self.ranked(now) {
             let Some(entry) = self.book.jobs.get(&id) else {
                 continue;
             };
-            if entry.inherited && !cleared {
+            let elsewhere = entry.inherited && unclear.contains(&entry.job.service);
+            if elsewhere || !entry.claimed {
                 continue;
             }
             for (occurrence, step) in ready(entry) {
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -12,6 +12,7 @@
 use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Transfer;
+use crate::batch::dispatcher::upkeeping::is_settling;
 use crate::batch::dispatcher::upkeeping::load;
 use crate::batch::dispatcher::upkeeping::stands_on;
 use crate::batch::pools::Member;
@@ -19,9 +20,6 @@
 use crate::batch::upkeep::Load;
 use crate::name::ServiceName;
 
-/// Time after the begin of a reign in which hosts get no orders, in milliseconds: the owner
-/// before may have given some.
-const SETTLE_MS: u64 = 3_000;
 /// Time between two looks at the pools, in milliseconds.
 const LOOK_MS: u64 = 150;
 /// Time between two lines on the pools, in milliseconds.
@@ -32,8 +30,7 @@
 impl Dispatcher {
     /// Moves hosts to where their capacity is needed.
     pub(super) fn balance(&mut self, now: Now) {
-        let settled = now.at >= self.begun + Duration::from_millis(SETTLE_MS);
-        if !settled || now.at < self.balanced + Duration::from_millis(LOOK_MS) {
+        if now.at < self.balanced + Duration::from_millis(LOOK_MS) {
             return;
         }
         self.balanced = now.at;
@@ -41,6 +38,7 @@
         self.tell_pools(now, &views);
         for step in self.pools.plan(now.at, &views) {
             info!(self.log, "move ordered"; "host" => %step.host, "pool" => %step.pool);
+            self.note_order(now, &step.host);
             self.actions.push(Action::Transfer(Transfer {
                 host: step.host,
                 pool: step.pool,
@@ -96,7 +94,9 @@
             let forecast = self.meter.forecast(now.at, service);
             let running = running.remove(service).unwrap_or_default();
             let hosts = self.hosts.iter().filter(|host| host.pool == *service);
-            let hosts = hosts.map(|host| self.member(host, pool.spare)).collect();
+            let hosts = hosts
+                .map(|host| self.member(now, host, pool.spare))
+                .collect();
             views.push(PoolView {
                 service: service.clone(),
                 spare: pool.spare,
@@ -108,12 +108,13 @@
         views
     }
 
-    fn member(&self, host: &Host, spare: bool) -> Member {
+    fn member(&self, now: Now, host: &Host, spare: bool) -> Member {
         let seat = self.seats.values().find(|seat| stands_on(seat, &host.name));
         let here = seat.and_then(|seat| seat.info.as_ref());
         let here = here.is_some_and(|info| info.service == host.pool && !info.draining);
-        let here = here && seat.is_some_and(|seat| !seat.silent);
-        let due = self.waves.is_closed(Some(&host.name));
+        let here = here && seat.is_some_and(|seat| seat.resolved && !seat.silent);
+        let due = self.waves.is_closed(Some(&host.name))
+            || is_settling(self.book.ordered.get(&host.name), now);
         let closed = self.orders.closed.contains(&host.dc);
         Member {
             host: host.name.clone(),
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -17,8 +17,9 @@
 impl Dispatcher {
     /// Begins the reign: every executor that may have work of an earlier owner is asked for it.
     pub fn begin(&mut self, now: Now) {
-        for (id, &addr) in &self.book.engaged {
-            self.seats.insert(id.clone(), Seat::inherited(addr, now.at));
+        for (id, (service, addr)) in &self.book.engaged {
+            let seat = Seat::inherited(service.clone(), *addr, now.at);
+            self.seats.insert(id.clone(), seat);
         }
     }
 
@@ -54,6 +55,7 @@
         let reborn = seat.born.is_some_and(|born| executor.born > born);
         let moved = seat.addr != executor.addr;
         seat.addr = executor.addr;
+        seat.service = executor.service.clone();
         seat.born = Some(executor.born);
         seat.info = Some(executor);
         if reborn {
@@ -69,9 +71,12 @@
             return;
         };
         seat.engagement = Engagement::Asked;
-        let addr = seat.addr;
-        let executor = id.clone();
-        let receipt = self.append(vec![Record::Engaged { executor, addr }]);
+        let record = Record::Engaged {
+            executor: id.clone(),
+            service: seat.service.clone(),
+            addr: seat.addr,
+        };
+        let receipt = self.append(vec![record]);
         self.engaging.insert(receipt, id.clone());
     }
 
@@ -80,8 +85,8 @@
             return;
         };
         seat.engagement = Engagement::Recorded;
-        let addr = seat.addr;
-        self.book.engaged.insert(id.clone(), addr);
+        let place = (seat.service.clone(), seat.addr);
+        self.book.engaged.insert(id.clone(), place);
     }
 
     fn release_gone(&mut self) {
@@ -112,6 +117,7 @@
                 seat.seen = seat.acked;
                 seat.expires = now.at;
             }
+            self.append(vec![Record::Released(id)]);
         }
     }
 
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -1,6 +1,7 @@
 //! Takes hosts down for their upkeep, emptied first.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use slog::info;
@@ -8,6 +9,7 @@
 
 use crate::batch::Action;
 use crate::batch::Dispatcher;
+use crate::batch::Host;
 use crate::batch::Maintain;
 use crate::batch::Now;
 use crate::batch::OrderError;
@@ -16,28 +18,27 @@
 use crate::batch::seat::Seat;
 use crate::batch::slot::Phase;
 use crate::batch::stage::Stage;
+use crate::batch::upkeep::HostState;
 use crate::batch::upkeep::Load;
 use crate::batch::upkeep::Wish;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 
-/// Time after the begin of a reign in which hosts get no orders, in milliseconds: the owner
-/// before may have given some.
-const SETTLE_MS: u64 = 3_000;
+/// Time after an earlier owner's order for a host in which this one gives none, in milliseconds.
+const SETTLE_MS: u64 = 3_300;
+/// Time after which nothing runs any more on a host whose executor isn't listed, in milliseconds.
+const MISSING_MS: u64 = 6_500;
 
 impl Dispatcher {
     /// Follows the waves that operators ask for.
     pub(super) fn upkeep(&mut self, now: Now) {
-        if now.at < self.begun + Duration::from_millis(SETTLE_MS) {
-            return;
-        }
-        let seats = &self.seats;
-        let pools = &self.pools;
-        let load =
-            |host: &HostName| (!pools.is_closed(Some(host))).then(|| load(seats.values(), host));
-        for (wave, host, wish) in self.waves.plan(now.at, load) {
+        self.note_missing(now);
+        let mut waves = std::mem::take(&mut self.waves);
+        let wishes = waves.plan(now.at, |host| self.host_state(now, host));
+        self.waves = waves;
+        for (wave, host, wish) in wishes {
             match wish {
-                Wish::TakeDown => self.take_down(wave, host),
+                Wish::TakeDown => self.take_down(now, wave, host),
                 Wish::Empty => self.empty(now, &host, false),
                 Wish::Clear => self.empty(now, &host, true),
             }
@@ -48,9 +49,57 @@
         }
     }
 
-    fn take_down(&mut self, wave: u64, host: HostName) {
+    /// Notes since when hosts that are up have no executor that the platform lists.
+    fn note_missing(&mut self, now: Now) {
+        let policy = self.orders.policy.as_ref();
+        let spare = |host: &Host| {
+            let pool = policy.and_then(|policy| policy.pools.get(&host.pool));
+            pool.is_some_and(|pool| pool.spare)
+        };
+        let seats = &self.seats;
+        let seated = |host: &Host| seats.values().any(|seat| stands_on(seat, &host.name));
+        let missing = self
+            .hosts
+            .iter()
+            .filter(|host| host.up && !spare(host) && !seated(host));
+        let missing: BTreeSet<HostName> = missing.map(|host| host.name.clone()).collect();
+        self.missing.retain(|host, _| missing.contains(host));
+        for host in missing {
+            self.missing.entry(host).or_insert(now.at);
+        }
+    }
+
+    /// Whether a host can be had for its upkeep, as far as is known.
+    fn host_state(&self, now: Now, host: &HostName) -> HostState {
+        let Some(listed) = self.hosts.iter().find(|listed| listed.name == *host) else {
+            return HostState::Unknown;
+        };
+        if !listed.up {
+            return HostState::Down;
+        }
+        if is_settling(self.book.ordered.get(host), now) {
+            return HostState::Down;
+        }
+        let unknown = self.seats.values().filter(|seat| stands_on(seat, host));
+        let unknown = unknown
+            .filter(|seat| !seat.resolved || !seat.cleared)
+            .count()
+            > 0;
+        let wait = Duration::from_millis(MISSING_MS);
+        let missing = self
+            .missing
+            .get(host)
+            .is_some_and(|&since| now.at < since + wait);
+        if unknown || missing || self.pools.is_closed(Some(host)) {
+            return HostState::Unknown;
+        }
+        HostState::Up(load(self.seats.values(), host))
+    }
+
+    fn take_down(&mut self, now: Now, wave: u64, host: HostName) {
         info!(self.log, "upkeep ordered"; "host" => %host, "wave" => wave);
         self.waves.ordered(wave, &host);
+        self.note_order(now, &host);
         self.actions.push(Action::Maintain(Maintain {
             host,
             wave,
@@ -59,6 +108,13 @@
         }));
     }
 
+    /// Lets a later owner know that this one has given an order for a host.
+    pub(super) fn note_order(&mut self, now: Now, host: &HostName) {
+        let host = host.clone();
+        let at = now.unix;
+        self.append(vec![Record::Ordered { host, at }]);
+    }
+
     pub(super) fn maintained(
         &mut self,
         now: Now,
@@ -154,6 +210,11 @@
     }
 }
 
+/// Whether an earlier owner has just given an order for a host, at `ordered`.
+pub(super) fn is_settling(ordered: Option<&u64>, now: Now) -> bool {
+    ordered.is_some_and(|at| now.unix < at + SETTLE_MS)
+}
+
 pub(super) fn stands_on(seat: &Seat, host: &HostName) -> bool {
     let info = seat.info.as_ref();
     info.is_some_and(|info| info.host.as_ref() == Some(host)) && !seat.is_retired()
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -48,7 +48,9 @@
     pub started: bool,
     /// Ends that are acted on, but not in the log yet.
     pub unnoted: u32,
-    /// It was accepted under an earlier owner.
+    /// The log says that its tasks may be started.
+    pub claimed: bool,
+    /// Its tasks may have been started by an earlier owner.
     pub inherited: bool,
     /// When it ended, in Unix milliseconds.
     pub closed: Option<u64>,
@@ -65,6 +67,7 @@
             opened: 0,
             started: false,
             unnoted: 0,
+            claimed: false,
             inherited: false,
             closed: None,
             verdict: None,
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -12,6 +12,7 @@
 use crate::name::ExecutorId;
 use crate::name::HostName;
 use crate::name::NodeName;
+use crate::name::ServiceName;
 
 /// Number of an owner's reign; each owner's is higher than all before.
 pub type Fence = u64;
@@ -55,6 +56,15 @@
     Accepted(Job),
     /// A client cancelled a job.
     Cancelled(JobId),
+    /// From here on, tasks of these jobs may be started.
+    Claimed(Vec<JobId>),
+    /// A host was ordered down or to another pool.
+    Ordered {
+        /// The host.
+        host: HostName,
+        /// When, in Unix milliseconds.
+        at: u64,
+    },
     /// An owner began its reign.
     Took {
         /// Its number.
@@ -68,6 +78,8 @@
     Engaged {
         /// The executor.
         executor: ExecutorId,
+        /// Service whose tasks it runs.
+        service: ServiceName,
         /// Its address.
         addr: SocketAddr,
     },
--- a/src/batch/seat.rs
+++ b/src/batch/seat.rs
@@ -10,6 +10,7 @@
 use crate::batch::TaskId;
 use crate::batch::slot::Phase;
 use crate::batch::slot::Slot;
+use crate::name::ServiceName;
 
 /// Lease that an order asks for, in milliseconds.
 pub const LEASE_MS: u64 = 4_500;
@@ -41,6 +42,8 @@
 /// One executor and the runs on it.
 #[derive(Debug)]
 pub struct Seat {
+    /// Service whose tasks it runs.
+    pub service: ServiceName,
     /// Its address.
     pub addr: SocketAddr,
     /// When this life of it began, in Unix milliseconds, once it's known.
@@ -83,15 +86,16 @@
             born: Some(info.born),
             cleared: true,
             engagement: Engagement::None,
-            ..Self::inherited(info.addr, now)
+            ..Self::inherited(info.service.clone(), info.addr, now)
         }
         .with(info)
     }
 
     /// An executor that an earlier owner may have given work.
     #[must_use]
-    pub fn inherited(addr: SocketAddr, now: Instant) -> Self {
+    pub fn inherited(service: ServiceName, addr: SocketAddr, now: Instant) -> Self {
         Self {
+            service,
             addr,
             born: None,
             info: None,
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -29,6 +29,17 @@
     pub lasting: usize,
 }
 
+/// Whether a host can be had for its upkeep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostState {
+    /// It is up, and that runs there.
+    Up(Load),
+    /// It is down, or was just ordered down by an earlier owner.
+    Down,
+    /// It isn't known what runs there.
+    Unknown,
+}
+
 /// What a wave wants of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Wish {
@@ -102,15 +113,15 @@
         self.runs.values().any(|run| run.closed.contains(host))
     }
 
-    /// What is to be done with which host; `load` tells nothing of hosts that can't be had now.
+    /// What is to be done with which host.
     pub fn plan(
         &mut self,
         now: Instant,
-        load: impl Fn(&HostName) -> Option<Load>,
+        state: impl Fn(&HostName) -> HostState,
     ) -> Vec<(u64, HostName, Wish)> {
         let mut wishes = Vec::new();
         for (&number, run) in &mut self.runs {
-            let run = run.plan(now, &load);
+            let run = run.plan(now, &state);
             wishes.extend(run.into_iter().map(|(host, wish)| (number, host, wish)));
         }
         wishes
@@ -194,10 +205,15 @@
     fn plan(
         &mut self,
         now: Instant,
-        load: impl Fn(&HostName) -> Option<Load>,
+        state: impl Fn(&HostName) -> HostState,
     ) -> Vec<(HostName, Wish)> {
         self.away.retain(|_, until| now < *until);
-        let left = self.left(now, load);
+        for host in &self.wave.hosts {
+            if state(host) == HostState::Down {
+                self.away.entry(host.clone()).or_insert(now);
+            }
+        }
+        let left = self.left(now, state);
         let limit = self.wave.limit.max(1) as usize;
         let busy = self.ordered.union(&self.doubtful).count() + self.away.len();
         let slack = self.slack(now, left.len());
@@ -238,18 +254,16 @@
     }
 
     /// The hosts that are left, those that are empty soonest in front.
-    fn left(
-        &self,
-        now: Instant,
-        load: impl Fn(&HostName) -> Option<Load>,
-    ) -> Vec<(HostName, Load)> {
+    fn left(&self, now: Instant, state: impl Fn(&HostName) -> HostState) -> Vec<(HostName, Load)> {
         let left = self.wave.hosts.iter().filter(|host| {
             let settled = self.kept.contains(*host) || self.doubtful.contains(*host);
             !settled && !self.is_waiting(now, host)
         });
-        let mut left: Vec<(HostName, Load)> = left
-            .filter_map(|host| Some((host.clone(), load(host)?)))
-            .collect();
+        let left = left.filter_map(|host| match state(host) {
+            HostState::Up(load) => Some((host.clone(), load)),
+            HostState::Down | HostState::Unknown => None,
+        });
+        let mut left: Vec<(HostName, Load)> = left.collect();
         // A host that is being emptied stays in front of the others.
         left.sort_by_key(|(host, load)| {
             let begun = self.closed.contains(host) && load.passing + load.lasting > 0;
--- a/tests/batch/fake.rs
+++ b/tests/batch/fake.rs
@@ -23,7 +23,6 @@
 pub struct Work {
     pub run: u64,
     pub demand: Demand,
-    pub begun: Instant,
     /// When it ends by itself, and how.
     pub ends: Option<(Instant, How)>,
 }
@@ -167,7 +166,6 @@
         let work = Work {
             run: order.run,
             demand,
-            begun: now,
             ends,
         };
         self.works.insert(order.task, work);
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -78,3 +78,41 @@
     world.run(2_000);
     assert!(world.abdicated);
 }
+
+/// The pattern: an owner dies while a whole rack of another service is dark.
+#[test]
+fn only_work_that_may_run_on_a_silent_executor_waits_for_its_leases() {
+    let mut world = World::new(&[("captions", 2), ("plaques", 2)]);
+    world.script = Box::new(|_, _| (1_000, How::Done));
+    world.submit(1, "plaques", vec![step(4)]);
+    world.run(300);
+    let dark = world.starts[0].3.clone();
+    world.fakes.get_mut(&dark).expect("a fake").down = true;
+    for number in 2..10 {
+        world.submit(number, "captions", vec![step(10)]);
+    }
+    world.run(300);
+    world.take_over(2);
+    let fresh = world.submit(20, "plaques", vec![step(2)]);
+    world.run(3_500);
+    assert_eq!(world.state("plaques", fresh), JobState::Completed);
+    let captions = world.done.iter().filter(|task| task.job != fresh);
+    assert_eq!(captions.count(), 80);
+}
+
+/// The pattern: hosts that moved away shortly before an owner dies; the platform lists their
+/// executors for seconds.
+#[test]
+fn a_new_owner_does_not_wait_for_executors_that_were_moved_away() {
+    let mut world = World::new(&[("captions", 6), ("spare", 1)]);
+    world.run(200);
+    world.submit(1, "captions", vec![step(90)]);
+    world.run(500);
+    let moved = world.moves;
+    assert!(moved > 0, "idle hosts rest");
+    world.submit(2, "captions", vec![step(30)]);
+    world.run(100);
+    world.take_over(2);
+    world.run(3_000);
+    assert!(world.done.len() >= 110, "{} done", world.done.len());
+}
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -51,3 +51,21 @@
     let running: usize = world.fakes.values().map(|fake| fake.works.len()).sum();
     assert_eq!(running, 3);
 }
+
+/// The pattern: owners change in the middle of a wave, while hosts are busy or down.
+#[test]
+fn a_new_owner_takes_no_host_down_before_it_knows_what_runs_there() {
+    let mut world = World::new(&[("captions", 6)]);
+    for number in 0..6 {
+        world.submit(number, "captions", vec![lasting(5)]);
+    }
+    world.run(1_000);
+    world.ask_wave(&["captions-0", "captions-1", "captions-2"], 20_000, 1);
+    for fence in 2..8 {
+        world.take_over(fence);
+        world.run(700);
+        assert!(world.down() <= 1, "{} hosts down", world.down());
+    }
+    world.run(15_000);
+    assert_eq!(world.told[&1], WaveState::Completed);
+}
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -67,7 +67,6 @@
 /// The site.
 pub struct World {
     pub now: Now,
-    begun: Instant,
     pub dispatcher: Dispatcher,
     pub fakes: BTreeMap<ExecutorId, Fake>,
     machines: BTreeMap<HostName, Machine>,
@@ -158,7 +157,6 @@
         };
         let mut world = Self {
             now,
-            begun,
             dispatcher: Dispatcher::new(now, 1, node, Book::default(), log),
             fakes: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -199,10 +197,6 @@
         world
     }
 
-    pub fn elapsed(&self) -> u64 {
-        u64::try_from((self.now.at - self.begun).as_millis()).expect("a short test")
-    }
-
     /// Another owner takes over from the log, with the next fence.
     pub fn take_over(&mut self, fence: u64) {
         let mut book = Book::default();
@@ -281,6 +275,12 @@
         fakes.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Number of hosts that are away.
+    pub fn down(&self) -> usize {
+        let away = self.machines.values().filter(|machine| machine.back.is_some());
+        away.count()
+    }
+
     pub fn run(&mut self, ms: u64) {
         let until = self.now.at + Duration::from_millis(ms);
         while self.now.at < until && !self.abdicated {
