Pace fill work, stop stalled runs, and write jobs again before their records expire

Interruptions wait for the platform's stop time after a takeover. Ruled out: the wave's limit (the host was alone in its wave then). Besides: runs without progress are stopped and start elsewhere; fill work is paced by the tail of what serves beside it; the log's records of jobs, executors and waves are renewed after a third of its retention.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -40,6 +40,10 @@
                 self.jobs.insert(id, Entry::new(job));
                 return Some(id);
             }
+            Record::Carried(carried) => {
+                let entry = Entry::from(*carried);
+                self.jobs.entry(entry.job.id).or_insert(entry);
+            }
             Record::Cancelled(id) => {
                 self.jobs.get_mut(&id)?.cancel();
                 return Some(id);
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -1,6 +1,8 @@
 //! Decides which task runs where, for all services of a site.
 
+mod carrying;
 mod holding;
+mod pacing;
 mod placing;
 mod pooling;
 mod seating;
@@ -9,6 +11,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use slog::Logger;
@@ -69,6 +72,10 @@
     engaging: BTreeMap<u64, ExecutorId>,
     claiming: BTreeMap<u64, Vec<JobId>>,
     receipts: u64,
+    retention: u64,
+    settled: Instant,
+    carried: Instant,
+    rewritten: u64,
     balanced: Instant,
     told: Instant,
     dirty: bool,
@@ -102,6 +109,10 @@
             engaging: BTreeMap::new(),
             claiming: BTreeMap::new(),
             receipts: 0,
+            retention: u64::MAX,
+            settled: now.at,
+            carried: now.at,
+            rewritten: now.unix,
             balanced: now.at,
             told: now.at,
             dirty: true,
@@ -109,6 +120,17 @@
         }
     }
 
+    /// Sets how long the log keeps a record, in milliseconds.
+    pub const fn retain(&mut self, retention: u64) {
+        self.retention = retention;
+    }
+
+    /// Sets how long an executor takes to stop a run, in milliseconds. What an earlier owner
+    /// stopped may be listed as running for that long.
+    pub fn settle(&mut self, now: Now, stop: u64) {
+        self.settled = now.at + Duration::from_millis(stop);
+    }
+
     /// Learns something. What follows from it is told by [`Self::poll`].
     pub fn handle(&mut self, now: Now, event: Event) {
         match event {
@@ -128,6 +150,7 @@
             Event::Started { order, result } => self.started(now, &order, result),
             Event::Hosts(hosts) => self.hosts = hosts,
             Event::Transferred { order, result } => self.transferred(now, &order, result),
+            Event::Paced { order, result } => self.paced(now, &order, result),
             Event::Maintained { order, result } => self.maintained(now, &order, result),
             Event::Reported { wave, state, told } => self.waves.reported(now.at, wave, state, told),
             Event::Stopped { order, result } => self.stopped(now, &order, result),
@@ -140,6 +163,7 @@
         self.open_due(now);
         self.upkeep(now);
         self.balance(now);
+        self.carry(now);
         if !self.unclaimed.is_empty() {
             let ids = std::mem::take(&mut self.unclaimed);
             self.claim(ids);
--- /dev/null
+++ b/src/batch/dispatcher/carrying.rs
@@ -0,0 +1,72 @@
+//! Writes to the log again what must outlive its records.
+
+use std::time::Duration;
+
+use slog::info;
+
+use crate::batch::Dispatcher;
+use crate::batch::JobId;
+use crate::batch::Now;
+use crate::batch::Record;
+use crate::batch::carried::Carried;
+use crate::batch::seat::Engagement;
+
+/// Time between two looks at what is old, in milliseconds.
+const LOOK_MS: u64 = 2_000;
+/// Most jobs that are written again at a time.
+const BATCH: usize = 50;
+/// Records are written again after the log's retention divided by this.
+const SHARE: u64 = 3;
+
+impl Dispatcher {
+    /// Writes again the jobs, and what concerns executors and waves, whose records grow old.
+    pub(super) fn carry(&mut self, now: Now) {
+        if now.at < self.carried + Duration::from_millis(LOOK_MS) {
+            return;
+        }
+        self.carried = now.at;
+        let age = self.retention / SHARE;
+        self.carry_jobs(now, age);
+        if now.unix >= self.rewritten + age {
+            self.rewritten = now.unix;
+            self.carry_rest();
+        }
+    }
+
+    fn carry_jobs(&mut self, now: Now, age: u64) {
+        let old = self.active.iter().filter(|id| {
+            let entry = self.book.jobs.get(*id);
+            entry.is_some_and(|entry| now.unix >= entry.written + age)
+        });
+        let old: Vec<JobId> = old.take(BATCH).copied().collect();
+        if old.is_empty() {
+            return;
+        }
+        info!(self.log, "jobs written again"; "jobs" => old.len());
+        let mut records = Vec::with_capacity(old.len());
+        for id in old {
+            if let Some(entry) = self.book.jobs.get_mut(&id) {
+                entry.written = now.unix;
+                records.push(Record::Carried(Box::new(Carried::new(entry, now.unix))));
+            }
+        }
+        self.append(records);
+    }
+
+    fn carry_rest(&mut self) {
+        let mut records = Vec::new();
+        for (id, seat) in &self.seats {
+            if seat.engagement == Engagement::Recorded && !seat.is_retired() {
+                records.push(Record::Engaged {
+                    executor: id.clone(),
+                    service: seat.service.clone(),
+                    addr: seat.addr,
+                });
+            }
+        }
+        for (wave, host) in self.waves.kept() {
+            records.push(Record::Kept { wave, host });
+        }
+        self.append(records);
+    }
+}
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -30,6 +30,8 @@
 const WAIT_MS: u64 = 1_000;
 /// Time between two orders to an executor that doesn't answer, in milliseconds.
 const RETRY_MS: u64 = 250;
+/// How long an executor on which a run stalled gets no new work, in milliseconds.
+const STALLED_MS: u64 = 3_000;
 /// Time between two orders to an executor that has nothing new to tell, in milliseconds.
 const PACE_MS: u64 = 150;
 
@@ -124,6 +126,8 @@
         self.dirty |= first;
         let fresh = self.take_ends(now, id, &report.ended);
         self.compare(now, id, sent, &report.running);
+        self.stop_stalled(now, id);
+        self.pace(id);
         self.schedule(now, id, sent, first, fresh);
     }
 
@@ -179,14 +183,15 @@
     }
 
     fn take_end(&mut self, now: Now, id: &ExecutorId, end: &End) -> bool {
-        self.free(id, end.task, end.run);
+        let slot = self.free(id, end.task, end.run);
+        let ran = slot.map(|slot| now.at.saturating_duration_since(slot.begun).as_millis() as u64);
         let Some(entry) = self.book.jobs.get_mut(&end.task.job) else {
             return false;
         };
         let fresh = entry.end(end);
         entry.unnoted += 1;
         info!(self.log, "run ended"; "task" => %end.task, "run" => end.run, "how" => ?end.how,
-            "executor" => %id, "end" => end.number, "new" => fresh);
+            "executor" => %id, "end" => end.number, "new" => fresh, "ran_ms" => ran);
         let over = !entry.is_active();
         if end.how == How::Done && fresh {
             self.stop_copies(end.task);
@@ -241,13 +246,35 @@
                     warn!(self.log, "run vanished"; "task" => %task, "run" => run, "executor" => %id);
                     self.free(id, task, run);
                 }
-                Phase::Stopped(at) if at < sent => self.free(id, task, run),
+                Phase::Stopped(at) if at < sent => {
+                    self.free(id, task, run);
+                }
                 Phase::Doubtful(at) if at < sent => self.stop(id, task, run),
                 _ => {}
             }
         }
     }
 
+    /// Stops runs that make no progress, so that they can start elsewhere.
+    fn stop_stalled(&mut self, now: Now, id: &ExecutorId) {
+        let Some(seat) = self.seats.get_mut(id) else {
+            return;
+        };
+        let stalled = seat
+            .slots
+            .iter()
+            .filter(|(_, slot)| slot.is_stalled(now.at));
+        let stalled: Vec<(TaskId, u64)> = stalled.map(|(&key, _)| key).collect();
+        if stalled.is_empty() {
+            return;
+        }
+        seat.shunned = Some(now.at + Duration::from_millis(STALLED_MS));
+        for (task, run) in stalled {
+            warn!(self.log, "run stalled"; "task" => %task, "run" => run, "executor" => %id);
+            self.stop(id, task, run);
+        }
+    }
+
     /// Takes note of a run that an executor has.
     fn see(&mut self, now: Now, id: &ExecutorId, run: &Running) {
         let Some(seat) = self.seats.get_mut(id) else {
@@ -257,7 +284,7 @@
             if matches!(slot.phase, Phase::Doubtful(_)) {
                 slot.phase = Phase::Running(now.at);
             }
-            slot.percent = run.percent;
+            slot.look(now.at, run);
             return self.save(run);
         }
         self.adopt(now, id, run);
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -21,6 +21,8 @@
             let seat = Seat::inherited(service.clone(), *addr, now.at);
             self.seats.insert(id.clone(), seat);
         }
+        // Their records may be old.
+        self.rewritten = 0;
     }
 
     /// Takes the platform's list of executors.
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -209,13 +209,9 @@
     }
 
     /// Gives a run's room back, and lets its task be started anew.
-    pub(super) fn free(&mut self, id: &ExecutorId, task: TaskId, run: u64) {
-        let Some(seat) = self.seats.get_mut(id) else {
-            return;
-        };
-        let Some(slot) = seat.slots.remove(&(task, run)) else {
-            return;
-        };
+    pub(super) fn free(&mut self, id: &ExecutorId, task: TaskId, run: u64) -> Option<Slot> {
+        let seat = self.seats.get_mut(id)?;
+        let slot = seat.slots.remove(&(task, run))?;
         seat.used.sub(&slot.reserved);
         if let Some(team) = &slot.team
             && let Some(used) = self.usage.get_mut(team)
@@ -230,6 +226,7 @@
         {
             state.placed = None;
         }
+        Some(slot)
     }
 
     /// Gives back the room of all runs of an executor.
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -152,7 +152,7 @@
         });
         let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
         for (id, task, run) in runs {
-            if self.may_interrupt(&task) && (all || self.has_place(now, &task)) {
+            if self.may_interrupt(now, &task) && (all || self.has_place(now, &task)) {
                 self.stop(&id, task, run);
             }
         }
@@ -175,7 +175,7 @@
     }
 
     /// Whether a task may be interrupted without too many of its step being away.
-    fn may_interrupt(&self, id: &TaskId) -> bool {
+    fn may_interrupt(&self, now: Now, id: &TaskId) -> bool {
         let Some(entry) = self.book.jobs.get(&id.job) else {
             return true;
         };
@@ -187,6 +187,9 @@
         else {
             return true;
         };
+        if now.at < self.settled {
+            return false;
+        }
         let stages = entry.occurrences.get(&id.occurrence);
         let Some(stage) = stages.and_then(|stages| stages.get(id.step as usize)) else {
             return true;
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -29,9 +29,11 @@
 }
 
 /// Why a job is over before its tasks are done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// A task failed too often.
     Failed,
+    /// Its client cancelled it.
     Cancelled,
 }
 
@@ -52,9 +54,12 @@
     pub claimed: bool,
     /// Its tasks may have been started by an earlier owner.
     pub inherited: bool,
+    /// When it was last written to the log as a whole, in Unix milliseconds.
+    pub written: u64,
     /// When it ended, in Unix milliseconds.
     pub closed: Option<u64>,
-    verdict: Option<Verdict>,
+    /// Why it is over before its tasks are done, if it is.
+    pub verdict: Option<Verdict>,
 }
 
 impl Entry {
@@ -62,6 +67,7 @@
     #[must_use]
     pub fn new(job: Job) -> Self {
         Self {
+            written: job.accepted,
             job: Rc::new(job),
             occurrences: BTreeMap::new(),
             opened: 0,
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -13,6 +13,7 @@
 use crate::batch::Maintain;
 use crate::batch::OrderError;
 use crate::batch::Orders;
+use crate::batch::Pace;
 use crate::batch::Record;
 use crate::batch::Report;
 use crate::batch::Start;
@@ -57,6 +58,13 @@
         /// The answer.
         result: Result<(), OrderError>,
     },
+    /// An order on a run's pace was answered, or not.
+    Paced {
+        /// The order.
+        order: Pace,
+        /// The answer.
+        result: Result<(), OrderError>,
+    },
     /// An order to take a host down was answered, or not.
     Maintained {
         /// The order.
@@ -107,6 +115,8 @@
     Start(Start),
     /// Stop a run.
     Stop(Stop),
+    /// Set a run's pace.
+    Pace(Pace),
     /// Take a host down for its upkeep.
     Maintain(Maintain),
     /// Move a host to another pool.
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -65,6 +65,19 @@
     pub run: u64,
 }
 
+/// Sets how fast a run works.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pace {
+    /// For whom.
+    pub target: Target,
+    /// The task.
+    pub task: TaskId,
+    /// Which of its runs.
+    pub run: u64,
+    /// Share of its full speed, in hundredths.
+    pub percent: u64,
+}
+
 /// Takes a host down for its upkeep; it comes back by itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Maintain {
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -134,6 +134,8 @@
             "executors" => book.engaged.len(), "took_ms" => millis(begun.elapsed()));
         let mut dispatcher =
             Dispatcher::new(now(), self.fence, self.node.clone(), book, self.log.clone());
+        dispatcher.retain(self.platform.retention());
+        dispatcher.settle(now(), self.platform.stop_time());
         dispatcher.begin(now());
         let (entries, queued) = unbounded();
         let writer = writer::run(
@@ -300,6 +302,10 @@
                 let result = platform.start(&order).await;
                 Event::Started { order, result }
             }),
+            Action::Pace(order) => spawn(inbox, async move {
+                let result = platform.pace(&order).await;
+                Event::Paced { order, result }
+            }),
             Action::Transfer(order) => spawn(inbox, async move {
                 let result = platform.transfer(&order).await;
                 Event::Transferred { order, result }
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -12,6 +12,7 @@
 use crate::batch::Maintain;
 use crate::batch::OrderError;
 use crate::batch::Orders;
+use crate::batch::Pace;
 use crate::batch::Report;
 use crate::batch::Start;
 use crate::batch::Stop;
@@ -128,6 +129,18 @@
     /// An [`OrderError`].
     async fn start(&self, order: &Start) -> Result<(), OrderError>;
 
+    /// Sets a run's pace.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn pace(&self, order: &Pace) -> Result<(), OrderError>;
+
+    /// How long an executor may take to stop a run, orders on their way included, in milliseconds.
+    fn stop_time(&self) -> u64;
+
+    /// How long the log keeps a record, in milliseconds.
+    fn retention(&self) -> u64;
+
     /// All hosts.
     ///
     /// # Errors
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -9,6 +9,7 @@
 use crate::batch::Job;
 use crate::batch::JobId;
 use crate::batch::TaskId;
+use crate::batch::carried::Carried;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 use crate::name::NodeName;
@@ -54,6 +55,8 @@
 pub enum Record {
     /// A job was accepted.
     Accepted(Job),
+    /// A job and how far it is, written again before its first record expires.
+    Carried(Box<Carried>),
     /// A client cancelled a job.
     Cancelled(JobId),
     /// From here on, tasks of these jobs may be started.
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -168,6 +168,12 @@
         run.kept.insert(host.clone())
     }
 
+    /// Hosts that have had their upkeep, with their waves.
+    pub fn kept(&self) -> impl Iterator<Item = (u64, HostName)> {
+        let runs = self.runs.iter();
+        runs.flat_map(|(&wave, run)| run.kept.iter().map(move |host| (wave, host.clone())))
+    }
+
     /// What operators are to be told of which wave.
     pub fn tell(&mut self, now: Instant) -> Vec<(u64, WaveState)> {
         let mut news = Vec::new();
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -2,8 +2,10 @@
 
 use mimosastep::batch::How;
 use mimosastep::batch::JobState;
+use mimosastep::batch::Record;
 
 use crate::world::World;
+use crate::world::lasting;
 use crate::world::step;
 
 #[test]
@@ -116,3 +118,36 @@
     world.run(3_000);
     assert!(world.done.len() >= 110, "{} done", world.done.len());
 }
+
+/// The pattern: tasks on some executors stand still while their executor answers.
+#[test]
+fn a_run_without_progress_is_stopped_and_runs_elsewhere() {
+    let mut world = World::new(&[("captions", 2)]);
+    world.script = Box::new(|task, run| {
+        let hangs = task.index == 0 && run % 1_000_000 == 1;
+        (if hangs { 600_000 } else { 1_000 }, How::Done)
+    });
+    let job = world.submit(1, "captions", vec![step(4)]);
+    world.run(6_000);
+    assert_eq!(world.state("captions", job), JobState::Completed);
+}
+
+/// The pattern: a job that outlives the log's retention.
+#[test]
+fn a_job_is_known_after_its_first_records_have_expired() {
+    let mut world = World::new(&[("captions", 2)]);
+    world.dispatcher.retain(9_000);
+    let job = world.submit(1, "captions", vec![step(2), lasting(1)]);
+    world.run(8_000);
+    let first = world
+        .records
+        .iter()
+        .position(|record| matches!(record, Record::Carried(_)));
+    world
+        .records
+        .drain(..first.expect("the job was written again"));
+    world.take_over(2);
+    world.run(2_000);
+    assert_eq!(world.state("captions", job), JobState::Running);
+    assert_eq!(world.starts.len(), 3, "nothing ran twice");
+}
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -69,3 +69,23 @@
     world.run(15_000);
     assert_eq!(world.told[&1], WaveState::Completed);
 }
+
+/// The pattern: an owner stops a task that lasts and is killed; for as long as the stop takes,
+/// the executor lists the task as at work.
+#[test]
+fn a_new_owner_interrupts_nothing_while_stops_of_the_last_one_take_effect() {
+    let mut world = World::new(&[("captions", 6)]);
+    let job = world.submit(1, "captions", vec![lasting(5)]);
+    world.run(1_000);
+    world.ask_wave(&["captions-4"], 30_000, 1);
+    world.run(30);
+    world.ask_wave(&["captions-0"], 30_000, 1);
+    world.take_over(2);
+    for _ in 0..400 {
+        world.run(5);
+        let now = world.now.at;
+        let works = world.fakes.values().flat_map(|fake| fake.works.values());
+        let at_work = works.filter(|work| work.percent(now) == 100).count();
+        assert!(at_work >= 4, "{at_work} of 5 tasks of {job} are at work");
+    }
+}
