Follow the advice service, and finish waves whose hosts are gone

Steps of a queue with advice start only where the service allows it, with its ticket. Crashed or moving hosts no longer count as down for their upkeep.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -29,6 +29,7 @@
 use crate::batch::Now;
 use crate::batch::Orders;
 use crate::batch::Record;
+use crate::batch::advisor::Advisor;
 use crate::batch::book::Book;
 use crate::batch::demand_meter::DemandMeter;
 use crate::batch::pools::Pools;
@@ -58,6 +59,7 @@
     node: NodeName,
     log: Logger,
     book: Book,
+    advisor: Advisor,
     waves: Waves,
     pools: Pools,
     hosts: Vec<Host>,
@@ -94,6 +96,7 @@
             fence,
             node,
             log,
+            advisor: Advisor::default(),
             waves: Waves::new(&book.kept),
             pools: Pools::default(),
             hosts: Vec::new(),
@@ -150,6 +153,10 @@
             Event::Started { order, result } => self.started(now, &order, result),
             Event::Hosts(hosts) => self.hosts = hosts,
             Event::Transferred { order, result } => self.transferred(now, &order, result),
+            Event::Advised { question, result } => {
+                self.advisor.answered(now.at, &question, result);
+                self.dirty = true;
+            }
             Event::Paced { order, result } => self.paced(now, &order, result),
             Event::Maintained { order, result } => self.maintained(now, &order, result),
             Event::Reported { wave, state, told } => self.waves.reported(now.at, wave, state, told),
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -4,12 +4,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::batch::Action;
 use crate::batch::Demand;
 use crate::batch::Dispatcher;
 use crate::batch::Entry;
 use crate::batch::JobId;
 use crate::batch::Now;
 use crate::batch::Step;
+use crate::batch::StepId;
 use crate::batch::TaskId;
 use crate::batch::rank::Rank;
 use crate::batch::seat::Seat;
@@ -62,9 +64,17 @@
         let team = entry.job.team.clone();
         let stage = &entry.occurrences[&occurrence][number as usize];
         let mut spread = stage.spread();
+        let place = StepId {
+            job: id,
+            occurrence,
+            step: number,
+        };
         let idle = stage.tasks.iter().enumerate();
         let idle = idle.filter(|(_, task)| task.is_idle());
         let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
+        if self.is_advised(id) && !self.consult(now, id, occurrence, number, &service, &step) {
+            return;
+        }
         if step.gang {
             return self.place_gang(now, id, occurrence, number, &idle);
         }
@@ -72,8 +82,14 @@
             if !self.allows(team.as_ref(), &step.demand) {
                 return;
             }
-            let Some(executor) = self.choose(now, &service, &step, &spread, &BTreeMap::new())
-            else {
+            let wish = Wish {
+                id: place,
+                service: &service,
+                step: &step,
+                spread: &spread,
+                planned: &BTreeMap::new(),
+            };
+            let Some(executor) = self.choose(now, &wish) else {
                 return;
             };
             *spread.entry(executor.clone()).or_default() += 1;
@@ -88,6 +104,41 @@
         }
     }
 
+    fn is_advised(&self, id: JobId) -> bool {
+        let policy = self.orders.policy.as_ref();
+        let entry = self.book.jobs.get(&id);
+        let queue = entry.and_then(|entry| policy?.named(&entry.job.queue));
+        queue.is_some_and(|queue| queue.advised)
+    }
+
+    /// Asks the advice service for a step where need be; returns whether there is advice.
+    fn consult(
+        &mut self,
+        now: Now,
+        job: JobId,
+        occurrence: u32,
+        number: u32,
+        service: &ServiceName,
+        step: &Step,
+    ) -> bool {
+        let id = StepId {
+            job,
+            occurrence,
+            step: number,
+        };
+        if self.advisor.has(now.at, &id) {
+            return true;
+        }
+        let free = Demand::default();
+        let fitting = self.seats.iter();
+        let fitting = fitting.filter(|(_, seat)| self.suits(now, service, step, seat, &free));
+        let fitting = fitting.map(|(id, _)| id.clone()).collect();
+        if let Some(question) = self.advisor.ask(now.at, id, fitting) {
+            self.actions.push(Action::Consult(question));
+        }
+        false
+    }
+
     /// Starts all tasks of a gang, or none.
     fn place_gang(
         &mut self,
@@ -110,11 +161,23 @@
         if !self.allows(team.as_ref(), &whole) {
             return;
         }
+        let place = StepId {
+            job: id,
+            occurrence,
+            step: number,
+        };
         let mut spread = BTreeMap::new();
         let mut planned: BTreeMap<ExecutorId, Demand> = BTreeMap::new();
         let mut places = Vec::with_capacity(idle.len());
         for _ in idle {
-            let Some(executor) = self.choose(now, &service, &step, &spread, &planned) else {
+            let wish = Wish {
+                id: place,
+                service: &service,
+                step: &step,
+                spread: &spread,
+                planned: &planned,
+            };
+            let Some(executor) = self.choose(now, &wish) else {
                 return;
             };
             *spread.entry(executor.clone()).or_default() += 1;
@@ -160,31 +223,30 @@
     }
 
     /// The executor on which a task of a step is best started now, if there is any.
-    pub(super) fn choose(
-        &self,
-        now: Now,
-        service: &ServiceName,
-        step: &Step,
-        spread: &BTreeMap<ExecutorId, u32>,
-        planned: &BTreeMap<ExecutorId, Demand>,
-    ) -> Option<ExecutorId> {
-        let fitting = self.seats.iter().filter(|(id, seat)| {
-            let beside = spread.get(*id).copied().unwrap_or(0);
-            let planned = planned.get(*id).copied().unwrap_or_default();
-            step.spread.is_none_or(|most| beside < most)
+    pub(super) fn choose(&self, now: Now, wish: &Wish) -> Option<ExecutorId> {
+        let Wish {
+            id,
+            service,
+            step,
+            spread,
+            planned,
+        } = wish;
+        let beside = |executor: &ExecutorId| spread.get(executor).copied().unwrap_or(0);
+        let fitting = self.seats.iter().filter(|(executor, seat)| {
+            let planned = planned.get(*executor).copied().unwrap_or_default();
+            step.spread.is_none_or(|most| beside(executor) < most)
+                && self.advisor.allows(id, executor)
                 && self.suits(now, service, step, seat, &planned)
         });
-        let best = fitting.min_by_key(|(id, seat)| {
+        let best = fitting.min_by_key(|(executor, seat)| {
             // Packed on few hosts, tasks leave others empty, and these can leave the pool.
             let lasting = if step.lasting { seat.lasting() } else { 0 };
-            let far = step
-                .rack
-                .as_deref()
-                .is_some_and(|rack| !seat.has_label(rack));
-            let beside = spread.get(*id).copied().unwrap_or(0);
-            (far, Reverse(lasting), Reverse(seat.load()), beside)
+            let rack = step.rack.as_deref();
+            let far = rack.is_some_and(|rack| !seat.has_label(rack));
+            let packed = (Reverse(lasting), Reverse(seat.load()));
+            (far, packed, beside(executor))
         });
-        best.map(|(id, _)| id.clone())
+        best.map(|(executor, _)| executor.clone())
     }
 
     fn suits(
@@ -220,6 +282,20 @@
     }
 }
 
+/// A task that is to be placed.
+pub(super) struct Wish<'a> {
+    /// Its step.
+    pub id: StepId,
+    /// Service whose executors run it.
+    pub service: &'a ServiceName,
+    /// What it needs.
+    pub step: &'a Step,
+    /// Tasks of its step by executor.
+    pub spread: &'a BTreeMap<ExecutorId, u32>,
+    /// What is planned on executors besides what they run.
+    pub planned: &'a BTreeMap<ExecutorId, Demand>,
+}
+
 /// The steps, by occurrence, that wait for none and have tasks to start.
 fn ready(entry: &Entry) -> Vec<(u32, u32)> {
     let mut found = Vec::new();
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -9,6 +9,7 @@
 use crate::batch::Action;
 use crate::batch::Dispatcher;
 use crate::batch::Host;
+use crate::batch::HostPhase;
 use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Transfer;
@@ -120,7 +121,7 @@
             host: host.name.clone(),
             cpu: host.capacity.cpu,
             idle: load(self.seats.values(), &host.name) == Load::default(),
-            open: host.up && (spare || here) && !closed && !due,
+            open: host.phase == HostPhase::Up && (spare || here) && !closed && !due,
         }
     }
 
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -59,6 +59,7 @@
             run,
             Slot::of(&job, &task, Phase::Starting, now.at),
         );
+        let ticket = self.advisor.ticket(now.at, &task.of_step(), id);
         self.actions.push(Action::Start(Start {
             target,
             task,
@@ -66,6 +67,7 @@
             spec: job.spec.clone(),
             deadline,
             saved,
+            ticket,
         }));
     }
 
@@ -101,6 +103,10 @@
                     seat.probe = Probe::At(now.at);
                 }
             }
+            OrderError::Unadvised => {
+                self.advisor.forget(&order.task.of_step());
+                self.refused(now, order, 0);
+            }
             OrderError::Full => self.refused(now, order, FULL_MS),
             _ => self.refused(now, order, SHUN_MS),
         }
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -10,11 +10,13 @@
 use crate::batch::Action;
 use crate::batch::Dispatcher;
 use crate::batch::Host;
+use crate::batch::HostPhase;
 use crate::batch::Maintain;
 use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Record;
 use crate::batch::TaskId;
+use crate::batch::dispatcher::placing;
 use crate::batch::seat::Seat;
 use crate::batch::slot::Phase;
 use crate::batch::stage::Stage;
@@ -61,7 +63,7 @@
         let missing = self
             .hosts
             .iter()
-            .filter(|host| host.up && !spare(host) && !seated(host));
+            .filter(|host| host.phase == HostPhase::Up && !spare(host) && !seated(host));
         let missing: BTreeSet<HostName> = missing.map(|host| host.name.clone()).collect();
         self.missing.retain(|host, _| missing.contains(host));
         for host in missing {
@@ -71,11 +73,16 @@
 
     /// Whether a host can be had for its upkeep, as far as is known.
     fn host_state(&self, now: Now, host: &HostName) -> HostState {
-        let Some(listed) = self.hosts.iter().find(|listed| listed.name == *host) else {
+        if self.hosts.is_empty() {
             return HostState::Unknown;
-        };
-        if !listed.up {
-            return HostState::Down;
+        }
+        let listed = self.hosts.iter().find(|listed| listed.name == *host);
+        match listed.map(|listed| listed.phase) {
+            Some(HostPhase::Up) => {}
+            Some(HostPhase::Upkeep) => return HostState::Down,
+            Some(HostPhase::Moving | HostPhase::Down) => return HostState::Unknown,
+            // The order will tell whether it is gone for good.
+            None => return HostState::Up(Load::default()),
         }
         if is_settling(self.book.ordered.get(host), now) {
             return HostState::Down;
@@ -169,9 +176,14 @@
         let stages = entry.occurrences.get(&id.occurrence);
         let stage = stages.and_then(|stages| stages.get(id.step as usize));
         let spread = stage.map(Stage::spread).unwrap_or_default();
-        let planned = BTreeMap::new();
-        self.choose(now, &entry.job.service, step, &spread, &planned)
-            .is_some()
+        let wish = placing::Wish {
+            id: id.of_step(),
+            service: &entry.job.service,
+            step,
+            spread: &spread,
+            planned: &BTreeMap::new(),
+        };
+        self.choose(now, &wish).is_some()
     }
 
     /// Whether a task may be interrupted without too many of its step being away.
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::batch::Advice;
+use crate::batch::Consult;
 use crate::batch::Executor;
 use crate::batch::Hold;
 use crate::batch::Host;
@@ -58,6 +60,13 @@
         /// The answer.
         result: Result<(), OrderError>,
     },
+    /// The advice service answered, or didn't.
+    Advised {
+        /// What it was asked.
+        question: Consult,
+        /// The answer.
+        result: Result<Advice, OrderError>,
+    },
     /// An order on a run's pace was answered, or not.
     Paced {
         /// The order.
@@ -115,6 +124,8 @@
     Start(Start),
     /// Stop a run.
     Stop(Stop),
+    /// Ask the advice service.
+    Consult(Consult),
     /// Set a run's pace.
     Pace(Pace),
     /// Take a host down for its upkeep.
--- a/src/batch/executor.rs
+++ b/src/batch/executor.rs
@@ -9,6 +9,19 @@
 use crate::name::HostName;
 use crate::name::ServiceName;
 
+/// Whether a host can be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostPhase {
+    /// It's up.
+    Up,
+    /// It's on its way to another pool.
+    Moving,
+    /// It's down for its upkeep.
+    Upkeep,
+    /// It's down for another reason.
+    Down,
+}
+
 /// A host as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Host {
@@ -16,8 +29,8 @@
     pub name: HostName,
     /// Service whose pool it is in.
     pub pool: ServiceName,
-    /// It's neither away nor on its way to another pool.
-    pub up: bool,
+    /// Whether it can be used.
+    pub phase: HostPhase,
     /// Its data centre.
     pub dc: DcName,
     /// What it has.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs of steps and tasks that run on executors under leases.
 
+mod advisor;
 mod book;
 mod call;
 mod carried;
@@ -51,6 +52,7 @@
 pub use event::Now;
 pub use executor::Executor;
 pub use executor::Host;
+pub use executor::HostPhase;
 pub use gate::Admitted;
 pub use gate::Gate;
 pub use gate::Incoming;
@@ -60,6 +62,8 @@
 pub use job::Schedule;
 pub use job_id::JobId;
 pub use job_id::JobIdError;
+pub use orders::Advice;
+pub use orders::Consult;
 pub use orders::Hold;
 pub use orders::Maintain;
 pub use orders::OrderError;
@@ -88,6 +92,7 @@
 pub use record::How;
 pub use record::Record;
 pub use step::Step;
+pub use task_id::StepId;
 pub use task_id::TaskId;
 pub use task_id::TaskIdError;
 pub use view::View;
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -1,5 +1,6 @@
 //! What an owner tells executors, and what they answer.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -7,6 +8,7 @@
 
 use crate::batch::End;
 use crate::batch::Fence;
+use crate::batch::StepId;
 use crate::batch::TaskId;
 use crate::name::ExecutorId;
 use crate::name::HostName;
@@ -52,6 +54,26 @@
     pub deadline: u64,
     /// Progress from which it goes on.
     pub saved: Option<Arc<str>>,
+    /// Permission of the advice service, where the queue needs one.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// Asks the advice service which executors may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Consult {
+    /// The step.
+    pub step: StepId,
+    /// The executors that are asked for.
+    pub executors: Vec<ExecutorId>,
+}
+
+/// What the advice service answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Advice {
+    /// Executors that may run the step, each with its ticket.
+    pub good: BTreeMap<ExecutorId, Arc<str>>,
+    /// How long the tickets are good for, in milliseconds.
+    pub validity: u64,
 }
 
 /// Stops a run of a task.
@@ -174,6 +196,10 @@
         Full {
             display("no room")
         }
+        /// The ticket isn't good, or there is none.
+        Unadvised {
+            display("the ticket is not good")
+        }
         /// The executor began another life.
         Reborn {
             display("the executor began another life")
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -302,6 +302,10 @@
                 let result = platform.start(&order).await;
                 Event::Started { order, result }
             }),
+            Action::Consult(question) => spawn(inbox, async move {
+                let result = platform.consult(&question).await;
+                Event::Advised { question, result }
+            }),
             Action::Pace(order) => spawn(inbox, async move {
                 let result = platform.pace(&order).await;
                 Event::Paced { order, result }
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -5,6 +5,8 @@
 
 use quick_error::quick_error;
 
+use crate::batch::Advice;
+use crate::batch::Consult;
 use crate::batch::Executor;
 use crate::batch::Fence;
 use crate::batch::Hold;
@@ -129,6 +131,12 @@
     /// An [`OrderError`].
     async fn start(&self, order: &Start) -> Result<(), OrderError>;
 
+    /// Asks which executors may run a step.
+    ///
+    /// # Errors
+    /// An [`OrderError`].
+    async fn consult(&self, question: &Consult) -> Result<Advice, OrderError>;
+
     /// Sets a run's pace.
     ///
     /// # Errors
--- a/src/batch/task_id.rs
+++ b/src/batch/task_id.rs
@@ -33,6 +33,40 @@
     pub index: u32,
 }
 
+/// Id of a step of an occurrence of a job, written `JOB.OCCURRENCE.STEP`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Which of the job's occurrences, counted from 0.
+    pub occurrence: u32,
+    /// Which of the job's steps, counted from 0.
+    pub step: u32,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}")
+    }
+}
+
+impl TaskId {
+    /// The step that it belongs to.
+    #[must_use]
+    pub const fn of_step(&self) -> StepId {
+        StepId {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 impl FromStr for TaskId {
     type Err = TaskIdError;
 
--- a/tests/batch/rules.rs
+++ b/tests/batch/rules.rs
@@ -108,3 +108,15 @@
     assert_eq!(world.runs(&task).len(), 1);
     assert_eq!(world.starts.len(), 2);
 }
+
+#[test]
+fn a_step_runs_only_where_the_advice_service_allows_it() {
+    let mut world = World::new(&[("captions", 3)]);
+    world.advise("captions");
+    let job = world.submit(1, "captions", vec![step(6)]);
+    world.run(3_000);
+    assert_eq!(world.state("captions", job), JobState::Completed);
+    assert!(world.consulted >= 1);
+    let first = world.fakes.keys().next().expect("an executor");
+    assert!(world.starts.iter().all(|(.., executor)| executor != first));
+}
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -89,3 +89,11 @@
         assert!(at_work >= 4, "{at_work} of 5 tasks of {job} are at work");
     }
 }
+
+#[test]
+fn a_wave_is_done_though_a_host_of_it_is_gone_for_good() {
+    let mut world = World::new(&[("captions", 3)]);
+    world.ask_wave(&["captions-0", "captions-9"], 10_000, 1);
+    world.run(10_000);
+    assert_eq!(world.told[&1], WaveState::Completed);
+}
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use mimosastep::batch::Action;
+use mimosastep::batch::Advice;
 use mimosastep::batch::Answer;
 use mimosastep::batch::Ask;
 use mimosastep::batch::Book;
@@ -17,6 +18,7 @@
 use mimosastep::batch::Event;
 use mimosastep::batch::Executor;
 use mimosastep::batch::Host;
+use mimosastep::batch::HostPhase;
 use mimosastep::batch::How;
 use mimosastep::batch::Job;
 use mimosastep::batch::JobId;
@@ -62,6 +64,7 @@
     pool: ServiceName,
     executor: Option<ExecutorId>,
     back: Option<Instant>,
+    moving: bool,
 }
 
 /// The site.
@@ -87,6 +90,8 @@
     pub downs: Vec<HostName>,
     pub paces: Vec<(TaskId, u64)>,
     pub moves: usize,
+    /// Questions to the advice service, which allows all executors but the first asked for.
+    pub consulted: usize,
     /// Host-milliseconds in pools that are not spare.
     pub paid: u64,
     lives: u64,
@@ -176,6 +181,7 @@
             downs: Vec::new(),
             paces: Vec::new(),
             moves: 0,
+            consulted: 0,
             paid: 0,
             lives: 0,
             listed: begun,
@@ -189,6 +195,7 @@
                     pool: service(name),
                     executor: None,
                     back: Some(begun),
+                    moving: false,
                 };
                 world.machines.insert(host, machine);
             }
@@ -264,6 +271,18 @@
         self.dispatcher.handle(self.now, Event::Orders(orders));
     }
 
+    /// Lets only the advice service say where a queue's steps run.
+    pub fn advise(&mut self, pool: &str) {
+        let policy = self.orders.policy.as_ref().expect("a policy");
+        let mut policy = (**policy).clone();
+        for queue in &mut policy.queues {
+            queue.advised |= queue.name.as_str() == pool;
+        }
+        self.orders.policy = Some(Rc::new(policy));
+        let orders = self.orders.clone();
+        self.dispatcher.handle(self.now, Event::Orders(orders));
+    }
+
     pub fn state(&self, pool: &str, job: JobId) -> JobState {
         let queue = QueueName::new(pool).expect("a name");
         match self.dispatcher.answer(&Ask::State(queue, job)) {
@@ -388,7 +407,11 @@
             hosts.push(Host {
                 name: name.clone(),
                 pool: machine.pool.clone(),
-                up: machine.back.is_none(),
+                phase: match machine.back {
+                    None => HostPhase::Up,
+                    Some(_) if machine.moving => HostPhase::Moving,
+                    Some(_) => HostPhase::Upkeep,
+                },
                 dc: dc.clone(),
                 capacity,
             });
@@ -441,6 +464,16 @@
                 let result = self.reach(id).and_then(|fake| fake.stop(now, &order));
                 self.later(TRIP_MS, Event::Stopped { order, result });
             }
+            Action::Consult(question) => {
+                self.consulted += 1;
+                let good = question.executors.iter().skip(1);
+                let good = good.map(|id| (id.clone(), Arc::from("ticket"))).collect();
+                let result = Ok(Advice {
+                    good,
+                    validity: 1_000,
+                });
+                self.later(50, Event::Advised { question, result });
+            }
             Action::Pace(order) => {
                 self.paces.push((order.task, order.percent));
                 let tail = (self.tail)(order.percent);
@@ -456,15 +489,13 @@
                 );
             }
             Action::Maintain(order) => {
-                self.downs.push(order.host.clone());
-                self.take_away(&order.host.clone(), None);
-                self.later(
-                    TRIP_MS,
-                    Event::Maintained {
-                        order,
-                        result: Ok(()),
-                    },
-                );
+                let known = self.machines.contains_key(&order.host);
+                let result = if known { Ok(()) } else { Err(OrderError::Gone) };
+                if known {
+                    self.downs.push(order.host.clone());
+                    self.take_away(&order.host.clone(), None);
+                }
+                self.later(TRIP_MS, Event::Maintained { order, result });
             }
             Action::Transfer(order) => {
                 self.moves += 1;
@@ -539,6 +570,7 @@
             fake.down = true;
         }
         machine.back = Some(self.now.at + Duration::from_millis(AWAY_MS));
+        machine.moving = pool.is_some();
         if let Some(pool) = pool {
             machine.pool = pool;
         }
