Test the whole process over loopback, and serve metrics

Stand-ins of the platform's store (topics, epochs, long polls, a group; down, and answers lost after their effect) and of an executor, and six tests of the real process against them: a job end to end, a repeat, wrong calls with their reasons, a true refusal, an unknown outcome, cancelling, a withdrawn key, wrong settings. Counters and latency histograms on port 7001.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -24,8 +24,10 @@
 use crate::batch::Event;
 use crate::batch::Fence;
 use crate::batch::Host;
+use crate::batch::How;
 use crate::batch::JobId;
 use crate::batch::JobState;
+use crate::batch::Meters;
 use crate::batch::Now;
 use crate::batch::Orders;
 use crate::batch::Record;
@@ -81,6 +83,7 @@
     balanced: Instant,
     told: Instant,
     dirty: bool,
+    ends: [u64; How::ALL.len()],
     actions: Vec<Action>,
 }
 
@@ -119,6 +122,7 @@
             balanced: now.at,
             told: now.at,
             dirty: true,
+            ends: [0; How::ALL.len()],
             actions: Vec::new(),
         }
     }
@@ -192,6 +196,13 @@
         }
     }
 
+    /// Brings the meters up to date.
+    pub fn measure(&mut self, meters: &Meters) {
+        let running = self.seats.values().map(|seat| seat.slots.len()).sum();
+        meters.set_levels(self.active.len(), running, self.seats.len(), self.fence);
+        meters.note_ends(&std::mem::take(&mut self.ends));
+    }
+
     fn state(&self, queue: &QueueName, id: JobId) -> Option<JobState> {
         let entry = self.book.jobs.get(&id)?;
         (entry.job.queue == *queue).then(|| entry.state())
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -190,6 +190,7 @@
         };
         let fresh = entry.end(end);
         entry.unnoted += 1;
+        self.ends[end.how as usize] += 1;
         info!(self.log, "run ended"; "task" => %end.task, "run" => end.run, "how" => ?end.how,
             "executor" => %id, "end" => end.number, "new" => fresh, "ran_ms" => ran);
         let over = !entry.is_active();
--- a/src/batch/election.rs
+++ b/src/batch/election.rs
@@ -13,6 +13,7 @@
 use crate::batch::Answer;
 use crate::batch::Ask;
 use crate::batch::Fence;
+use crate::batch::Meters;
 use crate::batch::Platform;
 use crate::batch::owner::Owner;
 use crate::batch::view::View;
@@ -27,18 +28,26 @@
     view: Rc<View>,
     node: NodeName,
     log: Logger,
+    meters: Meters,
     owner: RefCell<Option<Owner>>,
     stopping: Cell<bool>,
 }
 
 impl<P: Platform> Election<P> {
     /// Takes part until [`Self::stop`].
-    pub fn spawn(platform: Rc<P>, view: Rc<View>, node: NodeName, log: Logger) -> Rc<Self> {
+    pub fn spawn(
+        platform: Rc<P>,
+        view: Rc<View>,
+        node: NodeName,
+        log: Logger,
+        meters: Meters,
+    ) -> Rc<Self> {
         let election = Rc::new(Self {
             platform,
             view,
             node,
             log,
+            meters,
             owner: RefCell::new(None),
             stopping: Cell::new(false),
         });
@@ -105,6 +114,7 @@
                     generation,
                     self.node.clone(),
                     self.log.clone(),
+                    self.meters.clone(),
                 ));
             }
             (false, Some(old)) => {
--- a/src/batch/gate.rs
+++ b/src/batch/gate.rs
@@ -14,6 +14,7 @@
 use crate::batch::Done;
 use crate::batch::Job;
 use crate::batch::JobId;
+use crate::batch::Meters;
 use crate::batch::Platform;
 use crate::batch::Policy;
 use crate::batch::Queue;
@@ -64,20 +65,33 @@
     view: Rc<View>,
     desk: Rc<Desk<P>>,
     log: Logger,
+    meters: Meters,
 }
 
 impl<P: Platform> Gate<P> {
     /// A gate that asks at `desk`.
     #[must_use]
-    pub const fn new(platform: Rc<P>, view: Rc<View>, desk: Rc<Desk<P>>, log: Logger) -> Self {
+    pub const fn new(
+        platform: Rc<P>,
+        view: Rc<View>,
+        desk: Rc<Desk<P>>,
+        log: Logger,
+        meters: Meters,
+    ) -> Self {
         Self {
             platform,
             view,
             desk,
             log,
+            meters,
         }
     }
 
+    /// Counts a call that began at `start`.
+    pub fn note(&self, start: Instant, result: &Result<Done, Refusal>) {
+        self.meters.note_call(start, result);
+    }
+
     /// Whether calls can be answered now.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/src/batch/meters.rs
@@ -0,0 +1,174 @@
+//! Counters and latencies of jobs.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use hyper::StatusCode;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::batch::Done;
+use crate::batch::How;
+use crate::batch::OrderError;
+use crate::batch::Refusal;
+use crate::http::Handler;
+use crate::http::text_reply;
+
+/// Bounds of the latency histograms, in seconds.
+const BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
+
+/// What an owner holds, told at each scrape.
+#[derive(Debug, Default)]
+pub struct Levels {
+    /// Jobs that are not over.
+    pub active: AtomicU64,
+    /// Runs on executors.
+    pub running: AtomicU64,
+    /// Executors that take work.
+    pub executors: AtomicU64,
+    /// Runs that ended, by how.
+    pub ends: [AtomicU64; How::ALL.len()],
+    /// Number of the reign; 0 if another process is the owner.
+    pub fence: AtomicU64,
+}
+
+/// Instruments of a process; clones share them.
+#[derive(Clone)]
+pub struct Meters {
+    registry: Registry,
+    // Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    calls: Histogram<f64>,
+    orders: Histogram<f64>,
+    levels: Arc<Levels>,
+}
+
+impl Meters {
+    /// New instruments.
+    ///
+    /// # Errors
+    /// An [`OTelSdkError`] if the exporter can't be registered.
+    pub fn open() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("mimosastep");
+        let levels = Arc::new(Levels::default());
+        observe(&meter, &levels);
+        Ok(Self {
+            calls: histogram(&meter, "mimosa.batch.calls"),
+            orders: histogram(&meter, "mimosa.batch.orders"),
+            registry,
+            _provider: provider,
+            levels,
+        })
+    }
+
+    /// Notes a client's call that began at `start`.
+    pub fn note_call(&self, start: Instant, result: &Result<Done, Refusal>) {
+        let outcome = match result {
+            Ok(Done::Accepted) => "accepted",
+            Ok(Done::Cancelled) => "cancelled",
+            Ok(Done::State(_)) => "state",
+            Ok(Done::Waiting(_)) => "waiting",
+            Err(Refusal::NoQueue) => "no-queue",
+            Err(Refusal::NoKey) => "no-key",
+            Err(Refusal::Invalid(_)) => "invalid",
+            Err(Refusal::NoJob) => "no-job",
+            Err(Refusal::Unavailable(..)) => "unavailable",
+            Err(Refusal::Unknown(_)) => "unknown",
+        };
+        let labels = [KeyValue::new("mimosa.outcome", outcome)];
+        self.calls.record(start.elapsed().as_secs_f64(), &labels);
+    }
+
+    /// Notes an order that was sent at `start`.
+    pub fn note_order(&self, kind: &'static str, start: Instant, error: Option<OrderError>) {
+        let outcome =
+            error.map_or_else(|| "ok".to_owned(), |err| format!("{err:?}").to_lowercase());
+        let labels = [
+            KeyValue::new("mimosa.order", kind),
+            KeyValue::new("mimosa.outcome", outcome),
+        ];
+        self.orders.record(start.elapsed().as_secs_f64(), &labels);
+    }
+
+    /// Brings up to date what the owner holds.
+    pub fn set_levels(&self, active: usize, running: usize, executors: usize, fence: u64) {
+        self.levels.active.store(active as u64, Relaxed);
+        self.levels.running.store(running as u64, Relaxed);
+        self.levels.executors.store(executors as u64, Relaxed);
+        self.levels.fence.store(fence, Relaxed);
+    }
+
+    /// Counts runs that ended, by how.
+    pub fn note_ends(&self, ends: &[u64; How::ALL.len()]) {
+        for (counter, &count) in self.levels.ends.iter().zip(ends) {
+            counter.fetch_add(count, Relaxed);
+        }
+    }
+
+    /// Serves the instruments as text.
+    #[must_use]
+    pub fn handler(&self) -> Handler {
+        let registry = self.registry.clone();
+        Rc::new(move |_| {
+            let text = TextEncoder::new().encode_to_string(&registry.gather());
+            async move {
+                match text {
+                    Ok(text) => text_reply(StatusCode::OK, text),
+                    Err(err) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+                }
+            }
+            .boxed_local()
+        })
+    }
+}
+
+fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    let builder = meter.f64_histogram(name).with_unit("s");
+    builder.with_boundaries(BOUNDS.to_vec()).build()
+}
+
+fn observe(meter: &Meter, levels: &Arc<Levels>) {
+    type Pick = fn(&Levels) -> &AtomicU64;
+    let gauges: [(&'static str, &'static str, Pick); 4] = [
+        ("mimosa.batch.jobs", "{job}", |levels| &levels.active),
+        ("mimosa.batch.runs", "{run}", |levels| &levels.running),
+        ("mimosa.batch.executors", "{executor}", |levels| {
+            &levels.executors
+        }),
+        ("mimosa.batch.fence", "{fence}", |levels| &levels.fence),
+    ];
+    for (name, unit, pick) in gauges {
+        let levels = levels.clone();
+        let builder = meter.u64_observable_gauge(name).with_unit(unit);
+        let gauge = builder.with_callback(move |observer| {
+            observer.observe(pick(&levels).load(Relaxed), &[]);
+        });
+        gauge.build();
+    }
+    let levels = levels.clone();
+    let builder = meter.u64_observable_counter("mimosa.batch.ends");
+    let ends = builder.with_unit("{run}").with_callback(move |observer| {
+        for (how, count) in How::ALL.iter().zip(&levels.ends) {
+            let how = format!("{how:?}").to_lowercase();
+            observer.observe(count.load(Relaxed), &[KeyValue::new("mimosa.how", how)]);
+        }
+    });
+    ends.build();
+}
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -22,6 +22,7 @@
 use crate::batch::Dispatcher;
 use crate::batch::Event;
 use crate::batch::Fence;
+use crate::batch::Meters;
 use crate::batch::Now;
 use crate::batch::Platform;
 use crate::batch::Record;
@@ -77,6 +78,7 @@
         fence: Fence,
         node: NodeName,
         log: Logger,
+        meters: Meters,
     ) -> Self {
         let (inbox, received) = unbounded();
         let reign = Reign {
@@ -85,6 +87,7 @@
             fence,
             node,
             log,
+            meters,
             inbox: inbox.clone(),
             read: Rc::new(Cell::new(Instant::now())),
         };
@@ -120,6 +123,7 @@
     fence: Fence,
     node: NodeName,
     log: Logger,
+    meters: Meters,
     inbox: UnboundedSender<Message>,
     read: Rc<Cell<Instant>>,
 }
@@ -263,6 +267,7 @@
                 }
                 message = inbox.try_recv().ok();
             }
+            dispatcher.measure(&self.meters);
             for action in dispatcher.poll(now()) {
                 if !self.act(action, &entries) {
                     return;
@@ -284,38 +289,45 @@
     fn act(&self, action: Action, entries: &UnboundedSender<Entry>) -> bool {
         let platform = self.platform.clone();
         let inbox = self.inbox.clone();
+        let meters = self.meters.clone();
+        let start = Instant::now();
         match action {
             Action::Abdicate => return false,
             Action::Append { receipt, records } => {
                 return entries.unbounded_send(Entry { receipt, records }).is_ok();
             }
             Action::Hold(order) => spawn(inbox, async move {
-                let sent = Instant::now();
                 let result = platform.hold(&order).await;
+                meters.note_order("hold", start, result.as_ref().err().copied());
                 Event::Held {
                     order,
-                    sent,
+                    sent: start,
                     result,
                 }
             }),
             Action::Start(order) => spawn(inbox, async move {
                 let result = platform.start(&order).await;
+                meters.note_order("start", start, result.as_ref().err().copied());
                 Event::Started { order, result }
             }),
             Action::Consult(question) => spawn(inbox, async move {
                 let result = platform.consult(&question).await;
+                meters.note_order("consult", start, result.as_ref().err().copied());
                 Event::Advised { question, result }
             }),
             Action::Pace(order) => spawn(inbox, async move {
                 let result = platform.pace(&order).await;
+                meters.note_order("pace", start, result.as_ref().err().copied());
                 Event::Paced { order, result }
             }),
             Action::Transfer(order) => spawn(inbox, async move {
                 let result = platform.transfer(&order).await;
+                meters.note_order("transfer", start, result.as_ref().err().copied());
                 Event::Transferred { order, result }
             }),
             Action::Maintain(order) => spawn(inbox, async move {
                 let result = platform.maintain(&order).await;
+                meters.note_order("maintain", start, result.as_ref().err().copied());
                 Event::Maintained { order, result }
             }),
             Action::Report { wave, state } => spawn(inbox, async move {
@@ -324,6 +336,7 @@
             }),
             Action::Stop(order) => spawn(inbox, async move {
                 let result = platform.stop(&order).await;
+                meters.note_order("stop", start, result.as_ref().err().copied());
                 Event::Stopped { order, result }
             }),
         }
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -35,6 +35,18 @@
     Alone,
 }
 
+impl How {
+    /// All ways to end.
+    pub const ALL: [Self; 6] = [
+        Self::Done,
+        Self::Failed,
+        Self::Stopped,
+        Self::Lapsed,
+        Self::Broken,
+        Self::Alone,
+    ];
+}
+
 /// An end of a run that an executor has listed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod query;
 pub mod runs;
 pub mod serve;
+pub mod store;
 pub mod tally;
 pub mod tcp;
 pub mod udp;
+pub mod worker;
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,269 @@
+//! Stand-in of the users' platform's store: topics of records, a group, and some of its faults.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::Uri;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::connections::Connections;
+use crate::query::query_number;
+use crate::serve::Answer;
+use crate::serve::Handler;
+use crate::serve::json;
+use crate::serve::plain;
+
+/// Time between two looks for a record that a reader waits for.
+const LOOK: Duration = Duration::from_millis(5);
+/// Most connections.
+const CONNECTIONS: usize = 256;
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<Vec<u8>>,
+    /// Offset of the first record that is kept.
+    first: u64,
+    epoch: u64,
+}
+
+/// The store.
+pub struct Store {
+    connections: Connections,
+    topics: RefCell<BTreeMap<String, Topic>>,
+    member: RefCell<Option<(String, u64)>>,
+    generation: Cell<u64>,
+    /// Answers 503 to every call.
+    pub down: Cell<bool>,
+    /// Number of appends, from now on, that are done and not answered.
+    pub lost: Cell<u64>,
+}
+
+impl Store {
+    /// An empty store.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            connections: Connections::new(CONNECTIONS),
+            topics: RefCell::default(),
+            member: RefCell::default(),
+            generation: Cell::new(0),
+            down: Cell::new(false),
+            lost: Cell::new(0),
+        })
+    }
+
+    /// Writes the value of a key, as operators and executors do.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let mut content = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
+        content.extend_from_slice(key.as_bytes());
+        content.extend_from_slice(value.to_string().as_bytes());
+        self.push(topic, content);
+    }
+
+    /// Number of records of a topic.
+    pub fn count(&self, topic: &str) -> usize {
+        let topics = self.topics.borrow();
+        topics.get(topic).map_or(0, |topic| topic.records.len())
+    }
+
+    /// Forgets the records of a topic before its newest `keep`.
+    pub fn trim(&self, topic: &str, keep: usize) {
+        let mut topics = self.topics.borrow_mut();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        let gone = topic.records.len().saturating_sub(keep);
+        topic.records.drain(..gone);
+        topic.first += gone as u64;
+    }
+
+    fn push(&self, topic: &str, content: Vec<u8>) {
+        let mut topics = self.topics.borrow_mut();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        topic.records.push(content);
+    }
+
+    fn append(&self, uri: &Uri, body: &[u8]) -> Answer {
+        let topic = query_text(uri, "topic");
+        let mut topics = self.topics.borrow_mut();
+        let topic = topics.entry(topic).or_default();
+        if let Some(epoch) = query_number(uri, "epoch") {
+            if epoch < topic.epoch {
+                return json(StatusCode::CONFLICT, &json!({ "reason": "fenced" }));
+            }
+            topic.epoch = epoch;
+        }
+        let offset = topic.first + topic.records.len() as u64;
+        let mut rest = body;
+        while let Some((len, behind)) = rest.split_first_chunk::<4>() {
+            let len = u32::from_be_bytes(*len) as usize;
+            let Some((content, behind)) = behind.split_at_checked(len) else {
+                return plain(StatusCode::BAD_REQUEST, "a cut record");
+            };
+            topic.records.push(content.to_vec());
+            rest = behind;
+        }
+        let end = topic.first + topic.records.len() as u64;
+        json(StatusCode::OK, &json!({ "offset": offset, "end": end }))
+    }
+
+    async fn read(&self, uri: &Uri) -> Answer {
+        let topic = query_text(uri, "topic");
+        let from = query_number(uri, "from").unwrap_or(0);
+        let wait = query_number(uri, "wait_ms").unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            if let Some(answer) = self.read_now(&topic, from, Instant::now() >= until) {
+                return answer;
+            }
+            compio::time::sleep(LOOK).await;
+        }
+    }
+
+    fn read_now(&self, topic: &str, from: u64, anyway: bool) -> Option<Answer> {
+        let mut topics = self.topics.borrow_mut();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        if from < topic.first {
+            return Some(json(StatusCode::GONE, &json!({ "first": topic.first })));
+        }
+        let end = topic.first + topic.records.len() as u64;
+        if from >= end && !anyway {
+            return None;
+        }
+        let mut body = Vec::new();
+        body.extend_from_slice(&end.to_be_bytes());
+        body.extend_from_slice(&topic.first.to_be_bytes());
+        let skip = usize::try_from(from - topic.first).unwrap_or(usize::MAX);
+        for content in topic.records.iter().skip(skip) {
+            let len = u32::try_from(content.len()).unwrap_or(u32::MAX);
+            body.extend_from_slice(&len.to_be_bytes());
+            body.extend_from_slice(content);
+        }
+        Some(plain(StatusCode::OK, body))
+    }
+
+    fn newest(&self, uri: &Uri) -> Answer {
+        let topics = self.topics.borrow();
+        let topic = topics.get(&query_text(uri, "topic"));
+        let mut newest: BTreeMap<String, (u64, Vec<u8>)> = BTreeMap::new();
+        let records = topic.into_iter().flat_map(|topic| {
+            let offsets = topic.first..;
+            offsets.zip(&topic.records)
+        });
+        for (offset, content) in records {
+            let (len, rest) = content.split_first().map_or((0, &[][..]), |(l, r)| (*l, r));
+            let (key, value) = rest.split_at(usize::from(len).min(rest.len()));
+            let key = String::from_utf8_lossy(key).into_owned();
+            newest.insert(key, (offset, value.to_vec()));
+        }
+        let items: Vec<Value> = newest
+            .into_iter()
+            .filter(|(_, (_, value))| !value.is_empty())
+            .map(|(key, (offset, value))| {
+                json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
+            })
+            .collect();
+        let end = topic.map_or(0, |topic| topic.first + topic.records.len() as u64);
+        json(
+            StatusCode::OK,
+            &json!({ "items": items, "more": false, "end": end }),
+        )
+    }
+
+    /// The first member that joins has all partitions until it leaves.
+    fn join(&self, body: &[u8]) -> Answer {
+        let Ok(body) = serde_json::from_slice::<Value>(body) else {
+            return plain(StatusCode::BAD_REQUEST, "no JSON");
+        };
+        let name = body["member"].as_str().unwrap_or_default().to_owned();
+        let topic = body["topics"][0].clone();
+        let mut member = self.member.borrow_mut();
+        if member.is_none() {
+            self.generation.set(self.generation.get() + 1);
+            *member = Some((name.clone(), self.generation.get()));
+        }
+        let leads = member.as_ref().is_some_and(|(leader, _)| *leader == name);
+        let parts = if leads {
+            vec![json!([topic, 0, 0])]
+        } else {
+            Vec::new()
+        };
+        let generation = self.generation.get();
+        json(
+            StatusCode::OK,
+            &json!({ "generation": generation, "parts": parts }),
+        )
+    }
+
+    fn owners(&self) -> Answer {
+        let member = self.member.borrow();
+        let rows: Vec<Value> = member
+            .iter()
+            .map(|(name, _)| json!(["jobs", 0, name, 0]))
+            .collect();
+        json(StatusCode::OK, &json!({ "parts": rows }))
+    }
+
+    fn leave(&self, body: &[u8]) -> Answer {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let mut member = self.member.borrow_mut();
+        if member
+            .as_ref()
+            .is_some_and(|(name, _)| body["member"] == **name)
+        {
+            *member = None;
+        }
+        plain(StatusCode::OK, "")
+    }
+}
+
+impl Handler for Store {
+    fn is_control(_: &str) -> bool {
+        false
+    }
+
+    fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Bytes>) -> io::Result<Answer> {
+        if self.down.get() {
+            return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, ""));
+        }
+        let uri = request.uri();
+        let answer = match uri.path() {
+            "/api/log-append" => {
+                let answer = self.append(uri, request.body());
+                let lost = self.lost.get();
+                if lost > 0 {
+                    self.lost.set(lost - 1);
+                    pending::<()>().await;
+                }
+                answer
+            }
+            "/api/log-read" => self.read(uri).await,
+            "/api/log-newest" => self.newest(uri),
+            "/api/log-join" => self.join(request.body()),
+            "/api/log-leave" => self.leave(request.body()),
+            "/api/log-owners" => self.owners(),
+            _ => plain(StatusCode::NOT_FOUND, ""),
+        };
+        Ok(answer)
+    }
+}
+
+fn query_text(uri: &Uri, name: &str) -> String {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(key, _)| *key == name);
+    found.map_or_else(String::new, |(_, value)| value.to_owned())
+}
