--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -54,6 +54,20 @@
     Timeline(TimelineArgs),
     /// Tell why something is as it is.
     Explain(ExplainArgs),
+    /// Follow a job through saved logs.
+    Trace(TraceArgs),
+}
+
+/// Follow a job, a task, an executor or a host through saved logs of all processes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceArgs {
+    /// saved log (repeatable)
+    #[argh(option, arg_name = "path")]
+    pub log: Vec<PathBuf>,
+    /// id to follow
+    #[argh(positional)]
+    pub id: String,
 }
 
 /// Replace the table of teams by a file, if nobody was faster.
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -11,6 +11,7 @@
 mod printer;
 mod run;
 mod selection;
+mod trace;
 
 pub use args::Args;
 pub use client::FleetClient;
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -27,6 +27,7 @@
 use crate::ctl::files::read_rows;
 use crate::ctl::lines::lines;
 use crate::ctl::printer::Printer;
+use crate::ctl::trace::trace;
 use crate::fleet::Accepted;
 use crate::fleet::Submission;
 use crate::observe::unix_millis;
@@ -105,6 +106,12 @@
         Command::Hosts(args) => session.change(Change::Hosts(read_rows(&args.file)?)).await,
         Command::Diff(args) => session.diff(&args.table).await,
         Command::Check(args) => check(&args),
+        Command::Trace(args) => {
+            for line in trace(&args.log, &args.id)? {
+                println!("{line}");
+            }
+            Ok(())
+        }
         Command::Key(args) => session.key(args.command).await,
         Command::Host(args) => {
             session
