--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -161,7 +161,7 @@
                 self.advisor.answered(now.at, &question, result);
                 self.dirty = true;
             }
-            Event::Paced { order, result } => self.paced(now, &order, result),
+            Event::Paced { order, result } => self.paced(&order, result),
             Event::Maintained { order, result } => self.maintained(now, &order, result),
             Event::Reported { wave, state, told } => self.waves.reported(now.at, wave, state, told),
             Event::Stopped { order, result } => self.stopped(now, &order, result),
--- a/src/batch/dispatcher/pacing.rs
+++ b/src/batch/dispatcher/pacing.rs
@@ -4,7 +4,6 @@
 
 use crate::batch::Action;
 use crate::batch::Dispatcher;
-use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Pace;
 use crate::batch::Target;
@@ -49,7 +48,7 @@
         }
     }
 
-    pub(super) fn paced(&mut self, _now: Now, order: &Pace, result: Result<(), OrderError>) {
+    pub(super) fn paced(&mut self, order: &Pace, result: Result<(), OrderError>) {
         let id = &order.target.executor;
         if result == Err(OrderError::Fenced) {
             return self.fenced(id);
--- /dev/null
+++ b/src/batch/followers.rs
@@ -0,0 +1,98 @@
+//! Tasks that tell an owner of what happens outside.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_channel::mpsc::UnboundedSender;
+use slog::Logger;
+use slog::warn;
+
+use crate::batch::Event;
+use crate::batch::Platform;
+use crate::batch::Watch;
+use crate::batch::owner::Message;
+use crate::batch::owner::decode;
+use crate::log::ReadError;
+
+/// Longest that one read of the log waits for a record, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+/// Time between two reads of the log, in milliseconds.
+const PACE_MS: u64 = 15;
+/// Time between two attempts to reach the store, in milliseconds.
+const RETRY_MS: u64 = 150;
+/// Time between two reads of the list of executors, in milliseconds.
+const EXECUTORS_MS: u64 = 200;
+/// Time between two reads of the list of hosts, in milliseconds.
+const HOSTS_MS: u64 = 700;
+
+/// Tells the owner of the records that follow in the log.
+pub(super) async fn tail<P: Platform>(
+    platform: Rc<P>,
+    mut next: u64,
+    inbox: UnboundedSender<Message>,
+    read: Rc<Cell<Instant>>,
+    log: Logger,
+) {
+    loop {
+        let asked = Instant::now();
+        match platform.read(next, WAIT_MS).await {
+            Ok(batch) => {
+                next = batch.next;
+                read.set(asked);
+                let records = decode(&batch.records, &log);
+                if !records.is_empty() {
+                    let event = Event::Records(records);
+                    let _ = inbox.unbounded_send(Message::Event(event));
+                }
+                compio::time::sleep(Duration::from_millis(PACE_MS)).await;
+            }
+            Err(ReadError::Gone(first, _)) => {
+                warn!(log, "records expired unread"; "from" => next, "to" => first);
+                next = first.max(next);
+            }
+            Err(err) => {
+                warn!(log, "log out of reach"; "why" => %err);
+                compio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Tells the owner of the executors.
+pub(super) async fn executors<P: Platform>(
+    platform: Rc<P>,
+    inbox: UnboundedSender<Message>,
+    log: Logger,
+) {
+    let mut watch = platform.executors();
+    loop {
+        match watch.next().await {
+            Ok(Some(list)) => {
+                let event = Event::Executors(list);
+                let _ = inbox.unbounded_send(Message::Event(event));
+            }
+            Ok(None) => {}
+            Err(err) => warn!(log, "list of executors out of reach"; "why" => %err),
+        }
+        compio::time::sleep(Duration::from_millis(EXECUTORS_MS)).await;
+    }
+}
+
+/// Tells the owner of the hosts.
+pub(super) async fn hosts<P: Platform>(
+    platform: Rc<P>,
+    inbox: UnboundedSender<Message>,
+    log: Logger,
+) {
+    loop {
+        match platform.hosts().await {
+            Ok(list) => {
+                let _ = inbox.unbounded_send(Message::Event(Event::Hosts(list)));
+            }
+            Err(err) => warn!(log, "list of hosts out of reach"; "why" => %err),
+        }
+        compio::time::sleep(Duration::from_millis(HOSTS_MS)).await;
+    }
+}
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod event;
 mod executor;
+mod followers;
 mod gate;
 mod job;
 mod job_id;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -24,10 +24,11 @@
 use crate::batch::Fence;
 use crate::batch::Meters;
 use crate::batch::Now;
+use crate::batch::OrderError;
 use crate::batch::Platform;
 use crate::batch::Record;
-use crate::batch::Watch;
 use crate::batch::Writer;
+use crate::batch::followers;
 use crate::batch::view::View;
 use crate::batch::writer;
 use crate::batch::writer::Entry;
@@ -38,16 +39,8 @@
 
 /// Time between two looks at what is due, in milliseconds.
 const TICK_MS: u64 = 40;
-/// Longest that one read of the log waits for a record, in milliseconds.
-const WAIT_MS: u64 = 1_000;
-/// Time between two reads of the log, in milliseconds.
-const PACE_MS: u64 = 15;
 /// Time between two attempts to reach the store, in milliseconds.
 const RETRY_MS: u64 = 150;
-/// Time between two reads of the list of executors, in milliseconds.
-const LIST_MS: u64 = 200;
-/// Time between two reads of the list of hosts, in milliseconds.
-const HOSTS_MS: u64 = 700;
 /// Time that the first append of a reign may take, in milliseconds.
 const APPEND_MS: u64 = 1_500;
 /// Age from which on the log as read is too old to deny that a job exists, in milliseconds.
@@ -152,19 +145,19 @@
         // Dropped with this task, they end with it.
         let _tasks = [
             compio::runtime::spawn(writer),
-            compio::runtime::spawn(tail(
+            compio::runtime::spawn(followers::tail(
                 self.platform.clone(),
                 next,
                 self.inbox.clone(),
                 self.read.clone(),
                 self.log.clone(),
             )),
-            compio::runtime::spawn(hosts(
+            compio::runtime::spawn(followers::hosts(
                 self.platform.clone(),
                 self.inbox.clone(),
                 self.log.clone(),
             )),
-            compio::runtime::spawn(list(
+            compio::runtime::spawn(followers::executors(
                 self.platform.clone(),
                 self.inbox.clone(),
                 self.log.clone(),
@@ -287,136 +280,103 @@
 
     /// Carries an action out; returns whether the reign goes on.
     fn act(&self, action: Action, entries: &UnboundedSender<Entry>) -> bool {
-        let platform = self.platform.clone();
-        let inbox = self.inbox.clone();
-        let meters = self.meters.clone();
-        let start = Instant::now();
+        let site = self.platform.clone();
+        let sent = Instant::now();
         match action {
             Action::Abdicate => return false,
             Action::Append { receipt, records } => {
                 return entries.unbounded_send(Entry { receipt, records }).is_ok();
             }
-            Action::Hold(order) => spawn(inbox, async move {
-                let result = platform.hold(&order).await;
-                meters.note_order("hold", start, result.as_ref().err().copied());
-                Event::Held {
+            Action::Report { wave, state } => {
+                let report = async move { site.report(wave, state).await };
+                let event = move |told: Result<(), _>| Event::Reported {
+                    wave,
+                    state,
+                    told: told.is_ok(),
+                };
+                self.spawn(async move { event(report.await) });
+            }
+            Action::Hold(order) => self.order(
+                "hold",
+                order,
+                async move |order| site.hold(order).await,
+                move |order, result| Event::Held {
                     order,
-                    sent: start,
+                    sent,
                     result,
-                }
-            }),
-            Action::Start(order) => spawn(inbox, async move {
-                let result = platform.start(&order).await;
-                meters.note_order("start", start, result.as_ref().err().copied());
-                Event::Started { order, result }
-            }),
-            Action::Consult(question) => spawn(inbox, async move {
-                let result = platform.consult(&question).await;
-                meters.note_order("consult", start, result.as_ref().err().copied());
-                Event::Advised { question, result }
-            }),
-            Action::Pace(order) => spawn(inbox, async move {
-                let result = platform.pace(&order).await;
-                meters.note_order("pace", start, result.as_ref().err().copied());
-                Event::Paced { order, result }
-            }),
-            Action::Transfer(order) => spawn(inbox, async move {
-                let result = platform.transfer(&order).await;
-                meters.note_order("transfer", start, result.as_ref().err().copied());
-                Event::Transferred { order, result }
-            }),
-            Action::Maintain(order) => spawn(inbox, async move {
-                let result = platform.maintain(&order).await;
-                meters.note_order("maintain", start, result.as_ref().err().copied());
-                Event::Maintained { order, result }
-            }),
-            Action::Report { wave, state } => spawn(inbox, async move {
-                let told = platform.report(wave, state).await.is_ok();
-                Event::Reported { wave, state, told }
-            }),
-            Action::Stop(order) => spawn(inbox, async move {
-                let result = platform.stop(&order).await;
-                meters.note_order("stop", start, result.as_ref().err().copied());
-                Event::Stopped { order, result }
-            }),
+                },
+            ),
+            Action::Start(order) => self.order(
+                "start",
+                order,
+                async move |order| site.start(order).await,
+                |order, result| Event::Started { order, result },
+            ),
+            Action::Stop(order) => self.order(
+                "stop",
+                order,
+                async move |order| site.stop(order).await,
+                |order, result| Event::Stopped { order, result },
+            ),
+            Action::Pace(order) => self.order(
+                "pace",
+                order,
+                async move |order| site.pace(order).await,
+                |order, result| Event::Paced { order, result },
+            ),
+            Action::Consult(question) => self.order(
+                "consult",
+                question,
+                async move |question| site.consult(question).await,
+                |question, result| Event::Advised { question, result },
+            ),
+            Action::Transfer(order) => self.order(
+                "transfer",
+                order,
+                async move |order| site.transfer(order).await,
+                |order, result| Event::Transferred { order, result },
+            ),
+            Action::Maintain(order) => self.order(
+                "maintain",
+                order,
+                async move |order| site.maintain(order).await,
+                |order, result| Event::Maintained { order, result },
+            ),
         }
         true
     }
-}
-
-/// Runs an order in a task of its own and tells the owner of its outcome.
-fn spawn(inbox: UnboundedSender<Message>, order: impl Future<Output = Event> + 'static) {
-    compio::runtime::spawn(async move {
-        let event = order.await;
-        // An owner whose reign is over needs no outcome.
-        let _ = inbox.unbounded_send(Message::Event(event));
-    })
-    .detach();
-}
-
-/// Tells the owner of the records that follow in the log.
-async fn tail<P: Platform>(
-    platform: Rc<P>,
-    mut next: u64,
-    inbox: UnboundedSender<Message>,
-    read: Rc<Cell<Instant>>,
-    log: Logger,
-) {
-    loop {
-        let asked = Instant::now();
-        match platform.read(next, WAIT_MS).await {
-            Ok(batch) => {
-                next = batch.next;
-                read.set(asked);
-                let records = decode(&batch.records, &log);
-                if !records.is_empty() {
-                    let event = Event::Records(records);
-                    let _ = inbox.unbounded_send(Message::Event(event));
-                }
-                compio::time::sleep(Duration::from_millis(PACE_MS)).await;
-            }
-            Err(ReadError::Gone(first, _)) => {
-                warn!(log, "records expired unread"; "from" => next, "to" => first);
-                next = first.max(next);
-            }
-            Err(err) => {
-                warn!(log, "log out of reach"; "why" => %err);
-                compio::time::sleep(Duration::from_millis(RETRY_MS)).await;
-            }
-        }
-    }
-}
 
-/// Tells the owner of the executors.
-async fn list<P: Platform>(platform: Rc<P>, inbox: UnboundedSender<Message>, log: Logger) {
-    let mut watch = platform.executors();
-    loop {
-        match watch.next().await {
-            Ok(Some(list)) => {
-                let event = Event::Executors(list);
-                let _ = inbox.unbounded_send(Message::Event(event));
-            }
-            Ok(None) => {}
-            Err(err) => warn!(log, "list of executors out of reach"; "why" => %err),
-        }
-        compio::time::sleep(Duration::from_millis(LIST_MS)).await;
+    /// Gives an order in a task of its own, measures it, and tells the owner of its outcome.
+    fn order<O: 'static, T: 'static>(
+        &self,
+        kind: &'static str,
+        order: O,
+        send: impl AsyncFnOnce(&O) -> Result<T, OrderError> + 'static,
+        event: impl FnOnce(O, Result<T, OrderError>) -> Event + 'static,
+    ) {
+        let meters = self.meters.clone();
+        let start = Instant::now();
+        self.spawn(async move {
+            let result = send(&order).await;
+            meters.note_order(kind, start, result.as_ref().err().copied());
+            event(order, result)
+        });
     }
-}
 
-/// Tells the owner of the hosts.
-async fn hosts<P: Platform>(platform: Rc<P>, inbox: UnboundedSender<Message>, log: Logger) {
-    loop {
-        match platform.hosts().await {
-            Ok(list) => {
-                let _ = inbox.unbounded_send(Message::Event(Event::Hosts(list)));
-            }
-            Err(err) => warn!(log, "list of hosts out of reach"; "why" => %err),
-        }
-        compio::time::sleep(Duration::from_millis(HOSTS_MS)).await;
+    /// Runs a task whose outcome the owner is told.
+    fn spawn(&self, task: impl Future<Output = Event> + 'static) {
+        let inbox = self.inbox.clone();
+        compio::runtime::spawn(async move {
+            let event = task.await;
+            // An owner whose reign is over needs no outcome.
+            let _ = inbox.unbounded_send(Message::Event(event));
+        })
+        .detach();
     }
 }
 
-fn decode(records: &[Vec<u8>], log: &Logger) -> Vec<Record> {
+/// The records of the log; those that can't be read are left out, with a line.
+pub(super) fn decode(records: &[Vec<u8>], log: &Logger) -> Vec<Record> {
     let decoded = records.iter().filter_map(|bytes| {
         let record = Record::decode(bytes);
         if let Err(err) = &record {
