Count tasks on silent executors as away

Ruled out: a stop of an earlier owner (none within 3 s). The test fails on the code before (1 task stopped).

--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -220,6 +220,7 @@
 
     fn is_at_work(&self, id: &TaskId, executor: Option<&ExecutorId>, run: u64) -> bool {
         let seat = executor.and_then(|executor| self.seats.get(executor));
+        let seat = seat.filter(|seat| !seat.silent);
         let slot = seat.and_then(|seat| seat.slots.get(&(*id, run)));
         slot.is_some_and(|slot| matches!(slot.phase, Phase::Running(_)) && slot.percent >= 100)
     }
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -97,3 +97,18 @@
     world.run(10_000);
     assert_eq!(world.told[&1], WaveState::Completed);
 }
+
+/// The pattern: a rack is dark, and its leases are not over yet.
+#[test]
+fn nothing_is_interrupted_while_another_task_of_its_step_is_on_a_silent_executor() {
+    let mut world = World::new(&[("captions", 6)]);
+    world.submit(1, "captions", vec![lasting(5)]);
+    world.run(2_000);
+    let dark = world.starts[4].3.clone();
+    world.cut.insert(dark);
+    world.run(3_000);
+    world.ask_wave(&["captions-0"], 30_000, 1);
+    world.run(500);
+    let stopped = world.fakes.values().flat_map(|fake| fake.works.values());
+    assert_eq!(stopped.filter(|work| work.ends.is_some()).count(), 0);
+}
