Test operators' orders in virtual time: leaving executors, closed data centres, limits of teams

The world of these tests is parted by what it stands in for: hosts, what becomes of orders, operators.

--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -3,6 +3,7 @@
 mod entries;
 mod fake;
 mod faults;
+mod operators;
 mod pacing;
 mod peaks;
 mod rules;
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -1,46 +1,41 @@
 //! A site in memory, in virtual time: one owner, its executors and hosts, and the log.
 
+mod carrying_out;
+mod machines;
+mod operators;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use mimosastep::batch::Action;
-use mimosastep::batch::Advice;
 use mimosastep::batch::Answer;
 use mimosastep::batch::Ask;
 use mimosastep::batch::Book;
 use mimosastep::batch::Demand;
 use mimosastep::batch::Dispatcher;
 use mimosastep::batch::Event;
-use mimosastep::batch::Executor;
-use mimosastep::batch::Host;
-use mimosastep::batch::HostPhase;
 use mimosastep::batch::How;
 use mimosastep::batch::Job;
 use mimosastep::batch::JobId;
 use mimosastep::batch::JobState;
 use mimosastep::batch::Now;
-use mimosastep::batch::OrderError;
 use mimosastep::batch::Orders;
 use mimosastep::batch::Policy;
 use mimosastep::batch::Pool;
 use mimosastep::batch::Queue;
 use mimosastep::batch::Record;
-use mimosastep::batch::Start;
 use mimosastep::batch::Step;
 use mimosastep::batch::TaskId;
-use mimosastep::batch::Wave;
 use mimosastep::batch::WaveState;
-use mimosastep::name::DcName;
 use mimosastep::name::ExecutorId;
 use mimosastep::name::HostName;
 use mimosastep::name::NodeName;
 use mimosastep::name::QueueName;
 use mimosastep::name::ServiceName;
+use mimosastep::name::TeamName;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
@@ -81,6 +76,8 @@
     pub tail: Box<dyn Fn(u64) -> u64>,
     /// Executors that neither get orders nor answer.
     pub cut: BTreeSet<ExecutorId>,
+    /// Executors that are about to leave.
+    pub leaving: BTreeSet<ExecutorId>,
     /// Answers of starts that are lost from now on.
     pub lost: usize,
     /// When tasks began, in order.
@@ -104,6 +101,10 @@
     ServiceName::new(name).expect("a name")
 }
 
+pub fn team(name: &str) -> TeamName {
+    TeamName::new(name).expect("a name")
+}
+
 pub fn id(number: u64) -> JobId {
     format!("{number:016x}").parse().expect("an id")
 }
@@ -174,6 +175,7 @@
             script: Box::new(|_, _| (1_000, How::Done)),
             tail: Box::new(|_| 0),
             cut: BTreeSet::new(),
+            leaving: BTreeSet::new(),
             lost: 0,
             starts: Vec::new(),
             done: BTreeSet::new(),
@@ -232,11 +234,22 @@
 
     /// Hands a job in.
     pub fn submit(&mut self, number: u64, pool: &str, steps: Vec<Step>) -> JobId {
+        self.submit_as(None, number, pool, steps)
+    }
+
+    /// Hands a job of a team in.
+    pub fn submit_as(
+        &mut self,
+        team: Option<TeamName>,
+        number: u64,
+        pool: &str,
+        steps: Vec<Step>,
+    ) -> JobId {
         let job = Job {
             id: id(number),
             queue: QueueName::new(pool).expect("a name"),
             service: service(pool),
-            team: None,
+            team,
             spec: Arc::from("work"),
             steps,
             attempts: 3,
@@ -256,33 +269,6 @@
         self.later(TRIP_MS, Event::Records(vec![record]));
     }
 
-    pub fn ask_wave(&mut self, hosts: &[&str], period: u64, limit: u32) {
-        let hosts = hosts
-            .iter()
-            .map(|host| HostName::new(host).expect("a name"));
-        let wave = Wave {
-            number: 1,
-            hosts: hosts.collect(),
-            period,
-            limit,
-        };
-        self.orders.waves.insert(1, wave);
-        let orders = self.orders.clone();
-        self.dispatcher.handle(self.now, Event::Orders(orders));
-    }
-
-    /// Lets only the advice service say where a queue's steps run.
-    pub fn advise(&mut self, pool: &str) {
-        let policy = self.orders.policy.as_ref().expect("a policy");
-        let mut policy = (**policy).clone();
-        for queue in &mut policy.queues {
-            queue.advised |= queue.name.as_str() == pool;
-        }
-        self.orders.policy = Some(Rc::new(policy));
-        let orders = self.orders.clone();
-        self.dispatcher.handle(self.now, Event::Orders(orders));
-    }
-
     pub fn state(&self, pool: &str, job: JobId) -> JobState {
         let queue = QueueName::new(pool).expect("a name");
         match self.dispatcher.answer(&Ask::State(queue, job)) {
@@ -300,15 +286,6 @@
         fakes.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Number of hosts that are away.
-    pub fn down(&self) -> usize {
-        let away = self
-            .machines
-            .values()
-            .filter(|machine| machine.back.is_some());
-        away.count()
-    }
-
     pub fn run(&mut self, ms: u64) {
         let until = self.now.at + Duration::from_millis(ms);
         while self.now.at < until && !self.abdicated {
@@ -364,217 +341,6 @@
             }
         }
     }
-
-    fn bring_back(&mut self) {
-        let mut births = Vec::new();
-        for (host, machine) in &mut self.machines {
-            if machine.back.is_some_and(|back| back <= self.now.at) {
-                machine.back = None;
-                if Some(&machine.pool) != self.spare.as_ref() {
-                    births.push(host.clone());
-                }
-            }
-        }
-        for host in births {
-            self.lives += 1;
-            let id = ExecutorId::new(&format!("{host}.{}", self.lives)).expect("a name");
-            let capacity = Demand {
-                cpu: HOST_CPU,
-                memory: 64_000,
-                gpu: 0,
-            };
-            let mut fake = Fake::new(capacity, self.now.at);
-            fake.tail = (self.tail)(100);
-            self.fakes.insert(id.clone(), fake);
-            if let Some(machine) = self.machines.get_mut(&host) {
-                machine.executor = Some(id);
-            }
-        }
-    }
-
-    /// Tells the owner of executors and hosts, as the platform does a few times a second.
-    fn list(&mut self) {
-        self.listed = self.now.at;
-        let mut executors = Vec::new();
-        let mut hosts = Vec::new();
-        for (name, machine) in &self.machines {
-            let capacity = Demand {
-                cpu: HOST_CPU,
-                memory: 64_000,
-                gpu: 0,
-            };
-            let dc = DcName::new("dc-a").expect("a name");
-            hosts.push(Host {
-                name: name.clone(),
-                pool: machine.pool.clone(),
-                phase: match machine.back {
-                    None => HostPhase::Up,
-                    Some(_) if machine.moving => HostPhase::Moving,
-                    Some(_) => HostPhase::Upkeep,
-                },
-                dc: dc.clone(),
-                capacity,
-            });
-            let Some(id) = &machine.executor else {
-                continue;
-            };
-            if self.fakes[id].down {
-                continue;
-            }
-            executors.push(Executor {
-                id: id.clone(),
-                host: Some(name.clone()),
-                service: machine.pool.clone(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-                dc,
-                draining: false,
-                capacity,
-                labels: vec![Arc::from("a"), Arc::from("r1")],
-                born: 1,
-            });
-        }
-        self.later(0, Event::Executors(executors));
-        self.later(0, Event::Hosts(hosts));
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Append { receipt, records } => {
-                self.records.extend(records);
-                self.later(TRIP_MS, Event::Appended(receipt));
-            }
-            Action::Hold(order) => {
-                let sent = self.now.at;
-                let id = &order.target.executor;
-                let result = self.reach(id).and_then(|fake| fake.hold(sent, &order));
-                let trip = if result.is_ok() { TRIP_MS } else { 400 };
-                self.later(
-                    trip,
-                    Event::Held {
-                        order,
-                        sent,
-                        result,
-                    },
-                );
-            }
-            Action::Start(order) => self.start(order),
-            Action::Stop(order) => {
-                let now = self.now.at;
-                let id = &order.target.executor;
-                let result = self.reach(id).and_then(|fake| fake.stop(now, &order));
-                self.later(TRIP_MS, Event::Stopped { order, result });
-            }
-            Action::Consult(question) => {
-                self.consulted += 1;
-                let good = question.executors.iter().skip(1);
-                let good = good.map(|id| (id.clone(), Arc::from("ticket"))).collect();
-                let result = Ok(Advice {
-                    good,
-                    validity: 1_000,
-                });
-                self.later(50, Event::Advised { question, result });
-            }
-            Action::Pace(order) => {
-                self.paces.push((order.task, order.percent));
-                let tail = (self.tail)(order.percent);
-                if let Some(fake) = self.fakes.get_mut(&order.target.executor) {
-                    fake.tail = tail;
-                }
-                self.later(
-                    TRIP_MS,
-                    Event::Paced {
-                        order,
-                        result: Ok(()),
-                    },
-                );
-            }
-            Action::Maintain(order) => {
-                let known = self.machines.contains_key(&order.host);
-                let result = if known { Ok(()) } else { Err(OrderError::Gone) };
-                if known {
-                    self.downs.push(order.host.clone());
-                    self.take_away(&order.host.clone(), None);
-                }
-                self.later(TRIP_MS, Event::Maintained { order, result });
-            }
-            Action::Transfer(order) => {
-                self.moves += 1;
-                self.take_away(&order.host.clone(), Some(order.pool.clone()));
-                self.later(
-                    TRIP_MS,
-                    Event::Transferred {
-                        order,
-                        result: Ok(()),
-                    },
-                );
-            }
-            Action::Report { wave, state } => {
-                self.told.insert(wave, state);
-                let told = true;
-                self.later(TRIP_MS, Event::Reported { wave, state, told });
-            }
-            Action::Abdicate => self.abdicated = true,
-        }
-    }
-
-    fn reach(&mut self, id: &ExecutorId) -> Result<&mut Fake, OrderError> {
-        if self.cut.contains(id) {
-            return Err(OrderError::Silent);
-        }
-        let fake = self.fakes.get_mut(id).ok_or(OrderError::Silent)?;
-        if fake.down {
-            return Err(OrderError::Silent);
-        }
-        Ok(fake)
-    }
-
-    fn start(&mut self, order: Start) {
-        let now = self.now.at;
-        let job = self.records.iter().find_map(|record| match record {
-            Record::Accepted(job) if job.id == order.task.job => Some(job.clone()),
-            _ => None,
-        });
-        let step = job.expect("a job in the log").steps[order.task.step as usize].clone();
-        let (ms, how) = (self.script)(&order.task, order.run);
-        let ends = (!step.lasting).then(|| (now + Duration::from_millis(ms), how));
-        let id = order.target.executor.clone();
-        let result = self
-            .reach(&id)
-            .and_then(|fake| fake.start(now, &order, step.reserved(), ends));
-        if result.is_ok() {
-            self.starts.push((now, order.task, order.run, id));
-            assert!(
-                !self.done.contains(&order.task),
-                "{} began after its end",
-                order.task
-            );
-        }
-        if self.lost > 0 && result.is_ok() {
-            self.lost -= 1;
-            let result = Err(OrderError::Silent);
-            return self.later(500, Event::Started { order, result });
-        }
-        self.later(TRIP_MS, Event::Started { order, result });
-    }
-
-    /// Ends a host's executor; the host comes back, in another pool if one is named.
-    fn take_away(&mut self, host: &HostName, pool: Option<ServiceName>) {
-        let machine = self.machines.get_mut(host).expect("a known host");
-        if let Some(id) = machine.executor.take()
-            && let Some(fake) = self.fakes.get_mut(&id)
-        {
-            assert!(
-                fake.works.is_empty(),
-                "{host} went down while tasks ran there"
-            );
-            fake.down = true;
-        }
-        machine.back = Some(self.now.at + Duration::from_millis(AWAY_MS));
-        machine.moving = pool.is_some();
-        if let Some(pool) = pool {
-            machine.pool = pool;
-        }
-    }
 }
 
 fn queue(name: &str) -> Queue {
--- /dev/null
+++ b/tests/batch/world/carrying_out.rs
@@ -0,0 +1,138 @@
+//! What becomes of the owner's orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosastep::batch::Action;
+use mimosastep::batch::Advice;
+use mimosastep::batch::Event;
+use mimosastep::batch::OrderError;
+use mimosastep::batch::Record;
+use mimosastep::batch::Start;
+use mimosastep::name::ExecutorId;
+
+use crate::fake::Fake;
+use crate::world::TRIP_MS;
+use crate::world::World;
+
+impl World {
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Append { receipt, records } => {
+                self.records.extend(records);
+                self.later(TRIP_MS, Event::Appended(receipt));
+            }
+            Action::Hold(order) => {
+                let sent = self.now.at;
+                let id = &order.target.executor;
+                let result = self.reach(id).and_then(|fake| fake.hold(sent, &order));
+                let trip = if result.is_ok() { TRIP_MS } else { 400 };
+                self.later(
+                    trip,
+                    Event::Held {
+                        order,
+                        sent,
+                        result,
+                    },
+                );
+            }
+            Action::Start(order) => self.start(order),
+            Action::Stop(order) => {
+                let now = self.now.at;
+                let id = &order.target.executor;
+                let result = self.reach(id).and_then(|fake| fake.stop(now, &order));
+                self.later(TRIP_MS, Event::Stopped { order, result });
+            }
+            Action::Consult(question) => {
+                self.consulted += 1;
+                let good = question.executors.iter().skip(1);
+                let good = good.map(|id| (id.clone(), Arc::from("ticket"))).collect();
+                let result = Ok(Advice {
+                    good,
+                    validity: 1_000,
+                });
+                self.later(50, Event::Advised { question, result });
+            }
+            Action::Pace(order) => {
+                self.paces.push((order.task, order.percent));
+                let tail = (self.tail)(order.percent);
+                if let Some(fake) = self.fakes.get_mut(&order.target.executor) {
+                    fake.tail = tail;
+                }
+                self.later(
+                    TRIP_MS,
+                    Event::Paced {
+                        order,
+                        result: Ok(()),
+                    },
+                );
+            }
+            Action::Maintain(order) => {
+                let known = self.machines.contains_key(&order.host);
+                let result = if known { Ok(()) } else { Err(OrderError::Gone) };
+                if known {
+                    self.downs.push(order.host.clone());
+                    self.take_away(&order.host.clone(), None);
+                }
+                self.later(TRIP_MS, Event::Maintained { order, result });
+            }
+            Action::Transfer(order) => {
+                self.moves += 1;
+                self.take_away(&order.host.clone(), Some(order.pool.clone()));
+                self.later(
+                    TRIP_MS,
+                    Event::Transferred {
+                        order,
+                        result: Ok(()),
+                    },
+                );
+            }
+            Action::Report { wave, state } => {
+                self.told.insert(wave, state);
+                let told = true;
+                self.later(TRIP_MS, Event::Reported { wave, state, told });
+            }
+            Action::Abdicate => self.abdicated = true,
+        }
+    }
+
+    fn reach(&mut self, id: &ExecutorId) -> Result<&mut Fake, OrderError> {
+        if self.cut.contains(id) {
+            return Err(OrderError::Silent);
+        }
+        let fake = self.fakes.get_mut(id).ok_or(OrderError::Silent)?;
+        if fake.down {
+            return Err(OrderError::Silent);
+        }
+        Ok(fake)
+    }
+
+    fn start(&mut self, order: Start) {
+        let now = self.now.at;
+        let job = self.records.iter().find_map(|record| match record {
+            Record::Accepted(job) if job.id == order.task.job => Some(job.clone()),
+            _ => None,
+        });
+        let step = job.expect("a job in the log").steps[order.task.step as usize].clone();
+        let (ms, how) = (self.script)(&order.task, order.run);
+        let ends = (!step.lasting).then(|| (now + Duration::from_millis(ms), how));
+        let id = order.target.executor.clone();
+        let result = self
+            .reach(&id)
+            .and_then(|fake| fake.start(now, &order, step.reserved(), ends));
+        if result.is_ok() {
+            self.starts.push((now, order.task, order.run, id));
+            assert!(
+                !self.done.contains(&order.task),
+                "{} began after its end",
+                order.task
+            );
+        }
+        if self.lost > 0 && result.is_ok() {
+            self.lost -= 1;
+            let result = Err(OrderError::Silent);
+            return self.later(500, Event::Started { order, result });
+        }
+        self.later(TRIP_MS, Event::Started { order, result });
+    }
+}
--- /dev/null
+++ b/tests/batch/world/operators.rs
@@ -0,0 +1,82 @@
+//! What operators write.
+
+use std::rc::Rc;
+
+use mimosastep::batch::Demand;
+use mimosastep::batch::Event;
+use mimosastep::batch::Orders;
+use mimosastep::batch::Policy;
+use mimosastep::batch::Team;
+use mimosastep::batch::Wave;
+use mimosastep::name::DcName;
+use mimosastep::name::HostName;
+
+use crate::world::World;
+use crate::world::team;
+
+impl World {
+    /// Changes what operators have written, and tells the owner.
+    pub fn write_orders(&mut self, change: impl FnOnce(&mut Orders)) {
+        change(&mut self.orders);
+        let orders = self.orders.clone();
+        self.dispatcher.handle(self.now, Event::Orders(orders));
+    }
+
+    /// Changes the configuration.
+    pub fn configure(&mut self, change: impl FnOnce(&mut Policy)) {
+        self.write_orders(|orders| {
+            let policy = orders.policy.as_ref().expect("a policy");
+            let mut policy = (**policy).clone();
+            policy.version += 1;
+            change(&mut policy);
+            orders.policy = Some(Rc::new(policy));
+        });
+    }
+
+    pub fn ask_wave(&mut self, hosts: &[&str], period: u64, limit: u32) {
+        let hosts = hosts
+            .iter()
+            .map(|host| HostName::new(host).expect("a name"));
+        let wave = Wave {
+            number: 1,
+            hosts: hosts.collect(),
+            period,
+            limit,
+        };
+        self.write_orders(|orders| {
+            orders.waves.insert(1, wave);
+        });
+    }
+
+    /// Lets only the advice service say where a queue's steps run.
+    pub fn advise(&mut self, pool: &str) {
+        self.configure(|policy| {
+            for queue in &mut policy.queues {
+                queue.advised |= queue.name.as_str() == pool;
+            }
+        });
+    }
+
+    /// Gives a team a weight, and a limit on the processor that it may have running.
+    pub fn admit_team(&mut self, name: &str, weight: u64, cpu: u64) {
+        let limit = Demand {
+            cpu,
+            ..Demand::default()
+        };
+        self.configure(|policy| {
+            policy.teams.insert(team(name), Team { weight, limit });
+        });
+    }
+
+    /// Lets no more work go to a data centre, or lets it go there again.
+    pub fn close(&mut self, dc: &str, closed: bool) {
+        let dc = DcName::new(dc).expect("a name");
+        self.write_orders(|orders| {
+            if closed {
+                orders.closed.insert(dc);
+            } else {
+                orders.closed.remove(&dc);
+            }
+        });
+    }
+}
