Let only strong machines be the owner while there are any

Cause: on the grown deployment three quarters of the machines have 0.12 core. Change: a process with less than 0.2 core, by its settings, stands by: it looks at the group's members and joins only if no strong one has been there for 1.5 s.

--- a/src/batch/election.rs
+++ b/src/batch/election.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_channel::oneshot;
 use slog::Logger;
@@ -12,9 +13,11 @@
 
 use crate::batch::Answer;
 use crate::batch::Ask;
+use crate::batch::Candidacy;
 use crate::batch::Fence;
 use crate::batch::Meters;
 use crate::batch::Platform;
+use crate::batch::Strength;
 use crate::batch::owner::Owner;
 use crate::batch::view::View;
 use crate::name::NodeName;
@@ -29,6 +32,7 @@
     node: NodeName,
     log: Logger,
     meters: Meters,
+    strength: Strength,
     owner: RefCell<Option<Owner>>,
     stopping: Cell<bool>,
 }
@@ -41,6 +45,7 @@
         node: NodeName,
         log: Logger,
         meters: Meters,
+        strength: Strength,
     ) -> Rc<Self> {
         let election = Rc::new(Self {
             platform,
@@ -48,6 +53,7 @@
             node,
             log,
             meters,
+            strength,
             owner: RefCell::new(None),
             stopping: Cell::new(false),
         });
@@ -64,14 +70,42 @@
     /// Ends this process's reign, if it has one, and lets another process begin.
     pub async fn stop(&self) {
         self.stopping.set(true);
+        self.withdraw().await;
+    }
+
+    async fn withdraw(&self) {
         self.owner.take();
         self.platform.leave().await;
     }
 
+    /// Looks who takes part, if this process must know.
+    async fn look(&self, candidacy: &mut Candidacy) {
+        if !candidacy.wants_look(Instant::now()) {
+            return;
+        }
+        let was = candidacy.is_open();
+        let attended = self.platform.is_attended().await.ok();
+        candidacy.looked(Instant::now(), attended);
+        if candidacy.is_open() != was {
+            info!(self.log, "election"; "takes_part" => candidacy.is_open(),
+                "strong_process" => attended);
+        }
+    }
+
     async fn run(self: Rc<Self>) {
         let mut generation = 0;
         let mut reached = true;
+        let mut candidacy = Candidacy::new(self.strength, Instant::now());
         while !self.stopping.get() {
+            self.look(&mut candidacy).await;
+            if !candidacy.is_open() {
+                if generation > 0 {
+                    self.withdraw().await;
+                    generation = 0;
+                }
+                compio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+                continue;
+            }
             match self.platform.join(generation).await {
                 Ok(_) if self.stopping.get() => return,
                 Ok(membership) => {
@@ -91,8 +125,7 @@
             }
             if self.is_over() {
                 // The election's own view lags behind the executors' or the log's.
-                self.owner.take();
-                self.platform.leave().await;
+                self.withdraw().await;
                 generation = 0;
             }
             compio::time::sleep(Duration::from_millis(RENEW_MS)).await;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -3,6 +3,7 @@
 mod advisor;
 mod book;
 mod call;
+mod candidacy;
 mod carried;
 mod demand;
 mod demand_meter;
@@ -40,6 +41,8 @@
 pub use call::Done;
 pub use call::Draft;
 pub use call::Refusal;
+pub use candidacy::Candidacy;
+pub use candidacy::Strength;
 pub use carried::Carried;
 pub use demand::Demand;
 pub use desk::Desk;
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -113,6 +113,12 @@
     /// Leaves the election, so that another process becomes the owner at once.
     async fn leave(&self);
 
+    /// Whether a strong process takes part in the election.
+    ///
+    /// # Errors
+    /// [`Unreachable`] if there was no answer.
+    async fn is_attended(&self) -> Result<bool, Unreachable>;
+
     /// Address of the owner's process, if there is one.
     ///
     /// # Errors
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! Decisions on jobs, driven in virtual time against executors, hosts and a log in memory.
 
+mod candidacy;
 mod entries;
 mod fake;
 mod faults;
