Look at the executors once for all waiting tasks, and index what runs where

Cause: an owner on half a core falls behind on the grown deployments (350 executors, about 500 starts a second). A profile of the owner's decisions in virtual time, at that size (new test `large`), showed 16% of the time in comparing names, 21% in `choose` and `suits`, which looked at every executor for every task, and most of the rest in scans of all runs for each end, of all executors for each host, and of all hosts for each host of a wave, at every look. Ruled out: the ranking of jobs (2%). Change: the rooms of a service are taken down once a look and kept up to date while tasks are placed (`room.rs`, pure); runs are indexed by task, executors by host, hosts by name; waves are looked at every 50 ms, due jobs every 20 ms, meters every 250 ms. `Demand::allows` counts how many tasks a team's limit leaves, once a step.

--- a/src/batch/advisor.rs
+++ b/src/batch/advisor.rs
@@ -20,10 +20,13 @@
 /// Time between two questions for a step for which no executor was good, in milliseconds.
 const RETRY_MS: u64 = 500;
 
+/// Executors that may run a step, with their tickets.
+pub type Good = BTreeMap<ExecutorId, Arc<str>>;
+
 /// Advice on one step.
 #[derive(Debug)]
 struct Known {
-    good: BTreeMap<ExecutorId, Arc<str>>,
+    good: Good,
     until: Instant,
 }
 
@@ -41,11 +44,10 @@
         self.known.get(step).is_some_and(|known| now < known.until)
     }
 
-    /// Whether an executor may run a step: any may where no advice is needed.
+    /// The executors that may run a step; `None` where no advice was asked for.
     #[must_use]
-    pub fn allows(&self, step: &StepId, executor: &ExecutorId) -> bool {
-        let known = self.known.get(step);
-        known.is_none_or(|known| known.good.contains_key(executor))
+    pub fn good(&self, step: &StepId) -> Option<&Good> {
+        self.known.get(step).map(|known| &known.good)
     }
 
     /// The ticket for a step on an executor.
--- a/src/batch/demand.rs
+++ b/src/batch/demand.rs
@@ -23,6 +23,15 @@
             && used.gpu + self.gpu <= capacity.gpu
     }
 
+    /// How many times `each` fits beside `used` under this limit, of which 0 means none.
+    #[must_use]
+    pub fn allows(&self, used: &Self, each: &Self) -> u64 {
+        let cpu = times(self.cpu, used.cpu, each.cpu);
+        let memory = times(self.memory, used.memory, each.memory);
+        let gpu = times(self.gpu, used.gpu, each.gpu);
+        cpu.min(memory).min(gpu)
+    }
+
     /// Adds another amount.
     pub const fn add(&mut self, other: &Self) {
         self.cpu += other.cpu;
@@ -37,3 +46,17 @@
         self.gpu = self.gpu.saturating_sub(other.gpu);
     }
 }
+
+/// How many times `each` fits beside `used` under a limit, of which 0 means none.
+const fn times(limit: u64, used: u64, each: u64) -> u64 {
+    if limit == 0 {
+        return u64::MAX;
+    }
+    let Some(left) = limit.checked_sub(used) else {
+        return 0;
+    };
+    match left.checked_div(each) {
+        Some(count) => count,
+        None => u64::MAX,
+    }
+}
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -31,6 +31,7 @@
 use crate::batch::Now;
 use crate::batch::Orders;
 use crate::batch::Record;
+use crate::batch::TaskId;
 use crate::batch::advisor::Advisor;
 use crate::batch::book::Book;
 use crate::batch::demand_meter::DemandMeter;
@@ -45,6 +46,10 @@
 
 /// Runs of an owner are numbered from its fence times this on, so that they rise over all owners.
 const RUNS_PER_FENCE: u64 = 1_000_000;
+/// Time between two looks for jobs that have become due.
+const OPEN_PACE: Duration = Duration::from_millis(20);
+/// Time between two readings of the meters.
+const METER_PACE: Duration = Duration::from_millis(250);
 /// How long a job that is over can be asked for, in milliseconds.
 const RETENTION_MS: u64 = 150_000;
 
@@ -64,10 +69,14 @@
     advisor: Advisor,
     waves: Waves,
     pools: Pools,
-    hosts: Vec<Host>,
+    hosts: BTreeMap<HostName, Host>,
     missing: BTreeMap<HostName, Instant>,
     meter: DemandMeter,
     seats: BTreeMap<ExecutorId, Seat>,
+    // Executors by the host that they say they are a life of.
+    lives: BTreeMap<HostName, Vec<ExecutorId>>,
+    // Where runs of a task are, or may be.
+    runs: BTreeMap<TaskId, Vec<(ExecutorId, u64)>>,
     orders: Orders,
     usage: BTreeMap<TeamName, Demand>,
     active: BTreeSet<JobId>,
@@ -81,6 +90,9 @@
     carried: Instant,
     rewritten: u64,
     balanced: Instant,
+    upkept: Instant,
+    opened: Instant,
+    measured: Instant,
     told: Instant,
     dirty: bool,
     ends: [u64; How::ALL.len()],
@@ -102,11 +114,13 @@
             advisor: Advisor::default(),
             waves: Waves::new(&book.kept),
             pools: Pools::default(),
-            hosts: Vec::new(),
+            hosts: BTreeMap::new(),
             missing: BTreeMap::new(),
             meter: DemandMeter::default(),
             book,
             seats: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            runs: BTreeMap::new(),
             orders: Orders::default(),
             usage: BTreeMap::new(),
             active,
@@ -120,6 +134,9 @@
             carried: now.at,
             rewritten: now.unix,
             balanced: now.at,
+            upkept: now.at,
+            opened: now.at,
+            measured: now.at,
             told: now.at,
             dirty: true,
             ends: [0; How::ALL.len()],
@@ -144,6 +161,7 @@
             Event::Orders(orders) => {
                 self.waves.ask(now.at, &orders.waves);
                 self.orders = orders;
+                self.note_missing(now);
                 self.dirty = true;
             }
             Event::Executors(list) => self.list(now, list),
@@ -155,7 +173,11 @@
                 result,
             } => self.held(now, &order, sent, result),
             Event::Started { order, result } => self.started(now, &order, result),
-            Event::Hosts(hosts) => self.hosts = hosts,
+            Event::Hosts(hosts) => {
+                let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
+                self.hosts = hosts.collect();
+                self.note_missing(now);
+            }
             Event::Transferred { order, result } => self.transferred(now, &order, result),
             Event::Advised { question, result } => {
                 self.advisor.answered(now.at, &question, result);
@@ -197,7 +219,11 @@
     }
 
     /// Brings the meters up to date.
-    pub fn measure(&mut self, meters: &Meters) {
+    pub fn measure(&mut self, now: Now, meters: &Meters) {
+        if now.at < self.measured + METER_PACE {
+            return;
+        }
+        self.measured = now.at;
         let running = self.seats.values().map(|seat| seat.slots.len()).sum();
         meters.set_levels(self.active.len(), running, self.seats.len(), self.fence);
         meters.note_ends(&std::mem::take(&mut self.ends));
@@ -265,6 +291,10 @@
     }
 
     fn open_due(&mut self, now: Now) {
+        if now.at < self.opened + OPEN_PACE {
+            return;
+        }
+        self.opened = now.at;
         for id in &self.active {
             if let Some(entry) = self.book.jobs.get_mut(id)
                 && entry.open_due(now.unix)
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -1,20 +1,21 @@
 //! Which waiting tasks start now, and where.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::batch::Action;
 use crate::batch::Demand;
 use crate::batch::Dispatcher;
 use crate::batch::Entry;
+use crate::batch::Executor;
+use crate::batch::Job;
 use crate::batch::JobId;
 use crate::batch::Now;
 use crate::batch::Step;
 use crate::batch::StepId;
-use crate::batch::TaskId;
 use crate::batch::rank::Rank;
-use crate::batch::seat::Seat;
+use crate::batch::room::Room;
+use crate::batch::room::Rooms;
+use crate::batch::room::Wish;
 use crate::batch::stage::Stage;
 use crate::name::ExecutorId;
 use crate::name::ServiceName;
@@ -23,9 +24,15 @@
 impl Dispatcher {
     /// Starts the tasks that are due, in the order of their jobs' ranks, while there is room.
     pub(super) fn place(&mut self, now: Now) {
+        let ranked = self.ranked(now);
+        if ranked.is_empty() {
+            return;
+        }
         let unclear = self.seats.values().filter(|seat| !seat.cleared);
         let unclear: BTreeSet<ServiceName> = unclear.map(|seat| seat.service.clone()).collect();
-        for id in self.ranked(now) {
+        let hidden = self.hidden();
+        let mut rooms = self.rooms(now);
+        for id in ranked {
             let Some(entry) = self.book.jobs.get(&id) else {
                 continue;
             };
@@ -34,7 +41,7 @@
                 continue;
             }
             for (occurrence, step) in ready(entry) {
-                self.place_step(now, id, occurrence, step);
+                self.place_step(now, &mut rooms, &hidden, id, occurrence, step);
             }
         }
     }
@@ -53,249 +60,155 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn place_step(&mut self, now: Now, id: JobId, occurrence: u32, number: u32) {
+    /// The executors that take new work.
+    pub(super) fn rooms(&self, now: Now) -> Rooms {
+        let mut rooms = Rooms::default();
+        for seat in self.seats.values().filter(|seat| seat.is_open(now.at)) {
+            if let Some(info) = seat.info.as_ref().filter(|info| self.is_usable(info)) {
+                rooms.add(Room::new(info.clone(), seat.used, seat.lasting()));
+            }
+        }
+        rooms
+    }
+
+    fn is_usable(&self, info: &Executor) -> bool {
+        let host = info.host.as_ref();
+        let evacuated = self.orders.closed.contains(&info.dc);
+        !evacuated && !self.pools.is_closed(host) && !self.waves.is_closed(host)
+    }
+
+    fn place_step(
+        &mut self,
+        now: Now,
+        rooms: &mut Rooms,
+        hidden: &Demand,
+        id: JobId,
+        occurrence: u32,
+        number: u32,
+    ) {
         let Some(entry) = self.book.jobs.get(&id) else {
             return;
         };
-        let Some(step) = entry.job.steps.get(number as usize).cloned() else {
+        let job = entry.job.clone();
+        let Some(step) = job.steps.get(number as usize) else {
             return;
         };
-        let service = entry.job.service.clone();
-        let team = entry.job.team.clone();
-        let stage = &entry.occurrences[&occurrence][number as usize];
-        let mut spread = stage.spread();
+        let rooms = rooms.of_mut(&job.service);
         let place = StepId {
             job: id,
             occurrence,
             step: number,
         };
+        if self.is_advised(&job) && !self.consult(now, place, rooms, step) {
+            return;
+        }
+        let entry = &self.book.jobs[&id];
+        let stage = &entry.occurrences[&occurrence][number as usize];
+        let good = self.advisor.good(&place);
+        let wish = Wish::new(step, good, rooms, stage.placed());
         let idle = stage.tasks.iter().enumerate();
         let idle = idle.filter(|(_, task)| task.is_idle());
         let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
-        if self.is_advised(id) && !self.consult(now, id, occurrence, number, &service, &step) {
-            return;
-        }
-        if step.gang {
-            return self.place_gang(now, id, occurrence, number, &idle);
+        let most = self.allowed(job.team.as_ref(), hidden, &step.demand);
+        let starts = if step.gang {
+            self.place_gang(rooms, wish, &idle, most)
+        } else {
+            self.place_each(rooms, wish, &idle, most)
+        };
+        for (index, executor, run) in starts {
+            self.start(now, &executor, place.task(index), run);
         }
-        for (index, last) in idle {
-            if !self.allows(team.as_ref(), &step.demand) {
-                return;
-            }
-            let wish = Wish {
-                id: place,
-                service: &service,
-                step: &step,
-                spread: &spread,
-                planned: &BTreeMap::new(),
-            };
-            let Some(executor) = self.choose(now, &wish) else {
-                return;
+    }
+
+    /// Finds places for tasks of a step while there is room.
+    fn place_each(
+        &self,
+        rooms: &mut [Room],
+        mut wish: Wish,
+        idle: &[(u32, u64)],
+        most: usize,
+    ) -> Vec<(u32, ExecutorId, u64)> {
+        let mut starts = Vec::new();
+        for &(index, last) in idle.iter().take(most) {
+            let Some(executor) = wish.take(rooms) else {
+                break;
             };
-            *spread.entry(executor.clone()).or_default() += 1;
-            let task = TaskId {
-                job: id,
-                occurrence,
-                step: number,
-                index,
+            starts.push((index, executor, self.next_run(last)));
+        }
+        starts
+    }
+
+    /// Finds places for all tasks of a gang, or none.
+    fn place_gang(
+        &self,
+        rooms: &mut [Room],
+        mut wish: Wish,
+        idle: &[(u32, u64)],
+        most: usize,
+    ) -> Vec<(u32, ExecutorId, u64)> {
+        let count = wish.step.count as usize;
+        if idle.len() < count || most < count {
+            return Vec::new();
+        }
+        let mut planned = rooms.to_vec();
+        let last = idle.iter().map(|&(_, last)| last).max().unwrap_or(0);
+        let run = self.next_run(last);
+        let mut starts = Vec::new();
+        for &(index, _) in idle {
+            let Some(executor) = wish.take(&mut planned) else {
+                return Vec::new();
             };
-            let run = self.next_run(last);
-            self.start(now, &executor, task, run);
+            starts.push((index, executor, run));
         }
+        rooms.clone_from_slice(&planned);
+        starts
     }
 
-    fn is_advised(&self, id: JobId) -> bool {
+    fn is_advised(&self, job: &Job) -> bool {
         let policy = self.orders.policy.as_ref();
-        let entry = self.book.jobs.get(&id);
-        let queue = entry.and_then(|entry| policy?.named(&entry.job.queue));
+        let queue = policy.and_then(|policy| policy.named(&job.queue));
         queue.is_some_and(|queue| queue.advised)
     }
 
     /// Asks the advice service for a step where need be; returns whether there is advice.
-    fn consult(
-        &mut self,
-        now: Now,
-        job: JobId,
-        occurrence: u32,
-        number: u32,
-        service: &ServiceName,
-        step: &Step,
-    ) -> bool {
-        let id = StepId {
-            job,
-            occurrence,
-            step: number,
-        };
+    fn consult(&mut self, now: Now, id: StepId, rooms: &[Room], step: &Step) -> bool {
         if self.advisor.has(now.at, &id) {
             return true;
         }
-        let free = Demand::default();
-        let fitting = self.seats.iter();
-        let fitting = fitting.filter(|(_, seat)| self.suits(now, service, step, seat, &free));
-        let fitting = fitting.map(|(id, _)| id.clone()).collect();
+        let fitting = rooms.iter().filter(|room| room.suits(step));
+        let fitting = fitting.map(|room| room.executor().clone()).collect();
         if let Some(question) = self.advisor.ask(now.at, id, fitting) {
             self.actions.push(Action::Consult(question));
         }
         false
     }
 
-    /// Starts all tasks of a gang, or none.
-    fn place_gang(
-        &mut self,
-        now: Now,
-        id: JobId,
-        occurrence: u32,
-        number: u32,
-        idle: &[(u32, u64)],
-    ) {
-        let Some(entry) = self.book.jobs.get(&id) else {
-            return;
-        };
-        let step = entry.job.steps[number as usize].clone();
-        let service = entry.job.service.clone();
-        let team = entry.job.team.clone();
-        if idle.len() < step.count as usize {
-            return;
-        }
-        let whole = times(&step.demand, u64::from(step.count));
-        if !self.allows(team.as_ref(), &whole) {
-            return;
-        }
-        let place = StepId {
-            job: id,
-            occurrence,
-            step: number,
-        };
-        let mut spread = BTreeMap::new();
-        let mut planned: BTreeMap<ExecutorId, Demand> = BTreeMap::new();
-        let mut places = Vec::with_capacity(idle.len());
-        for _ in idle {
-            let wish = Wish {
-                id: place,
-                service: &service,
-                step: &step,
-                spread: &spread,
-                planned: &planned,
-            };
-            let Some(executor) = self.choose(now, &wish) else {
-                return;
-            };
-            *spread.entry(executor.clone()).or_default() += 1;
-            let demand = planned.entry(executor.clone()).or_default();
-            demand.add(&step.reserved());
-            places.push(executor);
-        }
-        let last = idle.iter().map(|&(_, last)| last).max().unwrap_or(0);
-        let run = self.next_run(last);
-        for (&(index, _), executor) in idle.iter().zip(&places) {
-            let task = TaskId {
-                job: id,
-                occurrence,
-                step: number,
-                index,
-            };
-            self.start(now, executor, task, run);
-        }
-    }
-
-    /// Whether a team may have that much more running.
-    fn allows(&self, team: Option<&TeamName>, demand: &Demand) -> bool {
-        let Some(team) = team else {
-            return true;
-        };
-        let policy = self.orders.policy.as_ref();
-        let Some(limit) = policy.and_then(|policy| policy.teams.get(team)) else {
-            return true;
-        };
-        let mut used = self.usage.get(team).copied().unwrap_or_default();
+    /// Capacity of the executors on which unknown work of any team may run.
+    fn hidden(&self) -> Demand {
+        let mut hidden = Demand::default();
         for seat in self.seats.values().filter(|seat| !seat.cleared) {
             if let Some(info) = &seat.info {
-                used.add(&info.capacity);
+                hidden.add(&info.capacity);
             }
         }
-        let unlimited = |limit: u64| if limit == 0 { u64::MAX } else { limit };
-        let limit = Demand {
-            cpu: unlimited(limit.limit.cpu),
-            memory: unlimited(limit.limit.memory),
-            gpu: unlimited(limit.limit.gpu),
-        };
-        demand.fits(&used, &limit)
-    }
-
-    /// The executor on which a task of a step is best started now, if there is any.
-    pub(super) fn choose(&self, now: Now, wish: &Wish) -> Option<ExecutorId> {
-        let Wish {
-            id,
-            service,
-            step,
-            spread,
-            planned,
-        } = wish;
-        let beside = |executor: &ExecutorId| spread.get(executor).copied().unwrap_or(0);
-        let fitting = self.seats.iter().filter(|(executor, seat)| {
-            let planned = planned.get(*executor).copied().unwrap_or_default();
-            step.spread.is_none_or(|most| beside(executor) < most)
-                && self.advisor.allows(id, executor)
-                && self.suits(now, service, step, seat, &planned)
-        });
-        let best = fitting.min_by_key(|(executor, seat)| {
-            // Packed on few hosts, tasks leave others empty, and these can leave the pool.
-            let lasting = if step.lasting { seat.lasting() } else { 0 };
-            let rack = step.rack.as_deref();
-            let far = rack.is_some_and(|rack| !seat.has_label(rack));
-            let packed = (Reverse(lasting), Reverse(seat.load()));
-            (far, packed, beside(executor))
-        });
-        best.map(|(executor, _)| executor.clone())
+        hidden
     }
 
-    fn suits(
-        &self,
-        now: Now,
-        service: &ServiceName,
-        step: &Step,
-        seat: &Seat,
-        planned: &Demand,
-    ) -> bool {
-        let Some(info) = &seat.info else {
-            return false;
+    /// How many more tasks of a demand a team may have running.
+    fn allowed(&self, team: Option<&TeamName>, hidden: &Demand, demand: &Demand) -> usize {
+        let policy = self.orders.policy.as_ref();
+        let limits = policy.and_then(|policy| policy.teams.get(team?));
+        let Some(limits) = limits else {
+            return usize::MAX;
         };
-        if info.service != *service || !seat.is_open(now.at) {
-            return false;
-        }
-        if self.pools.is_closed(info.host.as_ref()) {
-            return false;
-        }
-        if self.orders.closed.contains(&info.dc) || self.waves.is_closed(info.host.as_ref()) {
-            return false;
-        }
-        if step
-            .label
-            .as_deref()
-            .is_some_and(|label| !seat.has_label(label))
-        {
-            return false;
+        let mut used = *hidden;
+        if let Some(own) = team.and_then(|team| self.usage.get(team)) {
+            used.add(own);
         }
-        let mut used = seat.used;
-        used.add(planned);
-        step.reserved().fits(&used, &info.capacity)
+        usize::try_from(limits.limit.allows(&used, demand)).unwrap_or(usize::MAX)
     }
 }
 
-/// A task that is to be placed.
-pub(super) struct Wish<'a> {
-    /// Its step.
-    pub id: StepId,
-    /// Service whose executors run it.
-    pub service: &'a ServiceName,
-    /// What it needs.
-    pub step: &'a Step,
-    /// Tasks of its step by executor.
-    pub spread: &'a BTreeMap<ExecutorId, u32>,
-    /// What is planned on executors besides what they run.
-    pub planned: &'a BTreeMap<ExecutorId, Demand>,
-}
-
 /// The steps, by occurrence, that wait for none and have tasks to start.
 fn ready(entry: &Entry) -> Vec<(u32, u32)> {
     let mut found = Vec::new();
@@ -309,11 +222,3 @@
     }
     found
 }
-
-const fn times(demand: &Demand, count: u64) -> Demand {
-    Demand {
-        cpu: demand.cpu * count,
-        memory: demand.memory * count,
-        gpu: demand.gpu * count,
-    }
-}
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -14,8 +14,6 @@
 use crate::batch::OrderError;
 use crate::batch::Transfer;
 use crate::batch::dispatcher::upkeeping::is_settling;
-use crate::batch::dispatcher::upkeeping::load;
-use crate::batch::dispatcher::upkeeping::stands_on;
 use crate::batch::pools::Member;
 use crate::batch::pools::PoolView;
 use crate::batch::upkeep::Load;
@@ -94,7 +92,7 @@
             let used = policy.queues.iter().any(|queue| queue.service == *service);
             let forecast = self.meter.forecast(now.at, service);
             let running = running.remove(service).unwrap_or_default();
-            let hosts = self.hosts.iter().filter(|host| host.pool == *service);
+            let hosts = self.hosts.values().filter(|host| host.pool == *service);
             let hosts = hosts
                 .map(|host| self.member(now, host, pool.spare))
                 .collect();
@@ -110,7 +108,7 @@
     }
 
     fn member(&self, now: Now, host: &Host, spare: bool) -> Member {
-        let seat = self.seats.values().find(|seat| stands_on(seat, &host.name));
+        let seat = self.on_host(&host.name).next().map(|(_, seat)| seat);
         let here = seat.and_then(|seat| seat.info.as_ref());
         let here = here.is_some_and(|info| info.service == host.pool && !info.draining);
         let here = here && seat.is_some_and(|seat| seat.resolved && !seat.silent);
@@ -120,7 +118,7 @@
         Member {
             host: host.name.clone(),
             cpu: host.capacity.cpu,
-            idle: load(self.seats.values(), &host.name) == Load::default(),
+            idle: self.load(&host.name) == Load::default(),
             open: host.phase == HostPhase::Up && (spare || here) && !closed && !due,
         }
     }
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -1,6 +1,7 @@
 //! Which executors there are.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use slog::info;
 
@@ -37,6 +38,8 @@
             self.list_one(now, executor);
         }
         self.release_gone();
+        self.index_hosts();
+        self.note_missing(now);
         self.dirty = true;
     }
 
@@ -59,7 +62,7 @@
         seat.addr = executor.addr;
         seat.service = executor.service.clone();
         seat.born = Some(executor.born);
-        seat.info = Some(executor);
+        seat.info = Some(Rc::new(executor));
         if reborn {
             self.reset(now, &id);
         }
@@ -105,13 +108,7 @@
 
     /// The executor of a host is gone with all that ran there; another one will come.
     pub(super) fn retire(&mut self, now: Now, host: &HostName) {
-        let on = |seat: &Seat| {
-            seat.info
-                .as_ref()
-                .is_some_and(|info| info.host.as_ref() == Some(host))
-        };
-        let ids = self.seats.iter().filter(|(_, seat)| on(seat));
-        let ids: Vec<ExecutorId> = ids.map(|(id, _)| id.clone()).collect();
+        let ids = self.lives.get(host).cloned().unwrap_or_default();
         for id in ids {
             self.free_all(&id);
             if let Some(seat) = self.seats.get_mut(&id) {
@@ -121,6 +118,26 @@
             }
             self.append(vec![Record::Released(id)]);
         }
+        self.note_missing(now);
+    }
+
+    /// Notes which executors say that they are lives of which hosts.
+    fn index_hosts(&mut self) {
+        self.lives.clear();
+        for (id, seat) in &self.seats {
+            let info = seat.info.as_ref();
+            if let Some(host) = info.and_then(|info| info.host.as_ref()) {
+                let lives = self.lives.entry(host.clone()).or_default();
+                lives.push(id.clone());
+            }
+        }
+    }
+
+    /// Executors of a host that have not been ended by an order.
+    pub(super) fn on_host(&self, host: &HostName) -> impl Iterator<Item = (&ExecutorId, &Seat)> {
+        let lives = self.lives.get(host).into_iter().flatten();
+        let seats = lives.filter_map(|id| self.seats.get_key_value(id));
+        seats.filter(|(_, seat)| !seat.is_retired())
     }
 
     /// Forgets what ran on an executor that began another life.
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -179,24 +179,23 @@
 
     /// Stops all runs of a job.
     pub(super) fn stop_all(&mut self, job: JobId) {
-        let runs = self.seats.iter().flat_map(|(id, seat)| {
-            let runs = seat.slots.keys().filter(|(task, _)| task.job == job);
-            runs.map(|&(task, run)| (id.clone(), task, run))
-        });
-        let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
-        for (id, task, run) in runs {
-            self.stop(&id, task, run);
+        let first = TaskId {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let tasks = self.runs.range(first..).map(|(&task, _)| task);
+        let tasks: Vec<TaskId> = tasks.take_while(|task| task.job == job).collect();
+        for task in tasks {
+            self.stop_copies(task);
         }
     }
 
-    /// Stops other runs of a task that is done.
-    pub(super) fn stop_copies(&mut self, done: TaskId) {
-        let runs = self.seats.iter().flat_map(|(id, seat)| {
-            let runs = seat.slots.keys().filter(|(task, _)| *task == done);
-            runs.map(|&(task, run)| (id.clone(), task, run))
-        });
-        let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
-        for (id, task, run) in runs {
+    /// Stops the runs that a task still has.
+    pub(super) fn stop_copies(&mut self, task: TaskId) {
+        let runs = self.runs.get(&task).cloned().unwrap_or_default();
+        for (id, run) in runs {
             self.stop(&id, task, run);
         }
     }
@@ -212,6 +211,7 @@
             used.add(&slot.demand);
         }
         seat.slots.insert((task, run), slot);
+        self.runs.entry(task).or_default().push((id.clone(), run));
     }
 
     /// Gives a run's room back, and lets its task be started anew.
@@ -225,6 +225,7 @@
             used.sub(&slot.demand);
         }
         self.dirty = true;
+        self.leave(id, task, run);
         let entry = self.book.jobs.get_mut(&task.job);
         if let Some(state) = entry.and_then(|entry| entry.task_mut(&task))
             && state.placed.as_ref() == Some(id)
@@ -235,6 +236,16 @@
         Some(slot)
     }
 
+    fn leave(&mut self, id: &ExecutorId, task: TaskId, run: u64) {
+        let Some(runs) = self.runs.get_mut(&task) else {
+            return;
+        };
+        runs.retain(|(executor, number)| executor != id || *number != run);
+        if runs.is_empty() {
+            self.runs.remove(&task);
+        }
+    }
+
     /// Gives back the room of all runs of an executor.
     pub(super) fn free_all(&mut self, id: &ExecutorId) {
         let Some(seat) = self.seats.get(id) else {
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -1,6 +1,5 @@
 //! Takes hosts down for their upkeep, emptied first.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -16,16 +15,19 @@
 use crate::batch::OrderError;
 use crate::batch::Record;
 use crate::batch::TaskId;
-use crate::batch::dispatcher::placing;
+use crate::batch::room::Rooms;
+use crate::batch::room::Wish;
 use crate::batch::seat::Seat;
 use crate::batch::slot::Phase;
 use crate::batch::stage::Stage;
+use crate::batch::upkeep;
 use crate::batch::upkeep::HostState;
 use crate::batch::upkeep::Load;
-use crate::batch::upkeep::Wish;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 
+/// Time between two looks at the waves, in milliseconds.
+const LOOK_MS: u64 = 50;
 /// Time after an earlier owner's order for a host in which this one gives none, in milliseconds.
 const SETTLE_MS: u64 = 3_300;
 /// Time after which nothing runs any more on a host whose executor isn't listed, in milliseconds.
@@ -34,15 +36,18 @@
 impl Dispatcher {
     /// Follows the waves that operators ask for.
     pub(super) fn upkeep(&mut self, now: Now) {
-        self.note_missing(now);
+        if now.at < self.upkept + Duration::from_millis(LOOK_MS) {
+            return;
+        }
+        self.upkept = now.at;
         let mut waves = std::mem::take(&mut self.waves);
         let wishes = waves.plan(now.at, |host| self.host_state(now, host));
         self.waves = waves;
         for (wave, host, wish) in wishes {
             match wish {
-                Wish::TakeDown => self.take_down(now, wave, host),
-                Wish::Empty => self.empty(now, &host, false),
-                Wish::Clear => self.empty(now, &host, true),
+                upkeep::Wish::TakeDown => self.take_down(now, wave, host),
+                upkeep::Wish::Empty => self.empty(now, &host, false),
+                upkeep::Wish::Clear => self.empty(now, &host, true),
             }
         }
         for (wave, state) in self.waves.tell(now.at) {
@@ -52,17 +57,16 @@
     }
 
     /// Notes since when hosts that are up have no executor that the platform lists.
-    fn note_missing(&mut self, now: Now) {
+    pub(super) fn note_missing(&mut self, now: Now) {
         let policy = self.orders.policy.as_ref();
         let spare = |host: &Host| {
             let pool = policy.and_then(|policy| policy.pools.get(&host.pool));
             pool.is_some_and(|pool| pool.spare)
         };
-        let seats = &self.seats;
-        let seated = |host: &Host| seats.values().any(|seat| stands_on(seat, &host.name));
+        let seated = |host: &Host| self.on_host(&host.name).next().is_some();
         let missing = self
             .hosts
-            .iter()
+            .values()
             .filter(|host| host.phase == HostPhase::Up && !spare(host) && !seated(host));
         let missing: BTreeSet<HostName> = missing.map(|host| host.name.clone()).collect();
         self.missing.retain(|host, _| missing.contains(host));
@@ -76,7 +80,7 @@
         if self.hosts.is_empty() {
             return HostState::Unknown;
         }
-        let listed = self.hosts.iter().find(|listed| listed.name == *host);
+        let listed = self.hosts.get(host);
         match listed.map(|listed| listed.phase) {
             Some(HostPhase::Up) => {}
             Some(HostPhase::Upkeep) => return HostState::Down,
@@ -87,11 +91,8 @@
         if is_settling(self.book.ordered.get(host), now) {
             return HostState::Down;
         }
-        let unknown = self.seats.values().filter(|seat| stands_on(seat, host));
-        let unknown = unknown
-            .filter(|seat| !seat.resolved || !seat.cleared)
-            .count()
-            > 0;
+        let unknown = |seat: &Seat| !seat.resolved || !seat.cleared;
+        let unknown = self.on_host(host).any(|(_, seat)| unknown(seat));
         let wait = Duration::from_millis(MISSING_MS);
         let missing = self
             .missing
@@ -100,7 +101,7 @@
         if unknown || missing || self.pools.is_closed(Some(host)) {
             return HostState::Unknown;
         }
-        HostState::Up(load(self.seats.values(), host))
+        HostState::Up(self.load(host))
     }
 
     fn take_down(&mut self, now: Now, wave: u64, host: HostName) {
@@ -149,24 +150,26 @@
 
     /// Stops tasks on a host: those that last, and the others as well if `all`.
     pub(super) fn empty(&mut self, now: Now, host: &HostName, all: bool) {
-        let on = |seat: &Seat| stands_on(seat, host);
-        let seats = self.seats.iter().filter(|(_, seat)| on(seat));
-        let runs = seats.flat_map(|(id, seat)| {
+        let runs = self.on_host(host).flat_map(|(id, seat)| {
             let running = seat.slots.iter();
             let running = running.filter(|(_, slot)| matches!(slot.phase, Phase::Running(_)));
             let wanted = running.filter(|(_, slot)| all || slot.lasting);
             wanted.map(|(&(task, run), _)| (id.clone(), task, run))
         });
         let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
+        if runs.is_empty() {
+            return;
+        }
+        let rooms = self.rooms(now);
         for (id, task, run) in runs {
-            if self.may_interrupt(now, &task) && (all || self.has_place(now, &task)) {
+            if self.may_interrupt(now, &task) && (all || self.has_place(&rooms, &task)) {
                 self.stop(&id, task, run);
             }
         }
     }
 
     /// Whether another executor would take a task, were it started now.
-    fn has_place(&self, now: Now, id: &TaskId) -> bool {
+    fn has_place(&self, rooms: &Rooms, id: &TaskId) -> bool {
         let Some(entry) = self.book.jobs.get(&id.job) else {
             return true;
         };
@@ -175,15 +178,10 @@
         };
         let stages = entry.occurrences.get(&id.occurrence);
         let stage = stages.and_then(|stages| stages.get(id.step as usize));
-        let spread = stage.map(Stage::spread).unwrap_or_default();
-        let wish = placing::Wish {
-            id: id.of_step(),
-            service: &entry.job.service,
-            step,
-            spread: &spread,
-            planned: &BTreeMap::new(),
-        };
-        self.choose(now, &wish).is_some()
+        let placed = stage.into_iter().flat_map(Stage::placed);
+        let rooms = rooms.of(&entry.job.service);
+        let good = self.advisor.good(&id.of_step());
+        Wish::new(step, good, rooms, placed).best(rooms).is_some()
     }
 
     /// Whether a task may be interrupted without too many of its step being away.
@@ -218,6 +216,17 @@
         away.count() < limit as usize
     }
 
+    /// What runs on a host.
+    pub(super) fn load(&self, host: &HostName) -> Load {
+        let mut load = Load::default();
+        for (_, seat) in self.on_host(host) {
+            let lasting = seat.lasting();
+            load.lasting += lasting;
+            load.passing += seat.slots.len() - lasting;
+        }
+        load
+    }
+
     fn is_at_work(&self, id: &TaskId, executor: Option<&ExecutorId>, run: u64) -> bool {
         let seat = executor.and_then(|executor| self.seats.get(executor));
         let seat = seat.filter(|seat| !seat.silent);
@@ -230,22 +239,3 @@
 pub(super) fn is_settling(ordered: Option<&u64>, now: Now) -> bool {
     ordered.is_some_and(|at| now.unix < at + SETTLE_MS)
 }
-
-pub(super) fn stands_on(seat: &Seat, host: &HostName) -> bool {
-    let info = seat.info.as_ref();
-    info.is_some_and(|info| info.host.as_ref() == Some(host)) && !seat.is_retired()
-}
-
-pub(super) fn load<'a>(seats: impl Iterator<Item = &'a Seat>, host: &HostName) -> Load {
-    let mut load = Load::default();
-    for seat in seats.filter(|seat| stands_on(seat, host)) {
-        for slot in seat.slots.values() {
-            if slot.lasting {
-                load.lasting += 1;
-            } else {
-                load.passing += 1;
-            }
-        }
-    }
-    load
-}
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -26,6 +26,7 @@
 mod pools;
 mod rank;
 mod record;
+mod room;
 mod seat;
 mod slot;
 mod stage;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -260,7 +260,7 @@
                 }
                 message = inbox.try_recv().ok();
             }
-            dispatcher.measure(&self.meters);
+            dispatcher.measure(now(), &self.meters);
             for action in dispatcher.poll(now()) {
                 if !self.act(action, &entries) {
                     return;
--- /dev/null
+++ b/src/batch/room.rs
@@ -0,0 +1,147 @@
+//! Executors that take new work, and the room that they have.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use crate::batch::Demand;
+use crate::batch::Executor;
+use crate::batch::Step;
+use crate::batch::advisor::Good;
+use crate::name::ExecutorId;
+use crate::name::ServiceName;
+
+/// An executor and what is taken of it.
+#[derive(Debug, Clone)]
+pub struct Room {
+    info: Rc<Executor>,
+    used: Demand,
+    lasting: usize,
+}
+
+impl Room {
+    /// An executor of whose capacity `used` is taken, by `lasting` tasks that last and others.
+    #[must_use]
+    pub const fn new(info: Rc<Executor>, used: Demand, lasting: usize) -> Self {
+        Self {
+            info,
+            used,
+            lasting,
+        }
+    }
+
+    /// The executor.
+    #[must_use]
+    pub fn executor(&self) -> &ExecutorId {
+        &self.info.id
+    }
+
+    /// Takes room for a task of a step.
+    pub fn take(&mut self, step: &Step) {
+        self.used.add(&step.reserved());
+        self.lasting += usize::from(step.lasting);
+    }
+
+    /// Whether a task of a step can be started there.
+    #[must_use]
+    pub fn suits(&self, step: &Step) -> bool {
+        let label = step.label.as_deref();
+        let fits = step.reserved().fits(&self.used, &self.info.capacity);
+        fits && label.is_none_or(|label| self.has_label(label))
+    }
+
+    fn has_label(&self, label: &str) -> bool {
+        self.info.labels.iter().any(|own| **own == *label)
+    }
+
+    /// Share of its processor that is taken, in thousandths.
+    fn load(&self) -> u64 {
+        let load = (self.used.cpu * 1_000).checked_div(self.info.capacity.cpu);
+        load.unwrap_or(0)
+    }
+}
+
+/// The rooms of all services.
+#[derive(Debug, Default)]
+pub struct Rooms {
+    services: BTreeMap<ServiceName, Vec<Room>>,
+}
+
+impl Rooms {
+    /// Adds a room.
+    pub fn add(&mut self, room: Room) {
+        let rooms = self.services.entry(room.info.service.clone()).or_default();
+        rooms.push(room);
+    }
+
+    /// The rooms of a service.
+    #[must_use]
+    pub fn of(&self, service: &ServiceName) -> &[Room] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The rooms of a service, to take from.
+    pub fn of_mut(&mut self, service: &ServiceName) -> &mut [Room] {
+        let rooms = self.services.get_mut(service);
+        rooms.map_or(&mut [], Vec::as_mut_slice)
+    }
+}
+
+/// A step whose tasks are to be placed.
+#[derive(Debug)]
+pub struct Wish<'a> {
+    /// The step.
+    pub step: &'a Step,
+    /// Executors on which the advice service allows it; `None` if all may run it.
+    pub good: Option<&'a Good>,
+    /// Tasks of it on each room.
+    pub beside: Vec<u32>,
+}
+
+impl<'a> Wish<'a> {
+    /// A step of which tasks run on `placed` already.
+    pub fn new<'b>(
+        step: &'a Step,
+        good: Option<&'a Good>,
+        rooms: &[Room],
+        placed: impl Iterator<Item = &'b ExecutorId>,
+    ) -> Self {
+        let mut beside = vec![0; rooms.len()];
+        for executor in placed {
+            let here = rooms.iter().position(|room| room.executor() == executor);
+            if let Some(at) = here {
+                beside[at] += 1;
+            }
+        }
+        Self { step, good, beside }
+    }
+
+    /// The room on which the next task is best started, if there is any; the room is taken.
+    pub fn take(&mut self, rooms: &mut [Room]) -> Option<ExecutorId> {
+        let at = self.best(rooms)?;
+        rooms[at].take(self.step);
+        self.beside[at] += 1;
+        Some(rooms[at].executor().clone())
+    }
+
+    /// The room on which the next task is best started, if there is any.
+    #[must_use]
+    pub fn best(&self, rooms: &[Room]) -> Option<usize> {
+        let fitting = rooms.iter().enumerate().filter(|&(at, room)| {
+            let spread = self.step.spread;
+            spread.is_none_or(|most| self.beside[at] < most)
+                && room.suits(self.step)
+                && self
+                    .good
+                    .is_none_or(|good| good.contains_key(room.executor()))
+        });
+        let best = fitting.min_by_key(|&(at, room)| {
+            // Packed on few hosts, tasks leave others empty, and these can leave the pool.
+            let lasting = if self.step.lasting { room.lasting } else { 0 };
+            let rack = self.step.rack.as_deref();
+            let far = rack.is_some_and(|rack| !room.has_label(rack));
+            (far, Reverse(lasting), Reverse(room.load()), self.beside[at])
+        });
+        best.map(|(at, _)| at)
+    }
+}
--- a/src/batch/seat.rs
+++ b/src/batch/seat.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -49,7 +50,7 @@
     /// When this life of it began, in Unix milliseconds, once it's known.
     pub born: Option<u64>,
     /// What it says of itself, while the platform lists it.
-    pub info: Option<Executor>,
+    pub info: Option<Rc<Executor>>,
     /// Whether it may be given work.
     pub engagement: Engagement,
     /// It has told this owner what it runs.
@@ -116,7 +117,7 @@
     }
 
     fn with(mut self, info: Executor) -> Self {
-        self.info = Some(info);
+        self.info = Some(Rc::new(info));
         self
     }
 
@@ -182,13 +183,6 @@
         self.slots.values().filter(|slot| slot.lasting).count()
     }
 
-    /// Whether it has a label, such as its rack.
-    #[must_use]
-    pub fn has_label(&self, label: &str) -> bool {
-        let labels = self.info.iter().flat_map(|info| &info.labels);
-        labels.into_iter().any(|own| **own == *label)
-    }
-
     /// Share of its processor that is taken, in thousandths.
     #[must_use]
     pub fn load(&self) -> u64 {
--- a/src/batch/stage.rs
+++ b/src/batch/stage.rs
@@ -1,6 +1,5 @@
 //! What is known of one step of one occurrence of a job.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::batch::task::Task;
@@ -39,13 +38,8 @@
         self.tasks.iter().any(Task::is_idle)
     }
 
-    /// Number of tasks on each executor.
-    #[must_use]
-    pub fn spread(&self) -> BTreeMap<ExecutorId, u32> {
-        let mut counts = BTreeMap::new();
-        for executor in self.tasks.iter().filter_map(|task| task.placed.as_ref()) {
-            *counts.entry(executor.clone()).or_default() += 1;
-        }
-        counts
+    /// Executors that run tasks of it, one time a task.
+    pub fn placed(&self) -> impl Iterator<Item = &ExecutorId> {
+        self.tasks.iter().filter_map(|task| task.placed.as_ref())
     }
 }
--- a/src/batch/task_id.rs
+++ b/src/batch/task_id.rs
@@ -55,6 +55,19 @@
     }
 }
 
+impl StepId {
+    /// One of its tasks.
+    #[must_use]
+    pub const fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+}
+
 impl TaskId {
     /// The step that it belongs to.
     #[must_use]
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -4,6 +4,7 @@
 mod entries;
 mod fake;
 mod faults;
+mod large;
 mod operators;
 mod pacing;
 mod peaks;
