Serve jobs beyond their team's share after the others

Cause: a team that hands in many times its usual filled the pool, as all jobs of a priority were ranked by lateness and work left alone; the weight of a team, its share when all is full, was read and not used. Change: each team has a bucket of its weight in jobs a second, filled by the times at which jobs were accepted, so that a later owner counts alike; jobs beyond it rank after all others of the service. Where there is room they start at once as before. Test: `a_team_that_floods_the_pool_hurts_only_itself` fails with the old rank (a calm team's job not done within its objective of 2.6 s) and passes now.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -31,6 +31,7 @@
 use crate::batch::Now;
 use crate::batch::Orders;
 use crate::batch::Record;
+use crate::batch::Shares;
 use crate::batch::TaskId;
 use crate::batch::advisor::Advisor;
 use crate::batch::book::Book;
@@ -72,6 +73,9 @@
     hosts: BTreeMap<HostName, Host>,
     missing: BTreeMap<HostName, Instant>,
     meter: DemandMeter,
+    shares: Shares,
+    // Jobs of which it isn't known whether they are within their team's share.
+    unmeasured: Vec<JobId>,
     seats: BTreeMap<ExecutorId, Seat>,
     // Executors by the host that they say they are a life of.
     lives: BTreeMap<HostName, Vec<ExecutorId>>,
@@ -117,6 +121,8 @@
             hosts: BTreeMap::new(),
             missing: BTreeMap::new(),
             meter: DemandMeter::default(),
+            shares: Shares::default(),
+            unmeasured: active.iter().copied().collect(),
             book,
             seats: BTreeMap::new(),
             lives: BTreeMap::new(),
@@ -269,6 +275,7 @@
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
             self.unclaimed.push(id);
+            self.unmeasured.push(id);
         } else {
             self.close(now, id);
         }
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use slog::info;
+
 use crate::batch::Action;
 use crate::batch::Demand;
 use crate::batch::Dispatcher;
@@ -24,6 +26,7 @@
 impl Dispatcher {
     /// Starts the tasks that are due, in the order of their jobs' ranks, while there is room.
     pub(super) fn place(&mut self, now: Now) {
+        self.share_out();
         let ranked = self.ranked(now);
         if ranked.is_empty() {
             return;
@@ -46,6 +49,34 @@
         }
     }
 
+    /// Marks the new jobs that are beyond their team's share.
+    fn share_out(&mut self) {
+        let Some(policy) = self.orders.policy.clone() else {
+            return;
+        };
+        let ids = std::mem::take(&mut self.unmeasured);
+        let jobs = ids.iter().filter_map(|id| self.book.jobs.get(id));
+        let jobs = jobs.map(|entry| (entry.job.accepted, entry.job.id));
+        let mut jobs: Vec<(u64, JobId)> = jobs.collect();
+        jobs.sort_unstable();
+        for (accepted, id) in jobs {
+            let Some(entry) = self.book.jobs.get_mut(&id) else {
+                continue;
+            };
+            let team = entry.job.team.as_ref();
+            let weighed = team.and_then(|name| Some((name, policy.teams.get(name)?.weight)));
+            let within = weighed.is_none_or(|(name, weight)| {
+                weight == 0 || self.shares.admit(accepted, name, weight)
+            });
+            entry.excess = Some(!within);
+            if !within {
+                info!(self.log, "beyond the team's share"; "job" => %id,
+                    "team" => entry.job.team.as_ref().map(TeamName::as_str),
+                    "weight" => weighed.map(|(_, weight)| weight));
+            }
+        }
+    }
+
     /// The active jobs with tasks to start, those to be served first in front.
     fn ranked(&self, now: Now) -> Vec<JobId> {
         let policy = self.orders.policy.as_ref();
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -54,6 +54,8 @@
     pub claimed: bool,
     /// Its tasks may have been started by an earlier owner.
     pub inherited: bool,
+    /// Whether it is beyond its team's share, once that is known.
+    pub excess: Option<bool>,
     /// When it was last written to the log as a whole, in Unix milliseconds.
     pub written: u64,
     /// When it ended, in Unix milliseconds.
@@ -75,6 +77,7 @@
             unnoted: 0,
             claimed: false,
             inherited: false,
+            excess: None,
             closed: None,
             verdict: None,
         }
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -12,6 +12,7 @@
 /// Place of a job in its service's line; the lowest comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
+    excess: bool,
     priority: u32,
     lateness: u8,
     remaining: u64,
@@ -19,8 +20,9 @@
 }
 
 impl Rank {
-    /// Place of a job at `unix` (in milliseconds): by the priority of its queue, then jobs that
-    /// can still meet their objective, then those with the least work left.
+    /// Place of a job at `unix` (in milliseconds): those within their team's share, then by the
+    /// priority of its queue, then jobs that can still meet their objective, then those with the
+    /// least work left.
     #[must_use]
     pub fn of(entry: &Entry, queue: Option<&Queue>, unix: u64) -> Self {
         let job = &entry.job;
@@ -36,6 +38,7 @@
             _ => 2,
         };
         Self {
+            excess: entry.excess == Some(true),
             priority: queue.map_or(0, |queue| queue.priority),
             lateness,
             remaining: work,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -9,5 +9,6 @@
 mod pacing;
 mod peaks;
 mod rules;
+mod teams;
 mod upkeep;
 mod world;
