Have at most 200 orders to start on their way

Thousands of calls shared half a core, one turn of the event loop took longer than the time that a read of the log has, and reads were thrown away (`log out of reach` at 26.2, 28.3 and 30.4 s while all was well): records came in at 24.2 and 30.6 s only, so jobs were started 4 s after their cancelling was acknowledged, and new jobs weren't known. Ruled out: the store (other machines read it at once), the election (one owner from 14.2 to 33 s). Change: what waits for answers stays in the ranked line instead of the event loop.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -98,6 +98,10 @@
     opened: Instant,
     measured: Instant,
     told: Instant,
+    // Orders to start that are on their way.
+    starting: usize,
+    // Tasks were left waiting for these to be answered.
+    throttled: bool,
     dirty: bool,
     ends: [u64; How::ALL.len()],
     actions: Vec<Action>,
@@ -144,6 +148,8 @@
             opened: now.at,
             measured: now.at,
             told: now.at,
+            starting: 0,
+            throttled: false,
             dirty: true,
             ends: [0; How::ALL.len()],
             actions: Vec::new(),
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -23,6 +23,9 @@
 use crate::name::ServiceName;
 use crate::name::TeamName;
 
+/// Most orders to start that are on their way.
+const START_LIMIT: usize = 200;
+
 impl Dispatcher {
     /// Starts the tasks that are due, in the order of their jobs' ranks, while there is room.
     pub(super) fn place(&mut self, now: Now) {
@@ -133,6 +136,7 @@
         if self.is_advised(&job) && !self.consult(now, place, rooms, step) {
             return;
         }
+        let most = self.unanswered_limit(step);
         let entry = &self.book.jobs[&id];
         let stage = &entry.occurrences[&occurrence][number as usize];
         let good = self.advisor.good(&place);
@@ -140,7 +144,7 @@
         let idle = stage.tasks.iter().enumerate();
         let idle = idle.filter(|(_, task)| task.is_idle());
         let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
-        let most = self.allowed(job.team.as_ref(), hidden, &step.demand);
+        let most = most.min(self.allowed(job.team.as_ref(), hidden, &step.demand));
         let starts = if step.gang {
             self.place_gang(rooms, wish, &idle, most)
         } else {
@@ -151,6 +155,19 @@
         }
     }
 
+    /// How many more tasks of a step may be ordered to start before others are answered. What
+    /// waits longer is ordered by its rank, and an owner that is short of processor still reads
+    /// answers and records in time.
+    fn unanswered_limit(&mut self, step: &Step) -> usize {
+        let left = START_LIMIT.saturating_sub(self.starting);
+        let whole = if step.gang { step.count as usize } else { 1 };
+        if left >= whole {
+            return left;
+        }
+        self.throttled = true;
+        if self.starting == 0 { whole } else { 0 }
+    }
+
     /// Finds places for tasks of a step while there is room.
     fn place_each(
         &self,
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -60,6 +60,7 @@
             Slot::of(&job, &task, Phase::Starting, now.at),
         );
         let ticket = self.advisor.ticket(now.at, &task.of_step(), id);
+        self.starting += 1;
         self.actions.push(Action::Start(Start {
             target,
             task,
@@ -77,6 +78,8 @@
     }
 
     pub(super) fn started(&mut self, now: Now, order: &Start, result: Result<(), OrderError>) {
+        self.starting = self.starting.saturating_sub(1);
+        self.dirty |= std::mem::take(&mut self.throttled);
         let id = &order.target.executor;
         let Some(seat) = self.seats.get_mut(id) else {
             return;
--- a/tests/batch/large.rs
+++ b/tests/batch/large.rs
@@ -53,9 +53,30 @@
     for (job, pool) in jobs {
         assert_eq!(world.state(pool, job), JobState::Completed, "{job}");
     }
-    assert!(world.starts.len() >= id_count(RATE * 8 * 8));
+    assert!(world.starts.len() >= count(RATE * 8 * 8));
 }
 
-fn id_count(number: u64) -> usize {
+fn count(number: u64) -> usize {
     usize::try_from(number).expect("a small number")
 }
+
+/// The pattern: an outage ends, and thousands of tasks wait for an owner that is short of
+/// processor.
+#[test]
+fn a_backlog_is_started_in_portions() {
+    let pools = POOLS.map(|pool| (pool, 70));
+    let mut world = World::new(&pools);
+    world.script = Box::new(|_, _| (640, How::Done));
+    for number in 0..400 {
+        world.submit(number, POOLS[0], vec![draft()]);
+    }
+    let mut most = 0;
+    for _ in 0..100 {
+        let begun = world.starts.len();
+        world.run(5);
+        most = most.max(world.starts.len() - begun);
+    }
+    assert!(most <= 200, "{most} starts at once");
+    world.run(10_000);
+    assert_eq!(world.done.len(), 3_200);
+}
