--- a/src/batch/followers.rs
+++ b/src/batch/followers.rs
@@ -46,7 +46,9 @@
                     let event = Event::Records(records);
                     let _ = inbox.unbounded_send(Message::Event(event));
                 }
-                compio::time::sleep(Duration::from_millis(PACE_MS)).await;
+                if next >= batch.end {
+                    compio::time::sleep(Duration::from_millis(PACE_MS)).await;
+                }
             }
             Err(ReadError::Gone(first, _)) => {
                 warn!(log, "records expired unread"; "from" => next, "to" => first);
