--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::batch::Answer;
 use crate::batch::Ask;
 use crate::batch::Demand;
+use crate::batch::Directives;
 use crate::batch::Event;
 use crate::batch::Fence;
 use crate::batch::Host;
@@ -29,7 +30,6 @@
 use crate::batch::JobState;
 use crate::batch::Meters;
 use crate::batch::Now;
-use crate::batch::Orders;
 use crate::batch::Record;
 use crate::batch::Shares;
 use crate::batch::TaskId;
@@ -81,7 +81,7 @@
     lives: BTreeMap<HostName, Vec<ExecutorId>>,
     // Where runs of a task are, or may be.
     runs: BTreeMap<TaskId, Vec<(ExecutorId, u64)>>,
-    orders: Orders,
+    directives: Directives,
     usage: BTreeMap<TeamName, Demand>,
     active: BTreeSet<JobId>,
     unclaimed: Vec<JobId>,
@@ -134,7 +134,7 @@
             seats: BTreeMap::new(),
             lives: BTreeMap::new(),
             runs: BTreeMap::new(),
-            orders: Orders::default(),
+            directives: Directives::default(),
             usage: BTreeMap::new(),
             active,
             unclaimed,
@@ -175,9 +175,9 @@
     /// Learns something. What follows from it is told by [`Self::poll`].
     pub fn handle(&mut self, now: Now, event: Event) {
         match event {
-            Event::Orders(orders) => {
-                self.waves.ask(now.at, &orders.waves);
-                self.orders = orders;
+            Event::Directives(directives) => {
+                self.waves.ask(now.at, &directives.waves);
+                self.directives = directives;
                 self.note_missing(now);
                 self.dirty = true;
             }
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -82,7 +82,7 @@
 
     /// Marks the new jobs that are beyond their team's share.
     fn share_out(&mut self) {
-        let Some(policy) = self.orders.policy.clone() else {
+        let Some(policy) = self.directives.policy.clone() else {
             return;
         };
         let ids = std::mem::take(&mut self.unmeasured);
@@ -110,7 +110,7 @@
 
     /// The active jobs with tasks to start, those to be served first in front.
     fn ranked(&self, now: Now) -> Vec<JobId> {
-        let policy = self.orders.policy.as_ref();
+        let policy = self.directives.policy.as_ref();
         let jobs = self.active.iter().filter_map(|id| self.book.jobs.get(id));
         let jobs = jobs.filter(|entry| !ready(entry).is_empty());
         let ranked = jobs.map(|entry| {
@@ -135,7 +135,7 @@
 
     fn is_usable(&self, info: &Executor) -> bool {
         let host = info.host.as_ref();
-        let evacuated = self.orders.closed.contains(&info.dc);
+        let evacuated = self.directives.closed.contains(&info.dc);
         !evacuated && !self.pools.is_closed(host) && !self.waves.is_closed(host)
     }
 
@@ -247,7 +247,7 @@
     }
 
     fn is_advised(&self, job: &Job) -> bool {
-        let policy = self.orders.policy.as_ref();
+        let policy = self.directives.policy.as_ref();
         let queue = policy.and_then(|policy| policy.named(&job.queue));
         queue.is_some_and(|queue| queue.advised)
     }
@@ -278,7 +278,7 @@
 
     /// How many more tasks of a demand a team may have running.
     fn allowed(&self, team: Option<&TeamName>, hidden: &Demand, demand: &Demand) -> usize {
-        let policy = self.orders.policy.as_ref();
+        let policy = self.directives.policy.as_ref();
         let limits = policy.and_then(|policy| policy.teams.get(team?));
         let Some(limits) = limits else {
             return usize::MAX;
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -83,7 +83,7 @@
     }
 
     fn views(&mut self, now: Now) -> Vec<PoolView> {
-        let Some(policy) = self.orders.policy.clone() else {
+        let Some(policy) = self.directives.policy.clone() else {
             return Vec::new();
         };
         let mut running = self.running();
@@ -114,7 +114,7 @@
         let here = here && seat.is_some_and(|seat| seat.resolved && !seat.silent);
         let due = self.waves.is_closed(Some(&host.name))
             || is_settling(self.book.ordered.get(&host.name), now);
-        let closed = self.orders.closed.contains(&host.dc);
+        let closed = self.directives.closed.contains(&host.dc);
         Member {
             host: host.name.clone(),
             cpu: host.capacity.cpu,
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -58,7 +58,7 @@
 
     /// Notes since when hosts that are up have no executor that the platform lists.
     pub(super) fn note_missing(&mut self, now: Now) {
-        let policy = self.orders.policy.as_ref();
+        let policy = self.directives.policy.as_ref();
         let spare = |host: &Host| {
             let pool = policy.and_then(|policy| policy.pools.get(&host.pool));
             pool.is_some_and(|pool| pool.spare)
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::Advice;
 use crate::batch::Consult;
+use crate::batch::Directives;
 use crate::batch::Executor;
 use crate::batch::Hold;
 use crate::batch::Host;
@@ -14,7 +15,6 @@
 use crate::batch::JobState;
 use crate::batch::Maintain;
 use crate::batch::OrderError;
-use crate::batch::Orders;
 use crate::batch::Pace;
 use crate::batch::Record;
 use crate::batch::Report;
@@ -37,7 +37,7 @@
 #[derive(Debug)]
 pub enum Event {
     /// What operators have written.
-    Orders(Orders),
+    Directives(Directives),
     /// All executors that the platform lists.
     Executors(Vec<Executor>),
     /// Records that followed in the log.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -89,7 +89,7 @@
 pub use platform::Unreachable;
 pub use platform::Watch;
 pub use platform::Writer;
-pub use policy::Orders;
+pub use policy::Directives;
 pub use policy::Policy;
 pub use policy::Pool;
 pub use policy::Queue;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -254,7 +254,7 @@
             };
             if self.view.changes() > changes {
                 changes = self.view.changes();
-                dispatcher.handle(now(), Event::Orders(self.view.orders()));
+                dispatcher.handle(now(), Event::Directives(self.view.directives()));
             }
             while let Some(one) = message {
                 match one {
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -7,13 +7,13 @@
 
 use crate::batch::Advice;
 use crate::batch::Consult;
+use crate::batch::Directives;
 use crate::batch::Executor;
 use crate::batch::Fence;
 use crate::batch::Hold;
 use crate::batch::Host;
 use crate::batch::Maintain;
 use crate::batch::OrderError;
-use crate::batch::Orders;
 use crate::batch::Pace;
 use crate::batch::Report;
 use crate::batch::Start;
@@ -77,12 +77,12 @@
 #[allow(async_fn_in_trait)]
 pub trait Platform: 'static {
     /// Tells of what operators write.
-    type Orders: Watch<Orders>;
+    type Directives: Watch<Directives>;
     /// Tells of the executors.
     type Executors: Watch<Vec<Executor>>;
 
     /// Watches what operators write.
-    fn orders(&self) -> Self::Orders;
+    fn directives(&self) -> Self::Directives;
 
     /// Watches the list of executors.
     fn executors(&self) -> Self::Executors;
--- a/src/batch/policy.rs
+++ b/src/batch/policy.rs
@@ -105,7 +105,7 @@
 
 /// All that operators have written, as of one moment.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Orders {
+pub struct Directives {
     /// The configuration, once there is one.
     pub policy: Option<Rc<Policy>>,
     /// Data centres that are to get no work.
--- a/src/batch/view.rs
+++ b/src/batch/view.rs
@@ -10,7 +10,7 @@
 use slog::info;
 use slog::warn;
 
-use crate::batch::Orders;
+use crate::batch::Directives;
 use crate::batch::Policy;
 use crate::batch::Unreachable;
 use crate::batch::Watch;
@@ -23,14 +23,14 @@
 /// The operators' orders, and when they were last confirmed.
 #[derive(Debug, Default)]
 pub struct View {
-    orders: RefCell<Orders>,
+    directives: RefCell<Directives>,
     confirmed: Cell<Option<Instant>>,
     changes: Cell<u64>,
 }
 
 impl View {
     /// Follows the operators' orders for as long as the process lives.
-    pub fn spawn<W: Watch<Orders> + 'static>(watch: W, log: Logger) -> Rc<Self> {
+    pub fn spawn<W: Watch<Directives> + 'static>(watch: W, log: Logger) -> Rc<Self> {
         let view = Rc::new(Self::default());
         compio::runtime::spawn(view.clone().follow(watch, log)).detach();
         view
@@ -38,8 +38,8 @@
 
     /// The orders.
     #[must_use]
-    pub fn orders(&self) -> Orders {
-        self.orders.borrow().clone()
+    pub fn directives(&self) -> Directives {
+        self.directives.borrow().clone()
     }
 
     /// Number of changes so far.
@@ -55,10 +55,10 @@
         if now > confirmed + Duration::from_millis(STALE_MS) {
             return None;
         }
-        self.orders.borrow().policy.clone()
+        self.directives.borrow().policy.clone()
     }
 
-    async fn follow<W: Watch<Orders>>(self: Rc<Self>, mut watch: W, log: Logger) {
+    async fn follow<W: Watch<Directives>>(self: Rc<Self>, mut watch: W, log: Logger) {
         let mut reached = true;
         loop {
             let asked = Instant::now();
@@ -74,16 +74,16 @@
         }
     }
 
-    fn confirm(&self, log: &Logger, asked: Instant, change: Option<Orders>) {
+    fn confirm(&self, log: &Logger, asked: Instant, change: Option<Directives>) {
         self.confirmed.set(Some(asked));
-        let Some(orders) = change else {
+        let Some(directives) = change else {
             return;
         };
-        let version = orders.policy.as_ref().map(|policy| policy.version);
+        let version = directives.policy.as_ref().map(|policy| policy.version);
         info!(log, "orders in force"; "version" => version,
-            "closed" => ?orders.closed, "waves" => orders.waves.len());
+            "closed" => ?directives.closed, "waves" => directives.waves.len());
         self.changes.set(self.changes.get() + 1);
-        *self.orders.borrow_mut() = orders;
+        *self.directives.borrow_mut() = directives;
     }
 }
 
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -15,6 +15,7 @@
 use mimosastep::batch::Ask;
 use mimosastep::batch::Book;
 use mimosastep::batch::Demand;
+use mimosastep::batch::Directives;
 use mimosastep::batch::Dispatcher;
 use mimosastep::batch::Event;
 use mimosastep::batch::How;
@@ -22,7 +23,6 @@
 use mimosastep::batch::JobId;
 use mimosastep::batch::JobState;
 use mimosastep::batch::Now;
-use mimosastep::batch::Orders;
 use mimosastep::batch::Policy;
 use mimosastep::batch::Pool;
 use mimosastep::batch::Queue;
@@ -68,7 +68,7 @@
     pub dispatcher: Dispatcher,
     pub fakes: BTreeMap<ExecutorId, Fake>,
     machines: BTreeMap<HostName, Machine>,
-    pub orders: Orders,
+    pub directives: Directives,
     events: Vec<(Instant, Event)>,
     pub records: Vec<Record>,
     pub script: Script,
@@ -162,16 +162,16 @@
                 policy.queues.push(queue(name));
             }
         }
-        let orders = Orders {
+        let directives = Directives {
             policy: Some(Rc::new(policy)),
-            ..Orders::default()
+            ..Directives::default()
         };
         let mut world = Self {
             now,
             dispatcher: Dispatcher::new(now, 1, node, Book::default(), log),
             fakes: BTreeMap::new(),
             machines: BTreeMap::new(),
-            orders,
+            directives,
             events: Vec::new(),
             records: Vec::new(),
             script: Box::new(|_, _| (1_000, How::Done)),
@@ -208,8 +208,8 @@
                 world.spare = Some(service(name));
             }
         }
-        let orders = world.orders.clone();
-        world.dispatcher.handle(now, Event::Orders(orders));
+        let directives = world.directives.clone();
+        world.dispatcher.handle(now, Event::Directives(directives));
         world.run(4_000);
         world
     }
@@ -230,8 +230,9 @@
         self.dispatcher = Dispatcher::new(self.now, fence, node, book, log);
         self.dispatcher.settle(self.now, 1_000);
         self.dispatcher.begin(self.now);
-        let orders = self.orders.clone();
-        self.dispatcher.handle(self.now, Event::Orders(orders));
+        let directives = self.directives.clone();
+        self.dispatcher
+            .handle(self.now, Event::Directives(directives));
         self.list();
     }
 
--- a/tests/batch/world/operators.rs
+++ b/tests/batch/world/operators.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use mimosastep::batch::Demand;
+use mimosastep::batch::Directives;
 use mimosastep::batch::Event;
-use mimosastep::batch::Orders;
 use mimosastep::batch::Policy;
 use mimosastep::batch::Team;
 use mimosastep::batch::Wave;
@@ -16,20 +16,21 @@
 
 impl World {
     /// Changes what operators have written, and tells the owner.
-    pub fn write_orders(&mut self, change: impl FnOnce(&mut Orders)) {
-        change(&mut self.orders);
-        let orders = self.orders.clone();
-        self.dispatcher.handle(self.now, Event::Orders(orders));
+    pub fn write_directives(&mut self, change: impl FnOnce(&mut Directives)) {
+        change(&mut self.directives);
+        let directives = self.directives.clone();
+        self.dispatcher
+            .handle(self.now, Event::Directives(directives));
     }
 
     /// Changes the configuration.
     pub fn configure(&mut self, change: impl FnOnce(&mut Policy)) {
-        self.write_orders(|orders| {
-            let policy = orders.policy.as_ref().expect("a policy");
+        self.write_directives(|directives| {
+            let policy = directives.policy.as_ref().expect("a policy");
             let mut policy = (**policy).clone();
             policy.version += 1;
             change(&mut policy);
-            orders.policy = Some(Rc::new(policy));
+            directives.policy = Some(Rc::new(policy));
         });
     }
 
@@ -43,8 +44,8 @@
             period,
             limit,
         };
-        self.write_orders(|orders| {
-            orders.waves.insert(1, wave);
+        self.write_directives(|directives| {
+            directives.waves.insert(1, wave);
         });
     }
 
@@ -71,11 +72,11 @@
     /// Lets no more work go to a data centre, or lets it go there again.
     pub fn close(&mut self, dc: &str, closed: bool) {
         let dc = DcName::new(dc).expect("a name");
-        self.write_orders(|orders| {
+        self.write_directives(|directives| {
             if closed {
-                orders.closed.insert(dc);
+                directives.closed.insert(dc);
             } else {
-                orders.closed.remove(&dc);
+                directives.closed.remove(&dc);
             }
         });
     }
