Gather clients' records into few appends

Each call of a client was an append of its own; they queued for the 2 s that the store allows and two seconds beyond its recovery. The owner's appends waited with them and timed out after 1.5 s (sequence 242 from 15.0 s until the owner was stopped at 19.9 s): no executor could be engaged, no end noted, and the records of hosts taken down were lost with the owner, so its successors waited for these hosts' leases, each anew. Change: at most one append of a machine's calls is on its way (a second one if that takes over a second, as its answer may be lost); what comes meanwhile goes together. A record that was not sent when its call's time is over is refused truthfully. The owner's append may take 2.5 s, beyond the 2 s that the store lets wait. Test: `calls_that_come_together_share_an_append` (40 calls at once: at most 8 appends; one each on the code before).

--- a/src/batch/gate.rs
+++ b/src/batch/gate.rs
@@ -21,6 +21,7 @@
 use crate::batch::Record;
 use crate::batch::Refusal;
 use crate::batch::desk::Desk;
+use crate::batch::intake::Intake;
 use crate::batch::view::View;
 use crate::log::AppendError;
 use crate::name::TeamName;
@@ -28,8 +29,8 @@
 
 /// When to come back after a passing trouble, in seconds.
 const RETRY_S: u64 = 1;
-/// Longest that an append may take, in milliseconds.
-const APPEND_MS: u64 = 2_000;
+/// Longest that a call waits for the store, in milliseconds.
+const STORE_MS: u64 = 2_000;
 /// Time kept back from a client's deadline to answer it, in milliseconds.
 const REPLY_MS: u64 = 50;
 
@@ -61,7 +62,7 @@
 
 /// Takes jobs in, and tells what became of them.
 pub struct Gate<P> {
-    platform: Rc<P>,
+    intake: Rc<Intake<P>>,
     view: Rc<View>,
     desk: Rc<Desk<P>>,
     log: Logger,
@@ -71,7 +72,7 @@
 impl<P: Platform> Gate<P> {
     /// A gate that asks at `desk`.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         platform: Rc<P>,
         view: Rc<View>,
         desk: Rc<Desk<P>>,
@@ -79,7 +80,7 @@
         meters: Meters,
     ) -> Self {
         Self {
-            platform,
+            intake: Intake::new(platform),
             view,
             desk,
             log,
@@ -192,10 +193,10 @@
     async fn store(&self, record: &Record, deadline: Instant) -> Result<(), Refusal> {
         let bytes = record.encode();
         let bytes = bytes.map_err(|err| Refusal::Invalid(err.to_string()))?;
-        let latest = Instant::now() + Duration::from_millis(APPEND_MS);
+        let latest = Instant::now() + Duration::from_millis(STORE_MS);
         let deadline = (deadline - Duration::from_millis(REPLY_MS)).min(latest);
-        match self.platform.append(&[bytes], None, deadline).await {
-            Ok(_) => Ok(()),
+        match self.intake.store(bytes, deadline).await {
+            Ok(()) => Ok(()),
             Err(AppendError::Unknown(why)) => {
                 warn!(self.log, "store did not answer"; "why" => why);
                 Err(Refusal::Unknown("the store did not answer"))
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -15,6 +15,7 @@
 mod executor;
 mod followers;
 mod gate;
+mod intake;
 mod job;
 mod job_id;
 mod meters;
--- a/src/batch/writer.rs
+++ b/src/batch/writer.rs
@@ -20,7 +20,7 @@
 use crate::log::AppendError;
 
 /// Time that an append may take, in milliseconds.
-const APPEND_MS: u64 = 1_500;
+const APPEND_MS: u64 = 2_500;
 /// Time between two attempts at an append, in milliseconds.
 const RETRY_MS: u64 = 150;
 /// Time in which entries gather for one append, in milliseconds.
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -50,6 +50,10 @@
     pub bite: Cell<usize>,
     /// Time that a read takes.
     pub delay: Cell<Duration>,
+    /// Number of appends so far.
+    pub appends: Cell<u64>,
+    /// Time that an append takes.
+    pub lag: Cell<Duration>,
     /// Number of appends, from now on, that are done and not answered.
     pub lost: Cell<u64>,
 }
@@ -65,6 +69,8 @@
             down: Cell::new(false),
             bite: Cell::new(0),
             delay: Cell::new(Duration::ZERO),
+            appends: Cell::new(0),
+            lag: Cell::new(Duration::ZERO),
             lost: Cell::new(0),
         })
     }
@@ -253,6 +259,8 @@
         let uri = request.uri();
         let answer = match uri.path() {
             "/api/log-append" => {
+                self.appends.set(self.appends.get() + 1);
+                compio::time::sleep(self.lag.get()).await;
                 let answer = self.append(uri, request.body());
                 let lost = self.lost.get();
                 if lost > 0 {
