Go on with a step that had to wait for answers as soon as they come

Cause: found on reading. If a step has more tasks than may still be ordered to start, the rest waited for the next end of a run or the next list of executors, up to 200 ms, as the wait was noted only for the next step.

--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -28,7 +28,6 @@
 const BEHIND_MS: u64 = 300;
 /// Most orders to start that are on their way.
 const START_LIMIT: usize = 100;
-
 /// Jobs for each of which a look for tasks to start is put off, in jobs a millisecond.
 const JOBS_PER_MS: u64 = 100;
 
@@ -166,7 +165,7 @@
         if self.is_advised(&job) && !self.consult(now, place, rooms.of(&job.service), step) {
             return;
         }
-        let most = self.unanswered_limit(step);
+        let unanswered = self.unanswered_limit(step);
         let entry = &self.book.jobs[&id];
         let stage = &entry.occurrences[&occurrence][number as usize];
         let good = self.advisor.good(&place);
@@ -174,16 +173,19 @@
         let idle = stage.tasks.iter().enumerate();
         let idle = idle.filter(|(_, task)| task.is_idle());
         let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
-        let most = most.min(self.allowed(job.team.as_ref(), hidden, &step.demand));
+        let allowed = self.allowed(job.team.as_ref(), hidden, &step.demand);
+        let most = allowed.min(unanswered);
+        let wanted = idle.len().min(allowed);
         let free = rooms.of_mut(&job.service);
         let starts = if step.gang {
             self.place_gang(free, wish, &idle, most)
         } else {
             self.place_each(free, wish, &idle, most)
         };
-        if starts.len() < idle.len().min(most) && step.is_plain() && good.is_none() {
+        if starts.len() < wanted.min(unanswered) && step.is_plain() && good.is_none() {
             rooms.refuse(&job.service, step.reserved());
         }
+        self.throttled |= wanted > unanswered;
         for (index, executor, run) in starts {
             self.start(now, &executor, place.task(index), run);
         }
@@ -192,13 +194,12 @@
     /// How many more tasks of a step may be ordered to start before others are answered. What
     /// waits longer is ordered by its rank, and an owner that is short of processor still reads
     /// answers and records in time.
-    fn unanswered_limit(&mut self, step: &Step) -> usize {
+    fn unanswered_limit(&self, step: &Step) -> usize {
         let left = START_LIMIT.saturating_sub(self.starting);
         let whole = if step.gang { step.count as usize } else { 1 };
         if left >= whole {
             return left;
         }
-        self.throttled = true;
         if self.starting == 0 { whole } else { 0 }
     }
 
--- a/tests/batch/large.rs
+++ b/tests/batch/large.rs
@@ -81,6 +81,15 @@
     assert_eq!(world.done.len(), 3_200);
 }
 
+/// The pattern: one wide step, of more tasks than may be ordered to start at once.
+#[test]
+fn what_waits_for_answers_goes_on_as_soon_as_they_come() {
+    let mut world = World::new(&[("captions", 12)]);
+    world.submit(1, "captions", vec![step(150)]);
+    world.run(60);
+    assert_eq!(world.starts.len(), 150);
+}
+
 /// The pattern: an outage ends, and the log has grown faster than the owner reads it; among what
 /// it has not read may be the cancelling of what it is about to start.
 #[test]
