Mend what a second reading of the change found

All jobs in the log count now. - An owner that starts nothing because it reads the log late woke up every 5 ms for it. - `large`: a check that could not fail counts the tasks that are done now; a printed time is gone.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -129,7 +129,7 @@
             missing: BTreeMap::new(),
             meter: DemandMeter::default(),
             shares: Shares::default(),
-            unmeasured: active.iter().copied().collect(),
+            unmeasured: book.jobs.keys().copied().collect(),
             book,
             seats: BTreeMap::new(),
             lives: BTreeMap::new(),
@@ -184,6 +184,7 @@
             Event::Executors(list) => self.list(now, list),
             Event::Records { records, more } => {
                 self.behind = more.then(|| self.behind.unwrap_or(now.at));
+                self.dirty = true;
                 self.read(now, records);
             }
             Event::Appended(receipt) => self.appended(now, receipt),
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -53,7 +53,7 @@
     /// Starts the tasks that are due, in the order of their jobs' ranks, while there is room.
     pub(super) fn place(&mut self, now: Now) {
         if self.is_behind(now) {
-            self.dirty = true;
+            // The records that end this make it dirty again.
             return;
         }
         self.share_out();
--- a/tests/batch/large.rs
+++ b/tests/batch/large.rs
@@ -1,7 +1,6 @@
 //! A large site, as the grown deployments are.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
 use mimosastep::batch::Demand;
 use mimosastep::batch::How;
@@ -38,7 +37,6 @@
         world.submit(number, pool, vec![lasting(24)]);
     }
     world.run(2_000);
-    let begun = Instant::now();
     let mut jobs = BTreeMap::new();
     for number in 0..RATE * 8 {
         let pool = POOLS[(number / (RATE * 2)) as usize % POOLS.len()];
@@ -49,15 +47,10 @@
         world.run(1_000 / RATE);
     }
     world.run(6_000);
-    println!("played in {:?}", begun.elapsed());
     for (job, pool) in jobs {
         assert_eq!(world.state(pool, job), JobState::Completed, "{job}");
     }
-    assert!(world.starts.len() >= count(RATE * 8 * 8));
-}
-
-fn count(number: u64) -> usize {
-    usize::try_from(number).expect("a small number")
+    assert_eq!(world.done.len() as u64, RATE * 8 * 16);
 }
 
 /// The pattern: an outage ends, and thousands of tasks wait for an owner that is short of
--- a/tests/batch/teams.rs
+++ b/tests/batch/teams.rs
@@ -33,6 +33,28 @@
     }
 }
 
+/// The pattern: owners change while a team is beyond its share.
+#[test]
+fn a_later_owner_counts_the_jobs_that_are_over() {
+    let mut world = World::new(&[("captions", 1)]);
+    world.admit_team("calm", 20, 0);
+    world.admit_team("flood", 1, 0);
+    world.script = Box::new(|_, _| (100, How::Done));
+    world.submit_as(Some(team("flood")), 1, "captions", vec![step(1)]);
+    world.run(200);
+    world.take_over(2);
+    world.run(100);
+    let flood = world.submit_as(Some(team("flood")), 2, "captions", vec![step(16)]);
+    let calm = world.submit_as(Some(team("calm")), 3, "captions", vec![step(16)]);
+    world.run(60);
+    let jobs: Vec<_> = world.starts[1..]
+        .iter()
+        .map(|(_, task, ..)| task.job)
+        .collect();
+    assert!(jobs.contains(&calm));
+    assert!(!jobs.contains(&flood));
+}
+
 #[test]
 fn a_share_fills_by_its_weight_and_holds_a_second_of_it() {
     let mut shares = Shares::default();
