The owner appends clients' records; gates do so only when no owner can be told

All gates and the owner append to one partition, which takes appends one at a time and refuses with 503 what would wait for over 2 s.

Ruled out: the owner's processor (0.12 core at most); the fold (a stored record is known within a read).

A gate hands its record to the owner, which appends it with its own decisions: one append on its way, all else in the next one (`Line`, a pure module). A job's claim goes with it, which spares an append before its first start. A gate that no owner can be told appends by itself, to a partition of its own that the owner follows; `Book::fold` says how the two streams come together. An append of unknown outcome is repeated under its number by both; one that was surely refused is formed anew without calls that gave up.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use crate::batch::Entry;
@@ -12,6 +13,9 @@
 use crate::name::HostName;
 use crate::name::ServiceName;
 
+/// Most cancellations that are kept for jobs not seen yet.
+const REVOKED_LIMIT: usize = 2_000;
+
 /// Jobs, and executors on which something may run.
 #[derive(Debug, Default)]
 pub struct Book {
@@ -25,6 +29,8 @@
     pub kept: BTreeMap<u64, BTreeSet<HostName>>,
     /// Number of the reign that began last.
     pub fence: Fence,
+    // Cancelled before they were seen to be accepted, as the streams of the log have no common order.
+    revoked: VecDeque<JobId>,
 }
 
 impl Book {
@@ -37,7 +43,11 @@
                 if self.jobs.contains_key(&id) {
                     return None;
                 }
-                self.jobs.insert(id, Entry::new(job));
+                let mut entry = Entry::new(job);
+                if self.revoked.contains(&id) {
+                    entry.cancel();
+                }
+                self.jobs.insert(id, entry);
                 return Some(id);
             }
             Record::Carried(carried) => {
@@ -45,7 +55,11 @@
                 self.jobs.entry(entry.job.id).or_insert(entry);
             }
             Record::Cancelled(id) => {
-                self.jobs.get_mut(&id)?.cancel();
+                let Some(entry) = self.jobs.get_mut(&id) else {
+                    self.revoke(id);
+                    return None;
+                };
+                entry.cancel();
                 return Some(id);
             }
             Record::Took { fence, .. } => self.take_over(fence),
@@ -83,6 +97,26 @@
         None
     }
 
+    /// The book of a log whose streams were read to their ends, the owners' one last.
+    #[must_use]
+    pub fn fold(owners: Vec<Record>, gates: Vec<Record>) -> Self {
+        let mut book = Self::default();
+        let is_job = |record: &Record| matches!(record, Record::Accepted(_));
+        let (jobs, others): (Vec<_>, Vec<_>) = gates.into_iter().partition(is_job);
+        // What owners write refers to jobs, and cancellations hold for the jobs of both streams.
+        for record in jobs.into_iter().chain(owners).chain(others) {
+            book.apply(record);
+        }
+        book
+    }
+
+    fn revoke(&mut self, id: JobId) {
+        if self.revoked.len() >= REVOKED_LIMIT {
+            self.revoked.pop_front();
+        }
+        self.revoked.push_back(id);
+    }
+
     fn take_over(&mut self, fence: Fence) {
         self.fence = self.fence.max(fence);
         for entry in self.jobs.values_mut() {
--- a/src/batch/desk.rs
+++ b/src/batch/desk.rs
@@ -20,6 +20,7 @@
 use crate::batch::Platform;
 use crate::batch::election::Election;
 use crate::http::Client;
+use crate::http::ClientError;
 use crate::http::Handler;
 use crate::http::Reply;
 use crate::http::read_body;
@@ -28,13 +29,30 @@
 /// Path of the question to an owner.
 const PATH: &str = "/v1/ask";
 /// Largest question, in bytes.
-const ASK_LIMIT: usize = 4_096;
+const ASK_LIMIT: usize = 512 << 10;
 /// Longest that one attempt to ask may take, in milliseconds.
 const ATTEMPT_MS: u64 = 400;
 /// Longest that all attempts may take, in milliseconds.
 const TOTAL_MS: u64 = 1_500;
 /// Time between two attempts, in milliseconds.
 const RETRY_MS: u64 = 100;
+/// Longest that an owner may take to append, in milliseconds.
+const STORE_MS: u64 = 1_200;
+/// How long an owner that gave no answer is not asked to append, in milliseconds.
+const DOUBT_MS: u64 = 1_500;
+
+/// What an owner made of records to append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stored {
+    /// They are in the log.
+    Yes,
+    /// They are not and won't be, as the log takes nothing now.
+    No,
+    /// They may be, or may yet come there.
+    Unsure,
+    /// No owner was told of them.
+    Untold,
+}
 
 /// Asks the owner wherever it is.
 pub struct Desk<P> {
@@ -42,6 +60,7 @@
     election: Rc<Election<P>>,
     client: Client,
     owner: Cell<Option<SocketAddr>>,
+    doubted: Cell<Option<(SocketAddr, Instant)>>,
     log: Logger,
 }
 
@@ -54,6 +73,7 @@
             election,
             client: Client::new(),
             owner: Cell::new(None),
+            doubted: Cell::new(None),
             log,
         }
     }
@@ -73,6 +93,50 @@
         None
     }
 
+    /// Has the owner append what `ask` says.
+    pub async fn store(&self, ask: &Ask, deadline: Instant) -> Stored {
+        let latest = Instant::now() + Duration::from_millis(STORE_MS);
+        let deadline = deadline.min(latest);
+        if let Some(answer) = self.election.ask(ask.clone()) {
+            let answer = compio::time::timeout_at(deadline, answer).await;
+            return answer.map_or(Stored::Unsure, |answer| {
+                answer.map_or(Stored::Untold, stored)
+            });
+        }
+        let found = match self.owner.get() {
+            Some(owner) => Some(owner),
+            None => compio::time::timeout_at(deadline, self.find())
+                .await
+                .ok()
+                .flatten(),
+        };
+        let Some(owner) = found.filter(|owner| !self.is_doubted(*owner)) else {
+            return Stored::Untold;
+        };
+        match self.exchange(owner, ask, deadline).await {
+            Ok(Some(answer)) => stored(answer),
+            Ok(None) => {
+                self.owner.set(None);
+                Stored::Untold
+            }
+            Err(err) => {
+                info!(self.log, "owner did not answer"; "addr" => %owner, "why" => %err);
+                self.owner.set(None);
+                let until = Instant::now() + Duration::from_millis(DOUBT_MS);
+                self.doubted.set(Some((owner, until)));
+                match err {
+                    ClientError::Unsent(_) => Stored::Untold,
+                    ClientError::Silent(_) => Stored::Unsure,
+                }
+            }
+        }
+    }
+
+    fn is_doubted(&self, owner: SocketAddr) -> bool {
+        let doubted = self.doubted.get();
+        doubted.is_some_and(|(addr, until)| addr == owner && Instant::now() < until)
+    }
+
     async fn ask_once(&self, ask: &Ask, deadline: Instant) -> Option<Answer> {
         if let Some(answer) = self.election.ask(ask.clone()) {
             let attempt = Instant::now() + Duration::from_millis(ATTEMPT_MS);
@@ -98,20 +162,34 @@
     }
 
     async fn ask_at(&self, owner: SocketAddr, ask: &Ask, deadline: Instant) -> Option<Answer> {
-        let body = postcard::to_allocvec(ask).ok()?;
+        let attempt = Instant::now() + Duration::from_millis(ATTEMPT_MS);
+        let answer = self.exchange(owner, ask, deadline.min(attempt)).await;
+        answer.ok().flatten()
+    }
+
+    /// Asks a process; `None` if it isn't the owner, and so has done nothing.
+    async fn exchange(
+        &self,
+        owner: SocketAddr,
+        ask: &Ask,
+        deadline: Instant,
+    ) -> Result<Option<Answer>, ClientError> {
+        let unsent = |err: &dyn std::error::Error| ClientError::Unsent(err.to_string());
+        let body = postcard::to_allocvec(ask).map_err(|err| unsent(&err))?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(PATH)
             .header("host", owner.to_string())
             .body(Full::new(Bytes::from(body)))
-            .ok()?;
-        let attempt = Instant::now() + Duration::from_millis(ATTEMPT_MS);
-        let sent = self.client.send(owner, request, deadline.min(attempt));
-        let response = sent.await.ok()?;
+            .map_err(|err| unsent(&err))?;
+        let response = self.client.send(owner, request, deadline).await?;
         if response.status() != StatusCode::OK {
-            return None;
+            return Ok(None);
         }
-        postcard::from_bytes(response.body()).ok()
+        let answer = postcard::from_bytes(response.body());
+        answer
+            .map(Some)
+            .map_err(|err| ClientError::Silent(err.to_string()))
     }
 
     /// Answers other processes' questions, if the owner is here.
@@ -142,3 +220,11 @@
         }
     }
 }
+
+const fn stored(answer: Answer) -> Stored {
+    match answer {
+        Answer::Stored => Stored::Yes,
+        Answer::Busy => Stored::No,
+        _ => Stored::Unsure,
+    }
+}
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -188,6 +188,7 @@
                 self.read(now, records);
             }
             Event::Appended(receipt) => self.appended(now, receipt),
+            Event::Stored(records) => self.stored(now, records),
             Event::Held {
                 order,
                 sent,
@@ -237,6 +238,8 @@
         match ask {
             Ask::State(queue, id) => Answer::State(self.state(queue, *id)),
             Ask::Waiting(queue) => Answer::Waiting(self.waiting(queue)),
+            Ask::Accept(job, _) if self.book.jobs.contains_key(&job.id) => Answer::Stored,
+            Ask::Accept(..) | Ask::Cancel(..) => Answer::Unsure,
         }
     }
 
@@ -281,6 +284,17 @@
         }
     }
 
+    /// Records that this owner appended for a client.
+    fn stored(&mut self, now: Now, records: Vec<Record>) {
+        let changed = records
+            .into_iter()
+            .filter_map(|record| self.book.apply(record));
+        let changed: Vec<JobId> = changed.collect();
+        for id in changed {
+            self.changed(now, id);
+        }
+    }
+
     fn changed(&mut self, now: Now, id: JobId) {
         let Some(entry) = self.book.jobs.get(&id) else {
             return;
@@ -290,7 +304,9 @@
         if entry.is_active() {
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
-            self.unclaimed.push(id);
+            if !entry.claimed {
+                self.unclaimed.push(id);
+            }
             self.unmeasured.push(id);
         } else {
             self.close(now, id);
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -11,6 +11,7 @@
 use crate::batch::Executor;
 use crate::batch::Hold;
 use crate::batch::Host;
+use crate::batch::Job;
 use crate::batch::JobId;
 use crate::batch::JobState;
 use crate::batch::Maintain;
@@ -49,6 +50,8 @@
     },
     /// The records of an append are in the log.
     Appended(u64),
+    /// The records of a client's call, that this owner appended, are in the log.
+    Stored(Vec<Record>),
     /// An executor told what it runs, or didn't.
     Held {
         /// The order.
@@ -155,6 +158,10 @@
     State(QueueName, JobId),
     /// The number of a queue's jobs of which no task has begun.
     Waiting(QueueName),
+    /// To append a job to the log, within so many milliseconds.
+    Accept(Job, u64),
+    /// To append a job's cancellation to the log, within so many milliseconds.
+    Cancel(JobId, u64),
 }
 
 /// What an owner answers.
@@ -164,6 +171,10 @@
     State(Option<JobState>),
     /// The number.
     Waiting(u64),
+    /// It is in the log.
+    Stored,
+    /// It isn't in the log and won't be: the log takes nothing now.
+    Busy,
     /// It doesn't know now.
     Unsure,
 }
--- a/src/batch/followers.rs
+++ b/src/batch/followers.rs
@@ -11,6 +11,7 @@
 
 use crate::batch::Event;
 use crate::batch::Platform;
+use crate::batch::Stream;
 use crate::batch::Watch;
 use crate::batch::owner::Message;
 use crate::batch::owner::decode;
@@ -27,7 +28,7 @@
 /// Time between two reads of the list of hosts, in milliseconds.
 const HOSTS_MS: u64 = 700;
 
-/// Tells the owner of the records that follow in the log.
+/// Tells the owner of the records that gates append by themselves.
 pub(super) async fn tail<P: Platform>(
     platform: Rc<P>,
     mut next: u64,
@@ -37,7 +38,7 @@
 ) {
     loop {
         let asked = Instant::now();
-        match platform.read(next, WAIT_MS).await {
+        match platform.read(Stream::Gates, next, WAIT_MS).await {
             Ok(batch) => {
                 next = batch.next;
                 let more = next < batch.end;
--- a/src/batch/gate.rs
+++ b/src/batch/gate.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_channel::oneshot;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -20,8 +21,10 @@
 use crate::batch::Queue;
 use crate::batch::Record;
 use crate::batch::Refusal;
+use crate::batch::Stream;
+use crate::batch::appender::Appender;
 use crate::batch::desk::Desk;
-use crate::batch::intake::Intake;
+use crate::batch::desk::Stored;
 use crate::batch::view::View;
 use crate::log::AppendError;
 use crate::name::TeamName;
@@ -33,6 +36,10 @@
 const STORE_MS: u64 = 2_000;
 /// Time kept back from a client's deadline to answer it, in milliseconds.
 const REPLY_MS: u64 = 50;
+/// Why a call is refused while the store takes nothing.
+const BUSY: &str = "the store takes nothing now";
+/// Why the outcome of a call isn't known.
+const SILENT: &str = "the store did not answer";
 
 /// A call as it came in.
 #[derive(Debug, Clone, Copy)]
@@ -62,7 +69,7 @@
 
 /// Takes jobs in, and tells what became of them.
 pub struct Gate<P> {
-    intake: Rc<Intake<P>>,
+    appender: Appender,
     view: Rc<View>,
     desk: Rc<Desk<P>>,
     log: Logger,
@@ -80,7 +87,7 @@
         meters: Meters,
     ) -> Self {
         Self {
-            intake: Intake::new(platform),
+            appender: Appender::spawn(platform, Stream::Gates, 1, 0, log.clone()),
             view,
             desk,
             log,
@@ -168,10 +175,9 @@
             }
             Call::State => return self.state(&admitted, id, deadline).await,
             Call::Cancel => {
-                let record = Record::Cancelled(id);
-                self.store(&record, deadline)
-                    .await
-                    .map(|()| Done::Cancelled)
+                let ask = |wait| Ask::Cancel(id, wait);
+                let stored = self.store(Record::Cancelled(id), ask, deadline).await;
+                stored.map(|()| Done::Cancelled)
             }
         };
         match &result {
@@ -186,24 +192,54 @@
     async fn submit(&self, job: Job, deadline: Instant) -> Result<Done, Refusal> {
         job.check()
             .map_err(|err| Refusal::Invalid(err.to_string()))?;
-        let record = Record::Accepted(job);
-        self.store(&record, deadline).await.map(|()| Done::Accepted)
+        let ask = |wait| Ask::Accept(job.clone(), wait);
+        let stored = self.store(Record::Accepted(job.clone()), ask, deadline);
+        stored.await.map(|()| Done::Accepted)
     }
 
-    async fn store(&self, record: &Record, deadline: Instant) -> Result<(), Refusal> {
-        let bytes = record.encode();
-        let bytes = bytes.map_err(|err| Refusal::Invalid(err.to_string()))?;
+    /// Has the owner append a record, or appends it if no owner can be told.
+    async fn store(
+        &self,
+        record: Record,
+        ask: impl Fn(u64) -> Ask,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
         let latest = Instant::now() + Duration::from_millis(STORE_MS);
         let deadline = (deadline - Duration::from_millis(REPLY_MS)).min(latest);
-        match self.intake.store(bytes, deadline).await {
-            Ok(()) => Ok(()),
-            Err(AppendError::Unknown(why)) => {
-                warn!(self.log, "store did not answer"; "why" => why);
-                Err(Refusal::Unknown("the store did not answer"))
+        let wait = deadline.saturating_duration_since(Instant::now());
+        let wait = u64::try_from(wait.as_millis()).unwrap_or(STORE_MS);
+        match self.desk.store(&ask(wait), deadline).await {
+            Stored::Yes => Ok(()),
+            Stored::No => Err(Refusal::Unavailable(BUSY, RETRY_S)),
+            Stored::Untold => self.append(record, deadline).await,
+            Stored::Unsure => self
+                .append(record, deadline)
+                .await
+                .map_err(|err| match err {
+                    // The owner may have appended it.
+                    Refusal::Unavailable(..) => Refusal::Unknown(SILENT),
+                    err => err,
+                }),
+        }
+    }
+
+    async fn append(&self, record: Record, deadline: Instant) -> Result<(), Refusal> {
+        let (sender, answer) = oneshot::channel();
+        let told = move |result| {
+            // A call that has no more time has been answered.
+            let _ = sender.send(result);
+        };
+        self.appender
+            .append(&[record], Some(deadline), Box::new(told));
+        match compio::time::timeout_at(deadline, answer).await {
+            Ok(Ok(Ok(()))) => Ok(()),
+            Ok(Ok(Err(AppendError::NotAppended(why)))) => {
+                warn!(self.log, "store refused"; "why" => why);
+                Err(Refusal::Unavailable(BUSY, RETRY_S))
             }
-            Err(err) => {
-                warn!(self.log, "store refused"; "why" => %err);
-                Err(Refusal::Unavailable("the store takes nothing now", RETRY_S))
+            _ => {
+                warn!(self.log, "store did not answer");
+                Err(Refusal::Unknown(SILENT))
             }
         }
     }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -1,6 +1,8 @@
 //! Jobs of steps and tasks that run on executors under leases.
 
 mod advisor;
+mod answer_time;
+mod appender;
 mod book;
 mod call;
 mod candidacy;
@@ -15,9 +17,9 @@
 mod executor;
 mod followers;
 mod gate;
-mod intake;
 mod job;
 mod job_id;
+mod line;
 mod meters;
 mod orders;
 mod owner;
@@ -37,8 +39,8 @@
 mod task_id;
 mod upkeep;
 mod view;
-mod writer;
 
+pub use answer_time::AnswerTime;
 pub use book::Book;
 pub use call::Call;
 pub use call::Done;
@@ -70,6 +72,8 @@
 pub use job::Schedule;
 pub use job_id::JobId;
 pub use job_id::JobIdError;
+pub use line::Item;
+pub use line::Line;
 pub use meters::Meters;
 pub use orders::Advice;
 pub use orders::Consult;
@@ -87,6 +91,7 @@
 pub use platform::Batch;
 pub use platform::Membership;
 pub use platform::Platform;
+pub use platform::Stream;
 pub use platform::Unreachable;
 pub use platform::Watch;
 pub use platform::Writer;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -27,11 +27,11 @@
 use crate::batch::OrderError;
 use crate::batch::Platform;
 use crate::batch::Record;
+use crate::batch::Stream;
 use crate::batch::Writer;
+use crate::batch::appender::Appender;
 use crate::batch::followers;
 use crate::batch::view::View;
-use crate::batch::writer;
-use crate::batch::writer::Entry;
 use crate::log::AppendError;
 use crate::log::ReadError;
 use crate::name::NodeName;
@@ -136,17 +136,16 @@
         dispatcher.retain(self.platform.retention());
         dispatcher.settle(now(), self.platform.stop_time());
         dispatcher.begin(now());
-        let (entries, queued) = unbounded();
-        let writer = writer::run(
+        // The reign's first record had the number 0.
+        let appender = Appender::spawn(
             self.platform.clone(),
+            Stream::Owner,
             self.fence,
-            queued,
-            self.inbox.clone(),
+            1,
             self.log.clone(),
         );
         // Dropped with this task, they end with it.
         let _tasks = [
-            compio::runtime::spawn(writer),
             compio::runtime::spawn(followers::tail(
                 self.platform.clone(),
                 next,
@@ -165,29 +164,31 @@
                 self.log.clone(),
             )),
         ];
-        self.decide(dispatcher, inbox, entries).await;
+        self.decide(dispatcher, inbox, &appender).await;
         info!(self.log, "owner no more"; "fence" => self.fence);
     }
 
     /// Reads the log to its end, shuts out earlier owners, and reads what they wrote last.
     async fn take_over(&self) -> Option<(Book, u64)> {
-        let mut book = Book::default();
-        let mut next = 0;
-        self.fold(&mut book, &mut next, false).await;
+        let mut owners = Vec::new();
+        let next = self.read(Stream::Owner, 0, &mut owners).await;
         if !self.begin().await {
             return None;
         }
-        self.fold(&mut book, &mut next, true).await;
+        self.read(Stream::Owner, next, &mut owners).await;
+        let mut gates = Vec::new();
+        let next = self.read(Stream::Gates, 0, &mut gates).await;
+        let book = Book::fold(owners, gates);
         (book.fence == self.fence).then_some((book, next))
     }
 
-    /// Applies records up to the log's end, or up to this reign's own first.
-    async fn fold(&self, book: &mut Book, next: &mut u64, own: bool) {
+    /// Reads a stream's records from `next` on to its end; returns from where they go on.
+    async fn read(&self, stream: Stream, mut next: u64, records: &mut Vec<Record>) -> u64 {
         loop {
-            let batch = match self.platform.read(*next, 0).await {
+            let batch = match self.platform.read(stream, next, 0).await {
                 Ok(batch) => batch,
                 Err(ReadError::Gone(first, _)) => {
-                    *next = first.max(*next + 1);
+                    next = first.max(next + 1);
                     continue;
                 }
                 Err(err) => {
@@ -196,13 +197,10 @@
                     continue;
                 }
             };
-            *next = batch.next;
-            for record in decode(&batch.records, &self.log) {
-                book.apply(record);
-            }
-            let ended = batch.next >= batch.end;
-            if ended && (!own || book.fence >= self.fence) {
-                return;
+            next = batch.next;
+            records.extend(decode(&batch.records, &self.log));
+            if batch.next >= batch.end {
+                return next;
             }
         }
     }
@@ -223,7 +221,10 @@
         };
         loop {
             let deadline = Instant::now() + Duration::from_millis(APPEND_MS);
-            let result = self.platform.append(&records, Some(writer), deadline).await;
+            let result = self
+                .platform
+                .append(Stream::Owner, &records, writer, deadline)
+                .await;
             match result {
                 Ok(_) => return true,
                 Err(AppendError::Fenced) => return false,
@@ -237,7 +238,7 @@
         &self,
         mut dispatcher: Dispatcher,
         mut inbox: UnboundedReceiver<Message>,
-        entries: UnboundedSender<Entry>,
+        appender: &Appender,
     ) {
         let mut changes = 0;
         loop {
@@ -259,41 +260,83 @@
             while let Some(one) = message {
                 match one {
                     Message::Event(event) => dispatcher.handle(now(), event),
-                    Message::Ask(ask, reply) => {
-                        // A gate that has given up needs no answer.
-                        let _ = reply.send(self.answer(&dispatcher, &ask));
-                    }
+                    Message::Ask(ask, reply) => self.answer(&dispatcher, appender, ask, reply),
                     Message::Superseded => return,
                 }
                 message = inbox.try_recv().ok();
             }
             dispatcher.measure(now(), &self.meters);
             for action in dispatcher.poll(now()) {
-                if !self.act(action, &entries) {
+                if !self.act(action, appender) {
                     return;
                 }
             }
         }
     }
 
-    fn answer(&self, dispatcher: &Dispatcher, ask: &Ask) -> Answer {
-        let answer = dispatcher.answer(ask);
+    /// Answers a gate, at once or when its records are in the log.
+    fn answer(
+        &self,
+        dispatcher: &Dispatcher,
+        appender: &Appender,
+        ask: Ask,
+        reply: oneshot::Sender<Answer>,
+    ) {
+        let answer = dispatcher.answer(&ask);
         let stale = self.read.get().elapsed() > Duration::from_millis(STALE_MS);
-        match answer {
-            Answer::State(None) if stale => Answer::Unsure,
-            answer => answer,
-        }
+        let (records, wait) = match (ask, answer) {
+            (Ask::Accept(job, wait), Answer::Unsure) => {
+                let claim = Record::Claimed(vec![job.id]);
+                (vec![Record::Accepted(job), claim], wait)
+            }
+            (Ask::Cancel(id, wait), _) => (vec![Record::Cancelled(id)], wait),
+            (_, answer) => {
+                let unsure = stale && answer == Answer::State(None);
+                // A gate that has given up needs no answer.
+                let _ = reply.send(if unsure { Answer::Unsure } else { answer });
+                return;
+            }
+        };
+        let until = Instant::now() + Duration::from_millis(wait);
+        let inbox = self.inbox.clone();
+        let stored = records.clone();
+        let told = move |result| {
+            let answer = match result {
+                Ok(()) => {
+                    // The owner must know of it before the client does.
+                    let _ = inbox.unbounded_send(Message::Event(Event::Stored(stored)));
+                    Answer::Stored
+                }
+                Err(AppendError::NotAppended(_)) => Answer::Busy,
+                Err(AppendError::Unknown(_)) => Answer::Unsure,
+                // Without an answer, the gate looks for the next owner.
+                Err(AppendError::Fenced) => return,
+            };
+            let _ = reply.send(answer);
+        };
+        appender.append(&records, Some(until), Box::new(told));
+    }
+
+    /// Appends records of this owner's own.
+    fn append(&self, appender: &Appender, receipt: u64, records: &[Record]) {
+        let inbox = self.inbox.clone();
+        let told = move |result: Result<(), _>| {
+            let message = result.map_or(Message::Superseded, |()| {
+                Message::Event(Event::Appended(receipt))
+            });
+            // An owner whose reign is over needs no outcome.
+            let _ = inbox.unbounded_send(message);
+        };
+        appender.append(records, None, Box::new(told));
     }
 
     /// Carries an action out; returns whether the reign goes on.
-    fn act(&self, action: Action, entries: &UnboundedSender<Entry>) -> bool {
+    fn act(&self, action: Action, appender: &Appender) -> bool {
         let site = self.platform.clone();
         let sent = Instant::now();
         match action {
             Action::Abdicate => return false,
-            Action::Append { receipt, records } => {
-                return entries.unbounded_send(Entry { receipt, records }).is_ok();
-            }
+            Action::Append { receipt, records } => self.append(appender, receipt, &records),
             Action::Report { wave, state } => {
                 let report = async move { site.report(wave, state).await };
                 let event = move |told: Result<(), _>| Event::Reported {
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -34,10 +34,19 @@
     }
 }
 
-/// The writer of an owner's records; the log refuses those of earlier owners.
+/// One of the log's streams of records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stream {
+    /// Written by the owner alone; each process that writes to it shuts the earlier ones out.
+    Owner,
+    /// Written by gates that can't reach the owner, each under a name of its own.
+    Gates,
+}
+
+/// The writer of records; the log refuses those of earlier writers of the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Writer {
-    /// Number of the owner's reign.
+    /// Number of the writer, as of an owner's reign.
     pub fence: Fence,
     /// Number of the append, from 0 on; a repeat has the same.
     pub sequence: u64,
@@ -87,22 +96,23 @@
     /// Watches the list of executors.
     fn executors(&self) -> Self::Executors;
 
-    /// Appends records, all or none; gives the offset of the first.
+    /// Appends records to a stream, all or none; gives the offset of the first.
     ///
     /// # Errors
     /// An [`AppendError`] that tells whether the records may be in the log.
     async fn append(
         &self,
+        stream: Stream,
         records: &[Vec<u8>],
-        writer: Option<Writer>,
+        writer: Writer,
         deadline: Instant,
     ) -> Result<u64, AppendError>;
 
-    /// Reads from offset `from` on, and waits up to `wait` milliseconds for a record.
+    /// Reads a stream from offset `from` on, and waits up to `wait` milliseconds for a record.
     ///
     /// # Errors
     /// A [`ReadError`] if the records are gone or the log can't be reached.
-    async fn read(&self, from: u64, wait: u64) -> Result<Batch, ReadError>;
+    async fn read(&self, stream: Stream, from: u64, wait: u64) -> Result<Batch, ReadError>;
 
     /// Joins the election, or stays in it; `generation` is the last one that was told, or 0.
     ///
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::future::pending;
 use std::io;
 use std::rc::Rc;
@@ -30,18 +31,63 @@
 /// Most connections.
 const CONNECTIONS: usize = 256;
 
+/// Answers that are kept for appends that come again.
+const REPEATS: usize = 5;
+
+/// A partition of a topic.
 #[derive(Default)]
-struct Topic {
+struct Part {
     records: Vec<Vec<u8>>,
     /// Offset of the first record that is kept.
     first: u64,
+    producers: BTreeMap<String, Producer>,
+}
+
+/// Who appends with numbers.
+#[derive(Default)]
+struct Producer {
     epoch: u64,
+    /// Number of the next append; `None` after a change of the epoch.
+    next: Option<u64>,
+    /// Offsets of the last appends by their numbers.
+    last: VecDeque<(u64, u64)>,
+}
+
+impl Producer {
+    /// Checks an append; gives the offset of its first time if it is a repeat.
+    fn check(&mut self, epoch: u64, sequence: u64) -> Result<Option<u64>, Answer> {
+        let refuse = |reason: Value| Err(json(StatusCode::CONFLICT, &reason));
+        if epoch < self.epoch {
+            return refuse(json!({ "reason": "fenced" }));
+        }
+        if epoch > self.epoch {
+            *self = Self {
+                epoch,
+                ..Self::default()
+            };
+        }
+        if let Some((_, offset)) = self.last.iter().find(|(number, _)| *number == sequence) {
+            return Ok(Some(*offset));
+        }
+        match self.next {
+            Some(next) if next != sequence => refuse(json!({ "reason": "seq", "expected": next })),
+            _ => Ok(None),
+        }
+    }
+
+    fn note(&mut self, sequence: u64, offset: u64) {
+        self.next = Some(sequence + 1);
+        self.last.push_back((sequence, offset));
+        if self.last.len() > REPEATS {
+            self.last.pop_front();
+        }
+    }
 }
 
 /// The store.
 pub struct Store {
     connections: Connections,
-    topics: RefCell<BTreeMap<String, Topic>>,
+    parts: RefCell<BTreeMap<(String, u64), Part>>,
     member: RefCell<Option<(String, u64)>>,
     generation: Cell<u64>,
     /// Answers 503 to every call.
@@ -63,7 +109,7 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             connections: Connections::new(CONNECTIONS),
-            topics: RefCell::default(),
+            parts: RefCell::default(),
             member: RefCell::default(),
             generation: Cell::new(0),
             down: Cell::new(false),
@@ -80,39 +126,44 @@
         let mut content = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
         content.extend_from_slice(key.as_bytes());
         content.extend_from_slice(value.to_string().as_bytes());
-        self.push(topic, content);
+        self.push(topic, 0, content);
     }
 
     /// Number of records of a topic.
     pub fn count(&self, topic: &str) -> usize {
-        let topics = self.topics.borrow();
-        topics.get(topic).map_or(0, |topic| topic.records.len())
+        let parts = self.parts.borrow();
+        let parts = parts.iter().filter(|((name, _), _)| name == topic);
+        parts.map(|(_, part)| part.records.len()).sum()
     }
 
-    /// Forgets the records of a topic before its newest `keep`.
+    /// Forgets the records of a topic's first partition before its newest `keep`.
     pub fn trim(&self, topic: &str, keep: usize) {
-        let mut topics = self.topics.borrow_mut();
-        let topic = topics.entry(topic.to_owned()).or_default();
-        let gone = topic.records.len().saturating_sub(keep);
-        topic.records.drain(..gone);
-        topic.first += gone as u64;
+        let mut parts = self.parts.borrow_mut();
+        let part = parts.entry((topic.to_owned(), 0)).or_default();
+        let gone = part.records.len().saturating_sub(keep);
+        part.records.drain(..gone);
+        part.first += gone as u64;
     }
 
-    fn push(&self, topic: &str, content: Vec<u8>) {
-        let mut topics = self.topics.borrow_mut();
-        let topic = topics.entry(topic.to_owned()).or_default();
-        topic.records.push(content);
+    /// Adds a record to a partition.
+    pub fn push(&self, topic: &str, part: u64, content: Vec<u8>) {
+        let mut parts = self.parts.borrow_mut();
+        let part = parts.entry((topic.to_owned(), part)).or_default();
+        part.records.push(content);
     }
 
     fn append(&self, uri: &Uri, body: &[u8]) -> Answer {
-        let topic = query_text(uri, "topic");
-        let mut topics = self.topics.borrow_mut();
-        let topic = topics.entry(topic).or_default();
-        if let Some(epoch) = query_number(uri, "epoch") {
-            if epoch < topic.epoch {
-                return json(StatusCode::CONFLICT, &json!({ "reason": "fenced" }));
+        let mut parts = self.parts.borrow_mut();
+        let topic = parts.entry(place(uri)).or_default();
+        let sequence = query_number(uri, "sequence").unwrap_or(0);
+        let producer = query_number(uri, "epoch").map(|epoch| (query_text(uri, "producer"), epoch));
+        if let Some((name, epoch)) = &producer {
+            let known = topic.producers.entry(name.clone()).or_default();
+            match known.check(*epoch, sequence) {
+                Ok(None) => {}
+                Ok(Some(offset)) => return json(StatusCode::OK, &json!({ "offset": offset })),
+                Err(refusal) => return refusal,
             }
-            topic.epoch = epoch;
         }
         let offset = topic.first + topic.records.len() as u64;
         let mut rest = body;
@@ -124,27 +175,34 @@
             topic.records.push(content.to_vec());
             rest = behind;
         }
+        if let Some((name, _)) = producer {
+            topic
+                .producers
+                .entry(name)
+                .or_default()
+                .note(sequence, offset);
+        }
         let end = topic.first + topic.records.len() as u64;
         json(StatusCode::OK, &json!({ "offset": offset, "end": end }))
     }
 
     async fn read(&self, uri: &Uri) -> Answer {
-        let topic = query_text(uri, "topic");
+        let place = place(uri);
         let from = query_number(uri, "from").unwrap_or(0);
         let wait = query_number(uri, "wait_ms").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait);
         compio::time::sleep(self.delay.get()).await;
         loop {
-            if let Some(answer) = self.read_now(&topic, from, Instant::now() >= until) {
+            if let Some(answer) = self.read_now(&place, from, Instant::now() >= until) {
                 return answer;
             }
             compio::time::sleep(LOOK).await;
         }
     }
 
-    fn read_now(&self, topic: &str, from: u64, anyway: bool) -> Option<Answer> {
-        let mut topics = self.topics.borrow_mut();
-        let topic = topics.entry(topic.to_owned()).or_default();
+    fn read_now(&self, place: &(String, u64), from: u64, anyway: bool) -> Option<Answer> {
+        let mut parts = self.parts.borrow_mut();
+        let topic = parts.entry(place.clone()).or_default();
         if from < topic.first {
             return Some(json(StatusCode::GONE, &json!({ "first": topic.first })));
         }
@@ -169,8 +227,8 @@
     }
 
     fn newest(&self, uri: &Uri) -> Answer {
-        let topics = self.topics.borrow();
-        let topic = topics.get(&query_text(uri, "topic"));
+        let parts = self.parts.borrow();
+        let topic = parts.get(&place(uri));
         let mut newest: BTreeMap<String, (u64, Vec<u8>)> = BTreeMap::new();
         let records = topic.into_iter().flat_map(|topic| {
             let offsets = topic.first..;
@@ -280,6 +338,12 @@
     }
 }
 
+/// The partition that a call names.
+fn place(uri: &Uri) -> (String, u64) {
+    let part = query_number(uri, "part").unwrap_or(0);
+    (query_text(uri, "topic"), part)
+}
+
 fn query_text(uri: &Uri, name: &str) -> String {
     let pairs = uri.query().unwrap_or_default().split('&');
     let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
--- a/tests/batch/entries.rs
+++ b/tests/batch/entries.rs
@@ -94,3 +94,35 @@
     book.apply(Record::Cancelled(id(1)));
     assert_eq!(book.jobs[&id(1)].state(), JobState::Completed);
 }
+
+/// The pattern: a gate that can't reach the owner appends to a stream of its own.
+#[test]
+fn records_of_gates_and_owners_fold_to_the_same_in_any_order_of_the_streams() {
+    let ended = Record::Ended(vec![end(5, How::Done)]);
+    let by_gate = Book::fold(
+        vec![Record::Claimed(vec![id(1)]), ended.clone()],
+        vec![
+            Record::Accepted(job(1)),
+            Record::Accepted(job(2)),
+            Record::Cancelled(id(2)),
+        ],
+    );
+    assert!(by_gate.jobs[&id(1)].claimed);
+    assert_eq!(by_gate.jobs[&id(2)].state(), JobState::Cancelled);
+    let by_owner = Book::fold(
+        vec![Record::Accepted(job(1)), Record::Cancelled(id(2)), ended],
+        vec![Record::Accepted(job(2)), Record::Accepted(job(1))],
+    );
+    assert_eq!(by_owner.jobs[&id(1)].state(), by_gate.jobs[&id(1)].state());
+    assert_eq!(by_owner.jobs[&id(2)].state(), JobState::Cancelled);
+}
+
+/// The pattern: the cancellation comes by way of the owner, the job by way of a gate, and later.
+#[test]
+fn a_job_that_is_read_after_its_cancellation_never_runs() {
+    let mut book = Book::default();
+    assert_eq!(book.apply(Record::Cancelled(id(1))), None);
+    book.apply(Record::Accepted(job(1)));
+    assert_eq!(book.jobs[&id(1)].state(), JobState::Cancelled);
+    assert!(!book.jobs[&id(1)].is_active());
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -5,6 +5,7 @@
 mod fake;
 mod faults;
 mod large;
+mod line;
 mod operators;
 mod pacing;
 mod peaks;
