Give orders for hosts once their records are in the log; let empty hosts work on

The record `Ordered` was written beside the order, not before it, so that a cut off owner's orders were in no log; and since owners no longer read their own stream, they learn of the next reign later than before.

An order for a host is given once its record is in the log, which refuses an owner whose reign is over, and only if that took less than 1.5 s, so that a process that was paused gives none. A move does not wait for longer than 0.4 s: while the store is away no other owner can begin.

An empty host is closed only when it can be taken down; one that is away is not moved.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Decides which task runs where, for all services of a site.
 
+mod announcing;
 mod carrying;
 mod holding;
 mod pacing;
@@ -36,6 +37,7 @@
 use crate::batch::advisor::Advisor;
 use crate::batch::book::Book;
 use crate::batch::demand_meter::DemandMeter;
+use crate::batch::dispatcher::announcing::Announced;
 use crate::batch::pools::Pools;
 use crate::batch::seat::Seat;
 use crate::batch::upkeep::Waves;
@@ -88,6 +90,7 @@
     noting: BTreeMap<u64, Noting>,
     engaging: BTreeMap<u64, ExecutorId>,
     claiming: BTreeMap<u64, Vec<JobId>>,
+    announced: BTreeMap<u64, Announced>,
     receipts: u64,
     retention: u64,
     settled: Instant,
@@ -141,6 +144,7 @@
             noting: BTreeMap::new(),
             engaging: BTreeMap::new(),
             claiming: BTreeMap::new(),
+            announced: BTreeMap::new(),
             receipts: 0,
             retention: u64::MAX,
             settled: now.at,
@@ -218,6 +222,7 @@
         self.open_due(now);
         self.upkeep(now);
         self.balance(now);
+        self.give_moves(now);
         self.carry(now);
         if !self.unclaimed.is_empty() {
             let ids = std::mem::take(&mut self.unclaimed);
@@ -375,6 +380,9 @@
         if let Some(ids) = self.claiming.remove(&receipt) {
             self.claimed(&ids);
         }
+        if let Some(announced) = self.announced.remove(&receipt) {
+            self.give(now, announced);
+        }
         if let Some(noting) = self.noting.remove(&receipt) {
             self.noted(now, noting);
         }
--- /dev/null
+++ b/src/batch/dispatcher/announcing.rs
@@ -0,0 +1,99 @@
+//! Orders for hosts stand in the log before they are given, so that a later owner knows of them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::warn;
+
+use crate::batch::Action;
+use crate::batch::Dispatcher;
+use crate::batch::Maintain;
+use crate::batch::Now;
+use crate::batch::OrderError;
+use crate::batch::Record;
+use crate::batch::Transfer;
+use crate::name::HostName;
+
+/// Age of a record from which on its order is no longer given, in milliseconds. A later owner
+/// leaves the host alone for longer than that.
+const FRESH_MS: u64 = 1_500;
+/// Time that a move waits for its record, in milliseconds. While the store is away no other owner
+/// can begin, and demand does not wait.
+const MOVE_MS: u64 = 400;
+
+/// An order for a host.
+#[derive(Debug)]
+pub(super) enum HostOrder {
+    /// To another pool.
+    Transfer(Transfer),
+    /// Down for its upkeep.
+    Maintain(Maintain),
+}
+
+impl HostOrder {
+    const fn host(&self) -> &HostName {
+        match self {
+            Self::Transfer(order) => &order.host,
+            Self::Maintain(order) => &order.host,
+        }
+    }
+}
+
+/// An order whose record is on its way into the log.
+#[derive(Debug)]
+pub(super) struct Announced {
+    order: HostOrder,
+    at: Instant,
+}
+
+impl Dispatcher {
+    /// Writes an order for a host to the log; it is given once it's there.
+    pub(super) fn announce(&mut self, now: Now, order: HostOrder) {
+        let host = order.host().clone();
+        let at = now.unix;
+        let receipt = self.append(vec![Record::Ordered { host, at }]);
+        let announced = Announced { order, at: now.at };
+        self.announced.insert(receipt, announced);
+    }
+
+    /// Gives an order whose record is in the log, unless that took too long.
+    pub(super) fn give(&mut self, now: Now, announced: Announced) {
+        let Announced { order, at } = announced;
+        if now.at > at + Duration::from_millis(FRESH_MS) {
+            warn!(self.log, "order too late"; "host" => %order.host());
+            return self.drop_order(now, order);
+        }
+        self.actions.push(match order {
+            HostOrder::Transfer(order) => Action::Transfer(order),
+            HostOrder::Maintain(order) => Action::Maintain(order),
+        });
+    }
+
+    /// Gives the moves that have waited for their records for long enough.
+    pub(super) fn give_moves(&mut self, now: Now) {
+        let wait = Duration::from_millis(MOVE_MS);
+        let due = |announced: &Announced| {
+            matches!(announced.order, HostOrder::Transfer(_)) && now.at > announced.at + wait
+        };
+        let receipts = self.announced.iter().filter(|(_, order)| due(order));
+        let receipts: Vec<u64> = receipts.map(|(&receipt, _)| receipt).collect();
+        for receipt in receipts {
+            if let Some(announced) = self.announced.remove(&receipt) {
+                self.give(now, announced);
+            }
+        }
+    }
+
+    fn drop_order(&mut self, now: Now, order: HostOrder) {
+        match order {
+            HostOrder::Transfer(order) => {
+                self.pools
+                    .answered(now.at, &order.host, Err(OrderError::Unsent));
+            }
+            HostOrder::Maintain(order) => {
+                self.waves
+                    .answered(now.at, order.wave, &order.host, Err(OrderError::Unsent));
+            }
+        }
+    }
+}
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -13,6 +13,7 @@
 use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Transfer;
+use crate::batch::dispatcher::announcing::HostOrder;
 use crate::batch::dispatcher::upkeeping::is_settling;
 use crate::batch::pools::Member;
 use crate::batch::pools::PoolView;
@@ -37,13 +38,13 @@
         self.tell_pools(now, &views);
         for step in self.pools.plan(now.at, &views) {
             info!(self.log, "move ordered"; "host" => %step.host, "pool" => %step.pool);
-            self.note_order(now, &step.host);
-            self.actions.push(Action::Transfer(Transfer {
+            let order = Transfer {
                 host: step.host,
                 pool: step.pool,
                 holder: self.node.clone(),
                 fence: self.fence,
-            }));
+            };
+            self.announce(now, HostOrder::Transfer(order));
         }
     }
 
@@ -113,6 +114,7 @@
         let here = here.is_some_and(|info| info.service == host.pool && !info.draining);
         let here = here && seat.is_some_and(|seat| seat.resolved && !seat.silent);
         let due = self.waves.is_closed(Some(&host.name))
+            || self.waves.is_away(now.at, &host.name)
             || is_settling(self.book.ordered.get(&host.name), now);
         let closed = self.directives.closed.contains(&host.dc);
         Member {
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -15,6 +15,7 @@
 use crate::batch::OrderError;
 use crate::batch::Record;
 use crate::batch::TaskId;
+use crate::batch::dispatcher::announcing::HostOrder;
 use crate::batch::room::Rooms;
 use crate::batch::room::Wish;
 use crate::batch::seat::Seat;
@@ -107,20 +108,13 @@
     fn take_down(&mut self, now: Now, wave: u64, host: HostName) {
         info!(self.log, "upkeep ordered"; "host" => %host, "wave" => wave);
         self.waves.ordered(wave, &host);
-        self.note_order(now, &host);
-        self.actions.push(Action::Maintain(Maintain {
+        let order = Maintain {
             host,
             wave,
             holder: self.node.clone(),
             fence: self.fence,
-        }));
-    }
-
-    /// Lets a later owner know that this one has given an order for a host.
-    pub(super) fn note_order(&mut self, now: Now, host: &HostName) {
-        let host = host.clone();
-        let at = now.unix;
-        self.append(vec![Record::Ordered { host, at }]);
+        };
+        self.announce(now, HostOrder::Maintain(order));
     }
 
     pub(super) fn maintained(
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -113,6 +113,13 @@
         self.runs.values().any(|run| run.closed.contains(host))
     }
 
+    /// Whether a host was taken down and may not be back yet.
+    #[must_use]
+    pub fn is_away(&self, now: Instant, host: &HostName) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.away.get(host).is_some_and(|until| now < *until))
+    }
+
     /// What is to be done with which host.
     pub fn plan(
         &mut self,
@@ -232,19 +239,19 @@
             if load.passing > 0 && !pressing {
                 continue;
             }
+            // An empty host that can't be taken down yet works on meanwhile.
+            if load == Load::default() && free == 0 {
+                continue;
+            }
             self.closed.insert(host.clone());
             match load {
                 Load {
                     passing: 0,
                     lasting: 0,
-                } if free > 0 => {
+                } => {
                     free -= 1;
                     wishes.push((host, Wish::TakeDown));
                 }
-                Load {
-                    passing: 0,
-                    lasting: 0,
-                } => {}
                 _ if forcing => wishes.push((host, Wish::Clear)),
                 _ => wishes.push((host, Wish::Empty)),
             }
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -112,3 +112,44 @@
     let stopped = world.fakes.values().flat_map(|fake| fake.works.values());
     assert_eq!(stopped.filter(|work| work.ends.is_some()).count(), 0);
 }
+
+/// The pattern: an owner that is cut off from the store, or about to lose its reign, takes hosts
+/// down that the next owner knows nothing of, and at most so many may be down at once.
+#[test]
+fn no_host_is_taken_down_before_the_log_says_so() {
+    let mut world = World::new(&[("captions", 4)]);
+    world.dark = true;
+    world.ask_wave(&["captions-0", "captions-1"], 20_000, 2);
+    world.run(1_000);
+    assert_eq!(world.downs.len(), 0);
+    world.light();
+    world.run(8_000);
+    assert_eq!(world.told[&1], WaveState::Completed);
+}
+
+/// The pattern: the store is away for seconds, and the owner comes back to old permissions.
+#[test]
+fn a_host_is_not_taken_down_on_a_record_that_took_too_long() {
+    let mut world = World::new(&[("captions", 4)]);
+    world.dark = true;
+    world.ask_wave(&["captions-0"], 20_000, 1);
+    world.run(2_000);
+    world.light();
+    world.run(100);
+    assert_eq!(world.downs.len(), 0);
+    world.run(8_000);
+    assert_eq!(world.told[&1], WaveState::Completed);
+}
+
+/// The pattern: a peak while half of the hosts may be down at once.
+#[test]
+fn empty_hosts_work_on_while_others_are_down() {
+    let mut world = World::new(&[("captions", 4)]);
+    let hosts = ["captions-0", "captions-1", "captions-2", "captions-3"];
+    world.ask_wave(&hosts, 30_000, 2);
+    world.run(300);
+    assert_eq!(world.downs.len(), 2);
+    world.submit(1, "captions", vec![step(32)]);
+    world.run(500);
+    assert_eq!(world.starts.len(), 32);
+}
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -78,6 +78,9 @@
     pub cut: BTreeSet<ExecutorId>,
     /// The owner reads the log late.
     pub behind: bool,
+    /// The log takes nothing of the owner's.
+    pub dark: bool,
+    unwritten: Vec<(u64, Vec<Record>)>,
     /// Executors that are about to leave.
     pub leaving: BTreeSet<ExecutorId>,
     /// Answers of starts that are lost from now on.
@@ -178,6 +181,8 @@
             tail: Box::new(|_| 0),
             cut: BTreeSet::new(),
             behind: false,
+            dark: false,
+            unwritten: Vec::new(),
             leaving: BTreeSet::new(),
             lost: 0,
             starts: Vec::new(),
@@ -264,6 +269,15 @@
         id(number)
     }
 
+    /// The log takes again what it did not.
+    pub fn light(&mut self) {
+        self.dark = false;
+        for (receipt, records) in std::mem::take(&mut self.unwritten) {
+            self.records.extend(records);
+            self.later(TRIP_MS, Event::Appended(receipt));
+        }
+    }
+
     pub fn cancel(&mut self, job: JobId) {
         self.write(Record::Cancelled(job));
     }
--- a/tests/batch/world/carrying_out.rs
+++ b/tests/batch/world/carrying_out.rs
@@ -19,6 +19,9 @@
     pub(super) fn act(&mut self, action: Action) {
         match action {
             Action::Append { receipt, records } => {
+                if self.dark {
+                    return self.unwritten.push((receipt, records));
+                }
                 self.records.extend(records);
                 self.later(TRIP_MS, Event::Appended(receipt));
             }
