--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::future::pending;
 use std::io;
@@ -31,6 +32,8 @@
 /// Most connections.
 const CONNECTIONS: usize = 256;
 
+/// Number of partitions of a topic.
+const PARTS: u64 = 12;
 /// Answers that are kept for appends that come again.
 const REPEATS: usize = 5;
 
@@ -88,7 +91,7 @@
 pub struct Store {
     connections: Connections,
     parts: RefCell<BTreeMap<(String, u64), Part>>,
-    member: RefCell<Option<(String, u64)>>,
+    members: RefCell<Vec<Member>>,
     generation: Cell<u64>,
     /// Answers 503 to every call.
     pub down: Cell<bool>,
@@ -110,7 +113,7 @@
         Rc::new(Self {
             connections: Connections::new(CONNECTIONS),
             parts: RefCell::default(),
-            member: RefCell::default(),
+            members: RefCell::default(),
             generation: Cell::new(0),
             down: Cell::new(false),
             bite: Cell::new(0),
@@ -254,24 +257,22 @@
         )
     }
 
-    /// The first member that joins has all partitions until it leaves.
+    /// Partitions are dealt evenly; a newcomer gets the lowest of those who have more.
     fn join(&self, body: &[u8]) -> Answer {
         let Ok(body) = serde_json::from_slice::<Value>(body) else {
             return plain(StatusCode::BAD_REQUEST, "no JSON");
         };
-        let name = body["member"].as_str().unwrap_or_default().to_owned();
+        let name = body["member"].as_str().unwrap_or_default();
         let topic = body["topics"][0].clone();
-        let mut member = self.member.borrow_mut();
-        if member.is_none() {
+        let mut members = self.members.borrow_mut();
+        if !members.iter().any(|member| member.name == name) {
             self.generation.set(self.generation.get() + 1);
-            *member = Some((name.clone(), self.generation.get()));
+            members.push(Member::new(name));
+            deal(&mut members);
         }
-        let leads = member.as_ref().is_some_and(|(leader, _)| *leader == name);
-        let parts = if leads {
-            vec![json!([topic, 0, 0])]
-        } else {
-            Vec::new()
-        };
+        let member = members.iter().find(|member| member.name == name);
+        let parts = member.into_iter().flat_map(|member| &member.parts);
+        let parts: Vec<Value> = parts.map(|part| json!([topic, part, 0])).collect();
         let generation = self.generation.get();
         json(
             StatusCode::OK,
@@ -279,28 +280,71 @@
         )
     }
 
+    /// Which member has a partition.
+    pub fn holder(&self, part: u64) -> Option<String> {
+        let members = self.members.borrow();
+        let holder = members.iter().find(|member| member.parts.contains(&part));
+        holder.map(|member| member.name.clone())
+    }
+
     fn owners(&self) -> Answer {
-        let member = self.member.borrow();
-        let rows: Vec<Value> = member
-            .iter()
-            .map(|(name, _)| json!(["jobs", 0, name, 0]))
-            .collect();
+        let rows = (0..PARTS).filter_map(|part| Some(json!(["jobs", part, self.holder(part)?, 0])));
+        let rows: Vec<Value> = rows.collect();
         json(StatusCode::OK, &json!({ "parts": rows }))
     }
 
     fn leave(&self, body: &[u8]) -> Answer {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
-        let mut member = self.member.borrow_mut();
-        if member
-            .as_ref()
-            .is_some_and(|(name, _)| body["member"] == **name)
-        {
-            *member = None;
+        let mut members = self.members.borrow_mut();
+        let before = members.len();
+        members.retain(|member| body["member"] != *member.name);
+        if members.len() < before {
+            self.generation.set(self.generation.get() + 1);
+            deal(&mut members);
         }
         plain(StatusCode::OK, "")
     }
 }
 
+/// A member of the group.
+struct Member {
+    name: String,
+    parts: BTreeSet<u64>,
+}
+
+impl Member {
+    fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            parts: BTreeSet::new(),
+        }
+    }
+}
+
+/// Deals the partitions evenly, with as few changes as need be.
+fn deal(members: &mut [Member]) {
+    if members.is_empty() {
+        return;
+    }
+    let held: BTreeSet<u64> = members
+        .iter()
+        .flat_map(|member| member.parts.clone())
+        .collect();
+    let mut free: BTreeSet<u64> = (0..PARTS).filter(|part| !held.contains(part)).collect();
+    let most = PARTS.div_ceil(members.len() as u64) as usize;
+    for member in members.iter_mut() {
+        while member.parts.len() > most {
+            free.extend(member.parts.pop_first());
+        }
+    }
+    while let Some(part) = free.pop_first() {
+        let poorest = members.iter_mut().min_by_key(|member| member.parts.len());
+        if let Some(member) = poorest {
+            member.parts.insert(part);
+        }
+    }
+}
+
 impl Handler for Store {
     fn is_control(_: &str) -> bool {
         false
