--- a/src/batch/demand_meter.rs
+++ b/src/batch/demand_meter.rs
@@ -13,6 +13,9 @@
 /// How far ahead the rise of the last two windows is carried on, in windows.
 const AHEAD: u64 = 2;
 
+/// Time after a change of owners from which on two whole windows have been seen, in milliseconds.
+const SETTLE_MS: u64 = 2_500;
+
 /// Work that came in, in core-milliseconds, by when.
 #[derive(Debug, Default)]
 struct Arrivals {
@@ -23,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct DemandMeter {
     services: BTreeMap<ServiceName, Arrivals>,
+    // From when on the last two windows can be compared.
+    steady: Option<Instant>,
 }
 
 impl DemandMeter {
@@ -38,9 +43,19 @@
         arrivals.items.push_back((now, work));
     }
 
+    /// A meter of an owner that takes over at `now`: what came in before it doesn't know.
+    #[must_use]
+    pub fn inherited(now: Instant) -> Self {
+        Self {
+            steady: Some(now + Duration::from_millis(SETTLE_MS)),
+            ..Self::default()
+        }
+    }
+
     /// Processor that a service's work will take soon, in thousandths of a core: the rate of
     /// arrival, carried on if it rises.
     pub fn forecast(&mut self, now: Instant, service: &ServiceName) -> u64 {
+        let steady = self.steady.is_none_or(|steady| now >= steady);
         let Some(arrivals) = self.services.get_mut(service) else {
             return 0;
         };
@@ -62,7 +77,11 @@
                 before += work;
             }
         }
-        let rise = recent.saturating_sub(before);
+        let rise = if steady {
+            recent.saturating_sub(before)
+        } else {
+            0
+        };
         (recent + rise * AHEAD) * 1_000 / WINDOW_MS
     }
 }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -121,6 +121,11 @@
         let active: BTreeSet<JobId> = active.map(|(&id, _)| id).collect();
         let unclaimed = active.iter().filter(|id| !book.jobs[*id].claimed);
         let unclaimed = unclaimed.copied().collect();
+        let meter = if book.jobs.is_empty() {
+            DemandMeter::default()
+        } else {
+            DemandMeter::inherited(now.at)
+        };
         Self {
             fence,
             node,
@@ -130,7 +135,7 @@
             pools: Pools::default(),
             hosts: BTreeMap::new(),
             missing: BTreeMap::new(),
-            meter: DemandMeter::default(),
+            meter,
             shares: Shares::default(),
             unmeasured: book.jobs.keys().copied().collect(),
             book,
--- a/tests/batch/peaks.rs
+++ b/tests/batch/peaks.rs
@@ -39,3 +39,31 @@
         "{paid} host-milliseconds with moves, {fixed_paid} without"
     );
 }
+
+/// Moves in three seconds of a steady demand, with a change of owners before them or without.
+fn moves_under_steady_demand(change: bool) -> usize {
+    let mut world = World::new(&[("captions", 8), ("spare", 8)]);
+    let mut number = 0;
+    let mut flow = |world: &mut World, seconds: u32| {
+        for _ in 0..seconds * 5 {
+            number += 1;
+            world.submit(number, "captions", vec![step(8)]);
+            world.run(200);
+        }
+    };
+    flow(&mut world, 8);
+    let before = world.moves;
+    if change {
+        world.take_over(2);
+    }
+    flow(&mut world, 3);
+    world.moves - before
+}
+
+/// The pattern: owners change under a steady demand; to the new one it comes from nothing.
+#[test]
+fn a_new_owner_does_not_take_steady_demand_for_a_rise() {
+    let usual = moves_under_steady_demand(false);
+    let changed = moves_under_steady_demand(true);
+    assert!(changed <= usual + 1, "{changed} moves, {usual} without");
+}
