--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -58,10 +58,9 @@
 
 impl Producer {
     /// Checks an append; gives the offset of its first time if it is a repeat.
-    fn check(&mut self, epoch: u64, sequence: u64) -> Result<Option<u64>, Answer> {
-        let refuse = |reason: Value| Err(json(StatusCode::CONFLICT, &reason));
+    fn check(&mut self, epoch: u64, sequence: u64) -> Result<Option<u64>, Value> {
         if epoch < self.epoch {
-            return refuse(json!({ "reason": "fenced" }));
+            return Err(json!({ "reason": "fenced" }));
         }
         if epoch > self.epoch {
             *self = Self {
@@ -73,7 +72,7 @@
             return Ok(Some(*offset));
         }
         match self.next {
-            Some(next) if next != sequence => refuse(json!({ "reason": "seq", "expected": next })),
+            Some(next) if next != sequence => Err(json!({ "reason": "seq", "expected": next })),
             _ => Ok(None),
         }
     }
@@ -165,7 +164,7 @@
             match known.check(*epoch, sequence) {
                 Ok(None) => {}
                 Ok(Some(offset)) => return json(StatusCode::OK, &json!({ "offset": offset })),
-                Err(refusal) => return refusal,
+                Err(refusal) => return json(StatusCode::CONFLICT, &refusal),
             }
         }
         let offset = topic.first + topic.records.len() as u64;
