--- a/src/batch/desk.rs
+++ b/src/batch/desk.rs
@@ -50,7 +50,7 @@
     No,
     /// They may be, or may yet come there.
     Unsure,
-    /// No owner was told of them.
+    /// No owner was told of them, or one that is no owner any more and did nothing.
     Untold,
 }
 
@@ -99,9 +99,9 @@
         let deadline = deadline.min(latest);
         if let Some(answer) = self.election.ask(ask.clone()) {
             let answer = compio::time::timeout_at(deadline, answer).await;
-            return answer.map_or(Stored::Unsure, |answer| {
-                answer.map_or(Stored::Untold, stored)
-            });
+            // An owner whose reign ends may leave an append on its way.
+            let answer = answer.ok().and_then(Result::ok);
+            return answer.map_or(Stored::Unsure, stored);
         }
         let found = match self.owner.get() {
             Some(owner) => Some(owner),
@@ -114,7 +114,13 @@
             return Stored::Untold;
         };
         match self.exchange(owner, ask, deadline).await {
-            Ok(Some(answer)) => stored(answer),
+            Ok(Some(answer)) => {
+                let stored = stored(answer);
+                if stored == Stored::Untold {
+                    self.owner.set(None);
+                }
+                stored
+            }
             Ok(None) => {
                 self.owner.set(None);
                 Stored::Untold
@@ -211,9 +217,8 @@
         let Some(answer) = self.election.ask(ask) else {
             return text_reply(StatusCode::SERVICE_UNAVAILABLE, "not the owner\n");
         };
-        let Ok(answer) = answer.await else {
-            return text_reply(StatusCode::SERVICE_UNAVAILABLE, "not the owner any more\n");
-        };
+        // An owner whose reign ends may leave an append on its way.
+        let answer = answer.await.unwrap_or(Answer::Unsure);
         match postcard::to_allocvec(&answer) {
             Ok(body) => Reply::new(Full::new(Bytes::from(body))),
             Err(err) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
@@ -225,6 +230,7 @@
     match answer {
         Answer::Stored => Stored::Yes,
         Answer::Busy => Stored::No,
+        Answer::Superseded => Stored::Untold,
         _ => Stored::Unsure,
     }
 }
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -175,6 +175,8 @@
     Stored,
     /// It isn't in the log and won't be: the log takes nothing now.
     Busy,
+    /// It isn't in the log and won't be: another owner has begun.
+    Superseded,
     /// It doesn't know now.
     Unsure,
 }
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -309,8 +309,7 @@
                 }
                 Err(AppendError::NotAppended(_)) => Answer::Busy,
                 Err(AppendError::Unknown(_)) => Answer::Unsure,
-                // Without an answer, the gate looks for the next owner.
-                Err(AppendError::Fenced) => return,
+                Err(AppendError::Fenced) => Answer::Superseded,
             };
             let _ = reply.send(answer);
         };
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -102,6 +102,8 @@
     pub appends: Cell<u64>,
     /// Time that an append takes.
     pub lag: Cell<Duration>,
+    /// Answers 507 to appends.
+    pub full: Cell<bool>,
     /// Number of appends, from now on, that are done and not answered.
     pub lost: Cell<u64>,
 }
@@ -119,6 +121,7 @@
             delay: Cell::new(Duration::ZERO),
             appends: Cell::new(0),
             lag: Cell::new(Duration::ZERO),
+            full: Cell::new(false),
             lost: Cell::new(0),
         })
     }
@@ -286,6 +289,19 @@
         holder.map(|member| member.name.clone())
     }
 
+    /// Gives all partitions to a member that does nothing.
+    pub fn depose(&self) {
+        let mut members = self.members.borrow_mut();
+        for member in members.iter_mut() {
+            member.parts.clear();
+        }
+        members.push(Member {
+            name: "other".to_owned(),
+            parts: (0..PARTS).collect(),
+        });
+        self.generation.set(self.generation.get() + 1);
+    }
+
     fn owners(&self) -> Answer {
         let rows = (0..PARTS).filter_map(|part| Some(json!(["jobs", part, self.holder(part)?, 0])));
         let rows: Vec<Value> = rows.collect();
@@ -359,6 +375,7 @@
         }
         let uri = request.uri();
         let answer = match uri.path() {
+            "/api/log-append" if self.full.get() => plain(StatusCode::INSUFFICIENT_STORAGE, ""),
             "/api/log-append" => {
                 self.appends.set(self.appends.get() + 1);
                 compio::time::sleep(self.lag.get()).await;
