--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -141,6 +141,13 @@
         parts.map(|(_, part)| part.records.len()).sum()
     }
 
+    /// Number of records of a partition.
+    pub fn count_in(&self, topic: &str, part: u64) -> usize {
+        let parts = self.parts.borrow();
+        let part = parts.get(&(topic.to_owned(), part));
+        part.map_or(0, |part| part.records.len())
+    }
+
     /// Forgets the records of a topic's first partition before its newest `keep`.
     pub fn trim(&self, topic: &str, keep: usize) {
         let mut parts = self.parts.borrow_mut();
