--- a/src/batch/followers.rs
+++ b/src/batch/followers.rs
@@ -14,7 +14,7 @@
 use crate::batch::Stream;
 use crate::batch::Watch;
 use crate::batch::owner::Message;
-use crate::batch::owner::decode;
+use crate::batch::takeover::decode;
 use crate::log::ReadError;
 
 /// Longest that one read of the log waits for a record, in milliseconds.
