--- a/src/batch/appender.rs
+++ b/src/batch/appender.rs
@@ -99,8 +99,8 @@
         while let Some(first) = self.queued.next().await {
             self.line.push(first);
             pause(GATHER_MS).await;
-            while self.collect().is_some() {
-                if !self.advance().await {
+            while let Some(records) = self.collect() {
+                if !self.advance(&records).await {
                     return;
                 }
             }
@@ -119,12 +119,9 @@
         self.line.records(now)
     }
 
-    /// Sends what is to be sent; returns whether this writer may go on.
-    async fn advance(&mut self) -> bool {
-        let Some(records) = self.line.records(Instant::now()) else {
-            return true;
-        };
-        let result = self.send(&records).await;
+    /// Sends records; returns whether this writer may go on.
+    async fn advance(&mut self, records: &[Vec<u8>]) -> bool {
+        let result = self.send(records).await;
         for reply in self.line.settle(&result) {
             reply(Ok(()));
         }
@@ -171,7 +168,7 @@
         let renews = self.stream == Stream::Gates;
         if renews {
             self.fence += 1;
-            self.line.restart(0);
+            self.line = Line::new(0);
         }
         renews
     }
--- a/src/batch/dispatcher/announcing.rs
+++ b/src/batch/dispatcher/announcing.rs
@@ -16,7 +16,7 @@
 
 /// Age of a record from which on its order is no longer given, in milliseconds. A later owner
 /// leaves the host alone for longer than that.
-const FRESH_MS: u64 = 1_500;
+pub(super) const FRESH_MS: u64 = 1_500;
 /// Time that a move waits for its record, in milliseconds. While the store is away no other owner
 /// can begin, and demand does not wait.
 const MOVE_MS: u64 = 400;
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -15,6 +15,7 @@
 use crate::batch::OrderError;
 use crate::batch::Record;
 use crate::batch::TaskId;
+use crate::batch::dispatcher::announcing::FRESH_MS;
 use crate::batch::dispatcher::announcing::HostOrder;
 use crate::batch::room::Rooms;
 use crate::batch::room::Wish;
@@ -30,7 +31,9 @@
 /// Time between two looks at the waves, in milliseconds.
 const LOOK_MS: u64 = 50;
 /// Time after an earlier owner's order for a host in which this one gives none, in milliseconds.
-const SETTLE_MS: u64 = 3_300;
+const REST_MS: u64 = 3_300;
+/// The same after the record of the order, which may be given as late as that allows.
+const SETTLE_MS: u64 = REST_MS + FRESH_MS;
 /// Time after which nothing runs any more on a host whose executor isn't listed, in milliseconds.
 const MISSING_MS: u64 = 6_500;
 
--- a/src/batch/gate.rs
+++ b/src/batch/gate.rs
@@ -69,6 +69,7 @@
 
 /// Takes jobs in, and tells what became of them.
 pub struct Gate<P> {
+    platform: Rc<P>,
     appender: Appender,
     view: Rc<View>,
     desk: Rc<Desk<P>>,
@@ -87,7 +88,8 @@
         meters: Meters,
     ) -> Self {
         Self {
-            appender: Appender::spawn(platform, Stream::Gates, 1, 0, log.clone()),
+            appender: Appender::spawn(platform.clone(), Stream::Gates, 1, 0, log.clone()),
+            platform,
             view,
             desk,
             log,
@@ -197,6 +199,20 @@
         stored.await.map(|()| Done::Accepted)
     }
 
+    /// Refuses a record that the log could never take, and that would hold up others there.
+    fn check_size(&self, record: &Record) -> Result<(), Refusal> {
+        let bytes = record.encode();
+        let size = bytes
+            .map_err(|err| Refusal::Invalid(err.to_string()))?
+            .len();
+        let limit = self.platform.record_limit();
+        if size > limit {
+            let why = format!("the job takes {size} bytes, at most {limit} are allowed");
+            return Err(Refusal::Invalid(why));
+        }
+        Ok(())
+    }
+
     /// Has the owner append a record, or appends it if no owner can be told.
     async fn store(
         &self,
@@ -204,6 +220,7 @@
         ask: impl Fn(u64) -> Ask,
         deadline: Instant,
     ) -> Result<(), Refusal> {
+        self.check_size(&record)?;
         let latest = Instant::now() + Duration::from_millis(STORE_MS);
         let deadline = (deadline - Duration::from_millis(REPLY_MS)).min(latest);
         let wait = deadline.saturating_duration_since(Instant::now());
--- a/src/batch/line.rs
+++ b/src/batch/line.rs
@@ -173,9 +173,4 @@
         items.extend(unsent.map(|item| (item.tag, false)));
         items
     }
-
-    /// Starts anew under other numbers, from `sequence` on.
-    pub const fn restart(&mut self, sequence: u64) {
-        self.sequence = sequence;
-    }
 }
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -162,6 +162,9 @@
     /// How long an executor may take to stop a run, orders on their way included, in milliseconds.
     fn stop_time(&self) -> u64;
 
+    /// Largest record of the log, in bytes.
+    fn record_limit(&self) -> usize;
+
     /// How long the log keeps a record, in milliseconds.
     fn retention(&self) -> u64;
 
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -141,6 +141,13 @@
         parts.map(|(_, part)| part.records.len()).sum()
     }
 
+    /// The records of a partition.
+    pub fn records(&self, topic: &str, part: u64) -> Vec<Vec<u8>> {
+        let parts = self.parts.borrow();
+        let part = parts.get(&(topic.to_owned(), part));
+        part.map_or_else(Vec::new, |part| part.records.clone())
+    }
+
     /// Number of records of a partition.
     pub fn count_in(&self, topic: &str, part: u64) -> usize {
         let parts = self.parts.borrow();
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -153,3 +153,22 @@
     world.run(500);
     assert_eq!(world.starts.len(), 32);
 }
+
+/// The pattern: an owner gives an order for a host as late as it may and is killed; the next one
+/// must leave the host alone for the time of the lease, counted from the order.
+#[test]
+fn a_new_owner_leaves_a_host_alone_whose_order_was_given_late() {
+    let mut world = World::new(&[("captions", 4)]);
+    world.dark = true;
+    world.ask_wave(&["captions-0"], 30_000, 1);
+    world.run(1_200);
+    world.light();
+    while world.downs.is_empty() {
+        world.run(5);
+    }
+    world.take_over(2);
+    world.run(3_000);
+    assert_eq!(world.downs.len(), 1);
+    world.run(8_000);
+    assert_eq!(world.told[&1], WaveState::Completed);
+}
