Give no order for a host after the machine was suspended

The steady clock stands still while a machine is suspended, so an owner that waited five seconds for its record took it for fresh, while another may own the hosts. Found on the operators' list ("a process that had been paused acted on a permission that had run out").

The record's age counts by the steady clock or the time of day, whichever is more. `a_host_is_not_taken_down_after_a_suspension` fails before.

--- a/src/batch/dispatcher/announcing.rs
+++ b/src/batch/dispatcher/announcing.rs
@@ -1,7 +1,6 @@
 //! Orders for hosts stand in the log before they are given, so that a later owner knows of them.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use slog::warn;
 
@@ -43,7 +42,16 @@
 #[derive(Debug)]
 pub(super) struct Announced {
     order: HostOrder,
-    at: Instant,
+    at: Now,
+}
+
+impl Announced {
+    /// Whether its record is older than an order may be. The steady clock stands still while the
+    /// machine is suspended, and the time of day may jump, so either counts.
+    fn is_stale(&self, now: Now) -> bool {
+        let steady = now.at > self.at.at + Duration::from_millis(FRESH_MS);
+        steady || now.unix > self.at.unix + FRESH_MS
+    }
 }
 
 impl Dispatcher {
@@ -52,14 +60,15 @@
         let host = order.host().clone();
         let at = now.unix;
         let receipt = self.append(vec![Record::Ordered { host, at }]);
-        let announced = Announced { order, at: now.at };
+        let announced = Announced { order, at: now };
         self.announced.insert(receipt, announced);
     }
 
     /// Gives an order whose record is in the log, unless that took too long.
     pub(super) fn give(&mut self, now: Now, announced: Announced) {
-        let Announced { order, at } = announced;
-        if now.at > at + Duration::from_millis(FRESH_MS) {
+        let stale = announced.is_stale(now);
+        let order = announced.order;
+        if stale {
             warn!(self.log, "order too late"; "host" => %order.host());
             return self.drop_order(now, order);
         }
@@ -73,7 +82,7 @@
     pub(super) fn give_moves(&mut self, now: Now) {
         let wait = Duration::from_millis(MOVE_MS);
         let due = |announced: &Announced| {
-            matches!(announced.order, HostOrder::Transfer(_)) && now.at > announced.at + wait
+            matches!(announced.order, HostOrder::Transfer(_)) && now.at > announced.at.at + wait
         };
         let receipts = self.announced.iter().filter(|(_, order)| due(order));
         let receipts: Vec<u64> = receipts.map(|(&receipt, _)| receipt).collect();
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -141,6 +141,22 @@
     assert_eq!(world.told[&1], WaveState::Completed);
 }
 
+/// The pattern: the machine is suspended for seconds while the record is on its way. The steady
+/// clock does not count that time, the time of day does.
+#[test]
+fn a_host_is_not_taken_down_after_a_suspension() {
+    let mut world = World::new(&[("captions", 4)]);
+    world.dark = true;
+    world.ask_wave(&["captions-0"], 30_000, 1);
+    world.run(200);
+    world.now.unix += 5_000;
+    world.light();
+    world.run(100);
+    assert_eq!(world.downs.len(), 0);
+    world.run(8_000);
+    assert_eq!(world.told[&1], WaveState::Completed);
+}
+
 /// The pattern: a peak while half of the hosts may be down at once.
 #[test]
 fn empty_hosts_work_on_while_others_are_down() {
