Part the worlds of two simulations and the scheduler's dispatcher

Lines were moved only: a comparison of the sorted lines before and after shows none lost and none new but the heads of the impl blocks and what the formatter broke.

--- a/examples/dispatch_measure.rs
+++ b/examples/dispatch_measure.rs
@@ -13,7 +13,7 @@
 mod rules;
 #[path = "../tests/dispatch_sim/site.rs"]
 mod site;
-#[path = "../tests/dispatch_sim/world.rs"]
+#[path = "../tests/dispatch_sim/world/mod.rs"]
 mod world;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/tests/dispatch_sim/world/calls.rs
@@ -0,0 +1,88 @@
+//! Callers' requests and their answers.
+
+use std::time::Duration;
+
+use mimosastep::gate;
+use mimosastep::gate::Submission;
+use mimosastep::record::KeyHash;
+use mimosastep::wire::RequestId;
+use rand::RngExt;
+
+use crate::call::Answer;
+use crate::call::Call;
+use crate::call::Job;
+use crate::site;
+use crate::world::Break;
+use crate::world::World;
+
+impl World {
+    pub(super) fn answer(&mut self, request: RequestId, answer: Answer) {
+        let now = self.millis();
+        let lost = self.broken == Some(Break::LostAnswer) && request.0.is_multiple_of(7);
+        let Some(call) = self.calls.get_mut(&request) else {
+            return;
+        };
+        call.open = None;
+        if lost {
+            return;
+        }
+        call.times.1 = now;
+        if self.broken == Some(Break::SecondAnswer) {
+            call.answers.push(answer.clone());
+        }
+        call.answers.push(answer);
+    }
+
+    pub(super) fn submission(&mut self, service: usize, idempotent: bool) -> Submission {
+        let team = site::TEAMS[self.rng.random_range(0..site::TEAMS.len())];
+        self.number += 1;
+        Submission {
+            request: RequestId(u128::from(self.number) * 2),
+            caller: None,
+            service: site::SERVICES[service].parse().expect("a name"),
+            key: Some(KeyHash::of(team.as_bytes())),
+            urgent: false,
+            idempotent,
+            deadline: self.now + Duration::from_millis(self.rng.random_range(3_000..12_000)),
+        }
+    }
+
+    pub(super) fn submit(&mut self, job: Job) -> RequestId {
+        let live: Vec<usize> = (0..self.gates.len())
+            .filter(|i| self.gates[*i].is_some())
+            .collect();
+        let gate = live[self.rng.random_range(0..live.len())];
+        let service = self.rng.random_range(0..site::SERVICES.len());
+        let idempotent = self.rng.random_bool(0.5);
+        let submission = self.submission(service, idempotent);
+        let request = submission.request;
+        let call = Call {
+            gate,
+            service,
+            idempotent,
+            job,
+            times: (self.millis(), 0),
+            runs: 0,
+            starts: 0,
+            answers: Vec::new(),
+            gone: false,
+            open: None,
+            held: None,
+        };
+        self.calls.insert(request, call);
+        self.gate(gate, gate::Event::Submit(submission));
+        request
+    }
+
+    pub(super) fn go(&mut self, request: RequestId) {
+        let Some(call) = self.calls.get_mut(&request) else {
+            return;
+        };
+        if !call.answers.is_empty() || call.gone {
+            return;
+        }
+        call.gone = true;
+        let gate = call.gate;
+        self.gate(gate, gate::Event::Gone(request));
+    }
+}
--- /dev/null
+++ b/tests/share_fleet/links.rs
@@ -0,0 +1,164 @@
+//! Links between the processes.
+
+use mimosastep::gate;
+use mimosastep::net::LinkId;
+use mimosastep::record::Role;
+use mimosastep::sched;
+use mimosastep::wire::Message;
+use mimosastep::wire::Peer;
+use rand::RngExt;
+
+use crate::share_fleet::Break;
+use crate::share_fleet::Fleet;
+use crate::share_fleet::NOTICE;
+use crate::share_fleet::Work;
+use crate::share_fleet::node_name;
+
+impl Fleet {
+    pub(super) fn connect(&mut self) {
+        let scheds = self.scheds();
+        for low in 0..scheds {
+            for high in low + 1..self.nodes.len() {
+                let whole = !self.cuts.contains(&(low, high)) && !self.cuts.contains(&(high, low));
+                let alive = self.live(low) && self.live(high);
+                if whole && alive && !self.links.contains_key(&(low, high)) {
+                    self.serial += 1;
+                    let link = self.serial;
+                    self.links.insert((low, high), link);
+                    self.raise(low, high, link);
+                }
+            }
+        }
+    }
+
+    pub(super) fn raise(&mut self, sched: usize, other: usize, link: u64) {
+        if self.nodes[other].role != Role::Gate {
+            return;
+        }
+        let peer = self.peer(other);
+        self.tell_sched(sched, sched::Event::Up(LinkId(link), peer));
+        let Peer { node, incarnation } = self.peer(sched);
+        let link = LinkId(link);
+        self.tell_gate(
+            other,
+            gate::Event::Up {
+                link,
+                node,
+                incarnation,
+            },
+        );
+    }
+
+    pub(super) fn unlink(&mut self, pair: (usize, usize)) {
+        let Some(link) = self.links.remove(&pair) else {
+            return;
+        };
+        for index in [pair.0, pair.1] {
+            let delay = self.rng.random_range(1..NOTICE);
+            let at = (index, self.nodes[index].incarnation);
+            self.schedule(self.now + delay, Work::Down { at, link });
+        }
+    }
+
+    pub(super) fn peer(&self, index: usize) -> Peer {
+        Peer {
+            node: node_name(index),
+            incarnation: self.nodes[index].incarnation,
+        }
+    }
+
+    pub(super) fn far_end(&self, index: usize, link: u64) -> Option<usize> {
+        let mut links = self.links.iter();
+        let (pair, _) =
+            links.find(|(pair, id)| **id == link && (pair.0 == index || pair.1 == index))?;
+        Some(if pair.0 == index { pair.1 } else { pair.0 })
+    }
+
+    pub(super) fn send_peer(&mut self, index: usize, peer: &Peer, mut message: Message) {
+        let Some(to) = (0..self.scheds()).find(|other| self.peer(*other) == *peer) else {
+            return;
+        };
+        let me = self.peer(index);
+        match &mut message {
+            Message::Permit(permit) => {
+                let pair = (permit.team.clone(), me, peer.clone());
+                self.sent.insert(pair, permit.number);
+            }
+            Message::Permits(permits) if self.fault == Break::BlindTrust => {
+                let pair = (permits.team.clone(), peer.clone(), me);
+                permits.seen = self.sent.get(&pair).copied().unwrap_or(0);
+            }
+            _ => {}
+        }
+        let Some(link) = self.links.get(&(index.min(to), index.max(to))).copied() else {
+            return;
+        };
+        if self.lossy && self.rng.random_bool(0.1) {
+            return;
+        }
+        if self.lossy && self.rng.random_bool(0.1) {
+            let late = self.now + self.rng.random_range(1..3_000);
+            self.post(late, index, to, link, message.clone());
+        }
+        self.send(index, to, link, message);
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: usize, link: u64, message: Message) {
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let soonest = self.last.get(&(from, to)).copied().unwrap_or(0);
+        let slowest = if self.lossy { 40 } else { 4 };
+        let at = (self.now + self.rng.random_range(1..slowest)).max(soonest);
+        self.last.insert((from, to), at);
+        self.post(at, from, to, link, message);
+    }
+
+    pub(super) fn post(&mut self, at: u64, from: usize, to: usize, link: u64, message: Message) {
+        let from = (from, self.nodes[from].incarnation);
+        let to = (to, self.nodes[to].incarnation);
+        let work = Work::Deliver {
+            from,
+            to,
+            link,
+            message,
+        };
+        self.schedule(at, work);
+    }
+
+    pub(super) fn deliver(
+        &mut self,
+        from: (usize, u64),
+        to: usize,
+        link: LinkId,
+        message: Message,
+    ) {
+        let peer = Peer {
+            node: node_name(from.0),
+            incarnation: from.1,
+        };
+        match message {
+            Message::Grant(grant) => self.tell_gate(to, gate::Event::Grant(link, grant)),
+            Message::Refuse(refusal) => self.tell_gate(to, gate::Event::Refuse(link, refusal)),
+            Message::Ask(ask) => self.tell_sched(to, sched::Event::Ask(link, ask)),
+            Message::Cancel(attempt) => self.tell_sched(to, sched::Event::Cancel(link, attempt)),
+            Message::Finished { attempt, evidence } => {
+                let event = sched::Event::Finished {
+                    link,
+                    attempt,
+                    evidence,
+                };
+                self.tell_sched(to, event);
+            }
+            Message::Report { epoch, running } => {
+                let event = sched::Event::Report {
+                    link,
+                    epoch,
+                    running,
+                };
+                self.tell_sched(to, event);
+            }
+            message => self.tell_sched(to, sched::Event::Permits(peer, message)),
+        }
+    }
+}
