Bound what one job may cost an owner

Found on the operators' list ("one malformed message took a whole process down"): a job of 1,000 steps of 10,000 tasks is a few KB to hand in and ten million tasks in the memory of each owner that reads the log, one after the other; so are 100,000 occurrences that are due at once. A job of many tasks, written again before its records expire, would have outgrown a record, and a claim of some 25,000 jobs after a takeover too: the store refuses both for ever, and the owner's line stands.

`tests/batch/sizes.rs` has five cases, of which four fail before.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -51,6 +51,8 @@
 const RUNS_PER_FENCE: u64 = 1_000_000;
 /// Time between two looks for jobs that have become due.
 const OPEN_PACE: Duration = Duration::from_millis(20);
+/// Most jobs of one record that claims them.
+const CLAIM_LIMIT: usize = 1_000;
 /// Time between two readings of the meters.
 const METER_PACE: Duration = Duration::from_millis(250);
 /// How long a job that is over can be asked for, in milliseconds.
@@ -231,7 +233,7 @@
         self.carry(now);
         if !self.unclaimed.is_empty() {
             let ids = std::mem::take(&mut self.unclaimed);
-            self.claim(ids);
+            self.claim(&ids);
         }
         if self.dirty && now.at >= self.placed + self.place_pace() {
             self.dirty = false;
@@ -357,9 +359,11 @@
     }
 
     /// Asks for the record without which no task of these jobs may be started.
-    fn claim(&mut self, ids: Vec<JobId>) {
-        let receipt = self.append(vec![Record::Claimed(ids.clone())]);
-        self.claiming.insert(receipt, ids);
+    fn claim(&mut self, ids: &[JobId]) {
+        for ids in ids.chunks(CLAIM_LIMIT) {
+            let receipt = self.append(vec![Record::Claimed(ids.to_vec())]);
+            self.claiming.insert(receipt, ids.to_vec());
+        }
     }
 
     fn claimed(&mut self, ids: &[JobId]) {
--- a/src/batch/dispatcher/carrying.rs
+++ b/src/batch/dispatcher/carrying.rs
@@ -43,14 +43,14 @@
             return;
         }
         info!(self.log, "jobs written again"; "jobs" => old.len());
-        let mut records = Vec::with_capacity(old.len());
         for id in old {
             if let Some(entry) = self.book.jobs.get_mut(&id) {
                 entry.written = now.unix;
-                records.push(Record::Carried(Box::new(Carried::new(entry, now.unix))));
+                let carried = Carried::new(entry, now.unix);
+                // Each for itself, so that no append grows beyond what the log takes.
+                self.append(vec![Record::Carried(Box::new(carried))]);
             }
         }
-        self.append(records);
     }
 
     fn carry_rest(&mut self) {
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -8,6 +8,7 @@
 
 use crate::batch::End;
 use crate::batch::How;
+use crate::batch::JOB_TASK_LIMIT;
 use crate::batch::Job;
 use crate::batch::TaskId;
 use crate::batch::stage::Stage;
@@ -94,13 +95,19 @@
     /// Opens the occurrences that are due at `unix` (in milliseconds).
     pub fn open_due(&mut self, unix: u64) -> bool {
         let before = self.opened;
-        while self.verdict.is_none() && self.opened < self.count() && self.is_due(unix) {
+        while self.verdict.is_none() && self.is_due(unix) && self.has_room() {
             self.open(self.opened);
             self.opened += 1;
         }
         self.opened > before
     }
 
+    /// Whether another occurrence may be open beside those that are.
+    fn has_room(&self) -> bool {
+        let open = self.occurrences.len() as u64;
+        self.opened < self.count() && (open == 0 || (open + 1) * self.job.tasks() <= JOB_TASK_LIMIT)
+    }
+
     fn is_due(&self, unix: u64) -> bool {
         let schedule = self.job.schedule;
         schedule.is_none_or(|schedule| schedule.due(self.opened) <= unix)
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -18,6 +18,8 @@
 pub const STEP_LIMIT: usize = 1_000;
 /// Most tasks of a step.
 pub const TASK_LIMIT: u32 = 10_000;
+/// Most tasks of a job at a time: what is written again of them fits in one record of the log.
+pub const JOB_TASK_LIMIT: u64 = 4_000;
 /// Most occurrences of a job.
 pub const OCCURRENCE_LIMIT: u32 = 100_000;
 
@@ -37,6 +39,10 @@
         Count(step: usize, count: u32) {
             display("step {}: a step has 1 to {} tasks, this one has {}", step, TASK_LIMIT, count)
         }
+        /// Too many tasks in all steps.
+        Tasks(count: u64) {
+            display("a job has at most {} tasks, this one has {}", JOB_TASK_LIMIT, count)
+        }
         /// A step waits for itself, a later step or none that exists.
         After(step: usize, other: u32) {
             display("step {} can't wait for step {}: only earlier steps can be waited for", step, other)
@@ -111,9 +117,19 @@
         for (number, step) in self.steps.iter().enumerate() {
             check_step(number, step)?;
         }
+        let tasks = self.tasks();
+        if tasks > JOB_TASK_LIMIT {
+            return Err(JobError::Tasks(tasks));
+        }
         Ok(())
     }
 
+    /// Number of its tasks, of one occurrence.
+    #[must_use]
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Whether its tasks run until it is cancelled.
     #[must_use]
     pub fn lasts(&self) -> bool {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -68,6 +68,7 @@
 pub use gate::Admitted;
 pub use gate::Gate;
 pub use gate::Incoming;
+pub use job::JOB_TASK_LIMIT;
 pub use job::Job;
 pub use job::JobError;
 pub use job::SPEC_LIMIT;
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -10,6 +10,7 @@
 mod pacing;
 mod peaks;
 mod rules;
+mod sizes;
 mod teams;
 mod upkeep;
 mod world;
