--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::batch::Cells;
 use crate::batch::Entry;
 use crate::batch::Fence;
 use crate::batch::JobId;
@@ -23,6 +24,9 @@
     pub jobs: BTreeMap<JobId, Entry>,
     /// Executors that may have been given work.
     pub engaged: BTreeMap<ExecutorId, (ServiceName, SocketAddr)>,
+    /// For how long no owner has given anything to executors that owners did not hear from, in
+    /// milliseconds.
+    pub unheard: BTreeMap<ExecutorId, u64>,
     /// When hosts were last ordered down or elsewhere, in Unix milliseconds.
     pub ordered: BTreeMap<HostName, u64>,
     /// Hosts that have had their upkeep, by wave.
@@ -72,9 +76,7 @@
             }
             Record::Claimed(ids) => {
                 for id in ids {
-                    if let Some(entry) = self.jobs.get_mut(&id) {
-                        entry.claimed = true;
-                    }
+                    self.grant(id, Cells::ALL);
                 }
             }
             Record::Ordered { host, at } => {
@@ -85,14 +87,22 @@
                 service,
                 addr,
             } => {
+                self.unheard.remove(&executor);
                 self.engaged.insert(executor, (service, addr));
             }
             Record::Kept { wave, host } => {
                 self.kept.entry(wave).or_default().insert(host);
             }
             Record::Released(executor) => {
+                self.unheard.remove(&executor);
                 self.engaged.remove(&executor);
             }
+            Record::Granted(grants) => {
+                for (id, cells) in grants {
+                    self.grant(id, cells);
+                }
+            }
+            Record::Unheard(waits) => self.unheard.extend(waits),
         }
         None
     }
@@ -110,6 +120,13 @@
         book
     }
 
+    /// Lets tasks of a job be started in further cells.
+    pub fn grant(&mut self, id: JobId, cells: Cells) {
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.cells = entry.cells.with(cells);
+        }
+    }
+
     fn revoke(&mut self, id: JobId) {
         if self.revoked.len() >= REVOKED_LIMIT {
             self.revoked.pop_front();
@@ -120,7 +137,7 @@
     fn take_over(&mut self, fence: Fence) {
         self.fence = self.fence.max(fence);
         for entry in self.jobs.values_mut() {
-            entry.inherited = entry.claimed;
+            entry.inherited = entry.cells;
         }
     }
 }
--- a/src/batch/carried.rs
+++ b/src/batch/carried.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::batch::Cells;
 use crate::batch::Entry;
 use crate::batch::Job;
 use crate::batch::entry::Verdict;
@@ -36,6 +37,7 @@
     at: u64,
     opened: u32,
     started: bool,
+    /// Its tasks may have been started, on any executor.
     claimed: bool,
     verdict: Option<Verdict>,
     occurrences: BTreeMap<u32, Vec<CarriedStage>>,
@@ -54,7 +56,7 @@
             at: unix,
             opened: entry.opened,
             started: entry.started,
-            claimed: entry.claimed,
+            claimed: !entry.cells.is_empty(),
             verdict: entry.verdict,
             occurrences: occurrences.collect(),
         }
@@ -71,7 +73,11 @@
             occurrences: occurrences.collect(),
             opened: carried.opened,
             started: carried.started,
-            claimed: carried.claimed,
+            cells: if carried.claimed {
+                Cells::ALL
+            } else {
+                Cells::NONE
+            },
             written: carried.at,
             verdict: carried.verdict,
             ..Self::new(carried.job)
@@ -96,6 +102,7 @@
             done: u32::try_from(done).unwrap_or(u32::MAX),
             failed: carried.failed.into_iter().collect(),
             tasks,
+            untouched: false,
         }
     }
 }
--- a/src/batch/demand.rs
+++ b/src/batch/demand.rs
@@ -38,6 +38,16 @@
         self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
     }
 
+    /// The lesser of each amount.
+    #[must_use]
+    pub const fn least(&self, other: &Self) -> Self {
+        Self {
+            cpu: least(self.cpu, other.cpu),
+            memory: least(self.memory, other.memory),
+            gpu: least(self.gpu, other.gpu),
+        }
+    }
+
     /// Adds another amount.
     pub const fn add(&mut self, other: &Self) {
         self.cpu += other.cpu;
@@ -53,6 +63,10 @@
     }
 }
 
+const fn least(one: u64, other: u64) -> u64 {
+    if one < other { one } else { other }
+}
+
 /// How many times `each` fits beside `used` under a limit, of which 0 means none.
 const fn times(limit: u64, used: u64, each: u64) -> u64 {
     if limit == 0 {
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod announcing;
 mod carrying;
+mod granting;
 mod holding;
 mod pacing;
 mod placing;
@@ -21,6 +22,7 @@
 use crate::batch::Action;
 use crate::batch::Answer;
 use crate::batch::Ask;
+use crate::batch::Cells;
 use crate::batch::Demand;
 use crate::batch::Directives;
 use crate::batch::Event;
@@ -38,9 +40,12 @@
 use crate::batch::book::Book;
 use crate::batch::demand_meter::DemandMeter;
 use crate::batch::dispatcher::announcing::Announced;
+use crate::batch::in_flight::InFlight;
 use crate::batch::pools::Pools;
+use crate::batch::room::Rooms;
 use crate::batch::seat::Seat;
 use crate::batch::upkeep::Waves;
+use crate::batch::widening::Widening;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 use crate::name::NodeName;
@@ -51,8 +56,6 @@
 const RUNS_PER_FENCE: u64 = 1_000_000;
 /// Time between two looks for jobs that have become due.
 const OPEN_PACE: Duration = Duration::from_millis(20);
-/// Most jobs of one record that claims them.
-const CLAIM_LIMIT: usize = 1_000;
 /// Time between two readings of the meters.
 const METER_PACE: Duration = Duration::from_millis(250);
 /// How long a job that is over can be asked for, in milliseconds.
@@ -88,16 +91,23 @@
     directives: Directives,
     usage: BTreeMap<TeamName, Demand>,
     active: BTreeSet<JobId>,
-    unclaimed: Vec<JobId>,
+    ungranted: Vec<JobId>,
     noting: BTreeMap<u64, Noting>,
     engaging: BTreeMap<u64, ExecutorId>,
-    claiming: BTreeMap<u64, Vec<JobId>>,
+    granting: BTreeMap<u64, Vec<(JobId, Cells)>>,
+    widening: Widening,
+    // Jobs that wait for executors that have not answered.
+    held: BTreeSet<JobId>,
+    // Room that was left by the last look for tasks to start.
+    vacant: Rooms,
     announced: BTreeMap<u64, Announced>,
     receipts: u64,
     retention: u64,
     settled: Instant,
     carried: Instant,
     rewritten: u64,
+    // When the log was last told of executors that were not heard from.
+    awaited: Instant,
     // Since when the log is longer than what was read of it.
     behind: Option<Instant>,
     placed: Instant,
@@ -106,8 +116,7 @@
     opened: Instant,
     measured: Instant,
     told: Instant,
-    // Orders to start that are on their way.
-    starting: usize,
+    starting: InFlight,
     // Tasks were left waiting for these to be answered.
     throttled: bool,
     dirty: bool,
@@ -121,8 +130,8 @@
     pub fn new(now: Now, fence: Fence, node: NodeName, book: Book, log: Logger) -> Self {
         let active = book.jobs.iter().filter(|(_, entry)| entry.is_active());
         let active: BTreeSet<JobId> = active.map(|(&id, _)| id).collect();
-        let unclaimed = active.iter().filter(|id| !book.jobs[*id].claimed);
-        let unclaimed = unclaimed.copied().collect();
+        let ungranted = active.iter().filter(|id| book.jobs[*id].cells.is_empty());
+        let ungranted = ungranted.copied().collect();
         let meter = if book.jobs.is_empty() {
             DemandMeter::default()
         } else {
@@ -147,16 +156,20 @@
             directives: Directives::default(),
             usage: BTreeMap::new(),
             active,
-            unclaimed,
+            ungranted,
             noting: BTreeMap::new(),
             engaging: BTreeMap::new(),
-            claiming: BTreeMap::new(),
+            granting: BTreeMap::new(),
+            widening: Widening::default(),
+            held: BTreeSet::new(),
+            vacant: Rooms::default(),
             announced: BTreeMap::new(),
             receipts: 0,
             retention: u64::MAX,
             settled: now.at,
             carried: now.at,
             rewritten: now.unix,
+            awaited: now.at,
             behind: None,
             placed: now.at,
             balanced: now.at,
@@ -164,7 +177,7 @@
             opened: now.at,
             measured: now.at,
             told: now.at,
-            starting: 0,
+            starting: InFlight::default(),
             throttled: false,
             dirty: true,
             ends: [0; How::ALL.len()],
@@ -209,6 +222,7 @@
             Event::Hosts(hosts) => {
                 let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
                 self.hosts = hosts.collect();
+                self.disengage_moved();
                 self.note_missing(now);
             }
             Event::Transferred { order, result } => self.transferred(now, &order, result),
@@ -231,10 +245,12 @@
         self.balance(now);
         self.give_moves(now);
         self.carry(now);
-        if !self.unclaimed.is_empty() {
-            let ids = std::mem::take(&mut self.unclaimed);
-            self.claim(&ids);
+        self.tell_unheard(now);
+        if !self.ungranted.is_empty() {
+            let ids = std::mem::take(&mut self.ungranted);
+            self.grant_new(&ids);
         }
+        self.note_overdue(now);
         if self.dirty && now.at >= self.placed + self.place_pace() {
             self.dirty = false;
             self.placed = now.at;
@@ -316,8 +332,8 @@
         if entry.is_active() {
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
-            if !entry.claimed {
-                self.unclaimed.push(id);
+            if entry.cells.is_empty() {
+                self.ungranted.push(id);
             }
             self.unmeasured.push(id);
         } else {
@@ -358,23 +374,6 @@
         jobs.retain(|_, entry| !entry.closed.is_some_and(old) || entry.unnoted > 0);
     }
 
-    /// Asks for the record without which no task of these jobs may be started.
-    fn claim(&mut self, ids: &[JobId]) {
-        for ids in ids.chunks(CLAIM_LIMIT) {
-            let receipt = self.append(vec![Record::Claimed(ids.to_vec())]);
-            self.claiming.insert(receipt, ids.to_vec());
-        }
-    }
-
-    fn claimed(&mut self, ids: &[JobId]) {
-        for id in ids {
-            if let Some(entry) = self.book.jobs.get_mut(id) {
-                entry.claimed = true;
-            }
-        }
-        self.dirty = true;
-    }
-
     fn append(&mut self, records: Vec<Record>) -> u64 {
         self.receipts += 1;
         let receipt = self.receipts;
@@ -384,10 +383,10 @@
 
     fn appended(&mut self, now: Now, receipt: u64) {
         if let Some(executor) = self.engaging.remove(&receipt) {
-            self.engaged(&executor);
+            self.engaged(&executor, receipt);
         }
-        if let Some(ids) = self.claiming.remove(&receipt) {
-            self.claimed(&ids);
+        if let Some(grants) = self.granting.remove(&receipt) {
+            self.granted(grants);
         }
         if let Some(announced) = self.announced.remove(&receipt) {
             self.give(now, announced);
--- a/src/batch/dispatcher/carrying.rs
+++ b/src/batch/dispatcher/carrying.rs
@@ -56,7 +56,9 @@
     fn carry_rest(&mut self) {
         let mut records = Vec::new();
         for (id, seat) in &self.seats {
-            if seat.engagement == Engagement::Recorded && !seat.is_retired() {
+            let stays = seat.engagement == Engagement::Recorded && !seat.is_retired();
+            // An engagement written again would begin the wait for it anew.
+            if stays && !seat.is_unheard() {
                 records.push(Record::Engaged {
                     executor: id.clone(),
                     service: seat.service.clone(),
--- /dev/null
+++ b/src/batch/dispatcher/granting.rs
@@ -0,0 +1,158 @@
+//! Where tasks of a job may be started. The log says so before, so that a later owner knows which
+//! executors may have them.
+
+use std::collections::BTreeMap;
+
+use slog::info;
+
+use crate::batch::Cells;
+use crate::batch::Demand;
+use crate::batch::Dispatcher;
+use crate::batch::Entry;
+use crate::batch::Job;
+use crate::batch::JobId;
+use crate::batch::Record;
+use crate::batch::room::Wish;
+use crate::name::ServiceName;
+use crate::name::TeamName;
+
+/// Most jobs of one record.
+const GRANT_LIMIT: usize = 1_000;
+
+impl Dispatcher {
+    /// Cells for a job that is accepted now: where there is room for it, and its home.
+    pub fn first_cells(&mut self, job: &Job) -> Cells {
+        if job.lasts() || job.steps.iter().any(|step| step.gang) || self.is_advised(job) {
+            return Cells::ALL;
+        }
+        let mut cells = Cells::home(job.id);
+        let Some(step) = job.steps.first() else {
+            return cells;
+        };
+        let rooms = self.vacant.of_mut(&job.service);
+        let mut wish = Wish::new(step, None, rooms, std::iter::empty());
+        for _ in 0..step.count {
+            let Some(cell) = wish.take_cell(rooms) else {
+                break;
+            };
+            cells = cells.with(cell);
+        }
+        cells
+    }
+
+    /// Asks for the records without which no task of these jobs may be started.
+    pub(super) fn grant_new(&mut self, ids: &[JobId]) {
+        let mut grants = Vec::new();
+        for &id in ids {
+            let job = self.book.jobs.get(&id).map(|entry| entry.job.clone());
+            if let Some(job) = job {
+                grants.push((id, self.first_cells(&job)));
+            }
+        }
+        self.grant(&grants);
+    }
+
+    fn grant(&mut self, grants: &[(JobId, Cells)]) {
+        for grants in grants.chunks(GRANT_LIMIT) {
+            let receipt = self.append(vec![Record::Granted(grants.to_vec())]);
+            self.granting.insert(receipt, grants.to_vec());
+        }
+    }
+
+    pub(super) fn granted(&mut self, grants: Vec<(JobId, Cells)>) {
+        for (id, cells) in grants {
+            self.widening.settle(id);
+            self.book.grant(id, cells);
+        }
+        self.dirty = true;
+    }
+
+    /// Asks for the records of the jobs that need further cells.
+    pub(super) fn grant_wider(&mut self) {
+        let grants = self.widening.take();
+        self.grant(&grants);
+    }
+
+    /// The cells, by service, of executors on which tasks may run that this owner doesn't know of.
+    pub(super) fn unclear(&self) -> BTreeMap<ServiceName, Cells> {
+        let mut unclear: BTreeMap<ServiceName, Cells> = BTreeMap::new();
+        for (id, seat) in self.seats.iter().filter(|(_, seat)| seat.is_unheard()) {
+            let cells = unclear.entry(seat.service.clone()).or_default();
+            *cells = cells.with(Cells::of(id));
+        }
+        unclear
+    }
+
+    /// Notes which jobs wait for executors that have not answered, and names these once a job.
+    pub(super) fn note_held(&mut self, held: Vec<JobId>) {
+        for id in &held {
+            if self.held.contains(id) {
+                continue;
+            }
+            let Some(entry) = self.book.jobs.get(id) else {
+                continue;
+            };
+            let service = &entry.job.service;
+            let waits = self.seats.iter().filter(|(executor, seat)| {
+                seat.is_unheard()
+                    && seat.service == *service
+                    && entry.inherited.meets(Cells::of(executor))
+            });
+            let waits: Vec<&str> = waits.map(|(executor, _)| executor.as_str()).collect();
+            info!(self.log, "job held"; "job" => %id, "service" => %service,
+                "executors" => waits.join(" "));
+        }
+        self.held = held.into_iter().collect();
+    }
+
+    /// What work of each team may run on executors that have not answered: no more than they
+    /// have room for, and no more than the team has tasks that may be there.
+    pub(super) fn hidden(&self) -> BTreeMap<TeamName, Demand> {
+        let unclear = self.unclear();
+        let mut hidden: BTreeMap<TeamName, Demand> = BTreeMap::new();
+        if unclear.is_empty() {
+            return hidden;
+        }
+        for entry in self.book.jobs.values() {
+            let Some(team) = &entry.job.team else {
+                continue;
+            };
+            let cells = unclear.get(&entry.job.service);
+            let cells = cells.copied().unwrap_or_default();
+            if entry.inherited.meets(cells) {
+                hidden
+                    .entry(team.clone())
+                    .or_default()
+                    .add(&unseen(entry, cells));
+            }
+        }
+        let mut room = Demand::default();
+        for seat in self.seats.values().filter(|seat| seat.is_unheard()) {
+            match &seat.info {
+                Some(info) => room.add(&info.capacity),
+                None => return hidden,
+            }
+        }
+        for demand in hidden.values_mut() {
+            *demand = demand.least(&room);
+        }
+        hidden
+    }
+}
+
+/// What the tasks of a job take that may run unseen in some cells.
+fn unseen(entry: &Entry, cells: Cells) -> Demand {
+    let mut demand = Demand::default();
+    for (&occurrence, stages) in &entry.occurrences {
+        for (number, step) in (0..).zip(&entry.job.steps) {
+            if !entry.may_run_unseen(occurrence, number, cells) {
+                continue;
+            }
+            let tasks = &stages[number as usize].tasks;
+            for _ in tasks.iter().filter(|task| task.is_idle()) {
+                demand.add(&step.demand);
+            }
+        }
+    }
+    demand
+}
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -20,6 +20,7 @@
 use crate::batch::Target;
 use crate::batch::TaskId;
 use crate::batch::dispatcher::Noting;
+use crate::batch::seat::Engagement;
 use crate::batch::seat::LEASE_MS;
 use crate::batch::seat::Probe;
 use crate::batch::slot::Phase;
@@ -30,6 +31,14 @@
 const WAIT_MS: u64 = 1_000;
 /// Time between two orders to an executor that doesn't answer, in milliseconds.
 const RETRY_MS: u64 = 250;
+/// The pause doubles with each such order, so many times.
+const RETRY_DOUBLINGS: u32 = 3;
+/// It grows up to this long while something may run there, in milliseconds.
+const SLOW_RETRY_MS: u64 = 1_000;
+/// It grows up to this long once nothing can run there any more, in milliseconds.
+const GONE_RETRY_MS: u64 = 2_000;
+/// Time between two records of the executors that were not heard from, in milliseconds.
+const UNHEARD_MS: u64 = 500;
 /// How long an executor on which a run stalled gets no new work, in milliseconds.
 const STALLED_MS: u64 = 3_000;
 /// Time between two orders to an executor that has nothing new to tell, in milliseconds.
@@ -97,7 +106,14 @@
             warn!(self.log, "executor silent"; "executor" => %id, "why" => %err);
         }
         seat.silent = true;
-        seat.probe = Probe::At(now.at + Duration::from_millis(RETRY_MS));
+        let most = if seat.cleared {
+            GONE_RETRY_MS
+        } else {
+            SLOW_RETRY_MS
+        };
+        let pause = (RETRY_MS << seat.misses.min(RETRY_DOUBLINGS)).min(most);
+        seat.misses += 1;
+        seat.probe = Probe::At(now.at + Duration::from_millis(pause));
     }
 
     fn reported(&mut self, now: Now, id: &ExecutorId, sent: Instant, report: Report) {
@@ -119,10 +135,17 @@
             self.dirty = true;
         }
         let first = !seat.resolved;
+        let anew = seat.unheard || seat.engagement == Engagement::None;
         seat.silent = false;
+        seat.misses = 0;
+        seat.asked = seat.asked.filter(|&asked| asked > sent);
+        seat.unheard = false;
         seat.resolved = true;
         seat.cleared = true;
         seat.clock = Some((report.clock, now.at));
+        if anew {
+            self.engage(id);
+        }
         self.dirty |= first;
         let fresh = self.take_ends(now, id, &report.ended);
         self.compare(now, id, sent, &report.running);
@@ -321,6 +344,9 @@
         });
         info!(self.log, "run found"; "task" => %run.task, "run" => run.run, "executor" => %id,
             "kept" => wanted);
+        if wanted {
+            entry.note_under_way(&run.task);
+        }
         self.occupy(id, run.task, run.run, slot);
         if wanted {
             self.save(run);
@@ -335,11 +361,36 @@
         let ids: Vec<ExecutorId> = over.map(|(id, _)| id.clone()).collect();
         for id in ids {
             warn!(self.log, "leases are over"; "executor" => %id);
-            self.free_all(&id);
-            if let Some(seat) = self.seats.get_mut(&id) {
-                seat.cleared = true;
-            }
-            self.dirty = true;
+            self.disengage(&id);
+        }
+    }
+
+    /// Nothing runs on an executor any more; the next owner need not wait for it.
+    pub(super) fn disengage(&mut self, id: &ExecutorId) {
+        self.free_all(id);
+        if let Some(seat) = self.seats.get_mut(id) {
+            seat.give_up();
+        }
+        self.book.engaged.remove(id);
+        self.append(vec![Record::Released(id.clone())]);
+        self.dirty = true;
+    }
+
+    /// Tells the log how long the executors that have not answered yet were waited for, so that
+    /// the wait goes on with the next owner and doesn't begin anew.
+    pub(super) fn tell_unheard(&mut self, now: Now) {
+        if now.at < self.awaited + Duration::from_millis(UNHEARD_MS) {
+            return;
+        }
+        self.awaited = now.at;
+        let unheard = self.seats.iter_mut().filter(|(_, seat)| seat.is_unheard());
+        let waits = unheard.map(|(id, seat)| {
+            seat.unheard = true;
+            (id.clone(), seat.waited(now.at))
+        });
+        let waits: Vec<(ExecutorId, u64)> = waits.collect();
+        if !waits.is_empty() {
+            self.append(vec![Record::Unheard(waits)]);
         }
     }
 }
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -1,11 +1,12 @@
 //! Which waiting tasks start now, and where.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slog::info;
 
 use crate::batch::Action;
+use crate::batch::Cells;
 use crate::batch::Demand;
 use crate::batch::Dispatcher;
 use crate::batch::Entry;
@@ -21,7 +22,6 @@
 use crate::batch::room::Wish;
 use crate::batch::stage::Stage;
 use crate::name::ExecutorId;
-use crate::name::ServiceName;
 use crate::name::TeamName;
 
 /// How long the reader of the log may be behind before nothing is started, in milliseconds.
@@ -58,25 +58,31 @@
         }
         self.share_out();
         let ranked = self.ranked(now);
-        if ranked.is_empty() {
-            return;
-        }
-        let unclear = self.seats.values().filter(|seat| !seat.cleared);
-        let unclear: BTreeSet<ServiceName> = unclear.map(|seat| seat.service.clone()).collect();
+        let unclear = self.unclear();
         let hidden = self.hidden();
+        let mut held = Vec::new();
         let mut rooms = self.rooms(now);
         for id in ranked {
             let Some(entry) = self.book.jobs.get(&id) else {
                 continue;
             };
-            let elsewhere = entry.inherited && unclear.contains(&entry.job.service);
-            if elsewhere || !entry.claimed {
+            if entry.cells.is_empty() {
                 continue;
             }
-            for (occurrence, step) in ready(entry) {
+            let cells = unclear.get(&entry.job.service).copied().unwrap_or_default();
+            let (unseen, due): (Vec<_>, Vec<_>) = ready(entry)
+                .into_iter()
+                .partition(|&(occurrence, step)| entry.may_run_unseen(occurrence, step, cells));
+            if !unseen.is_empty() {
+                held.push(id);
+            }
+            for (occurrence, step) in due {
                 self.place_step(now, &mut rooms, &hidden, id, occurrence, step);
             }
         }
+        self.vacant = rooms;
+        self.grant_wider();
+        self.note_held(held);
     }
 
     /// Marks the new jobs that are beyond their team's share.
@@ -142,7 +148,7 @@
         &mut self,
         now: Now,
         rooms: &mut Rooms,
-        hidden: &Demand,
+        hidden: &BTreeMap<TeamName, Demand>,
         id: JobId,
         occurrence: u32,
         number: u32,
@@ -169,7 +175,8 @@
         let entry = &self.book.jobs[&id];
         let stage = &entry.occurrences[&occurrence][number as usize];
         let good = self.advisor.good(&place);
-        let wish = Wish::new(step, good, rooms.of(&job.service), stage.placed());
+        let mut wish = Wish::new(step, good, rooms.of(&job.service), stage.placed());
+        wish.within = entry.cells;
         let idle = stage.tasks.iter().enumerate();
         let idle = idle.filter(|(_, task)| task.is_idle());
         let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
@@ -178,11 +185,15 @@
         let wanted = idle.len().min(allowed);
         let free = rooms.of_mut(&job.service);
         let starts = if step.gang {
-            self.place_gang(free, wish, &idle, most)
+            self.place_gang(free, &mut wish, &idle, most)
         } else {
-            self.place_each(free, wish, &idle, most)
+            self.place_each(free, &mut wish, &idle, most)
         };
-        if starts.len() < wanted.min(unanswered) && step.is_plain() && good.is_none() {
+        let left = wanted.min(unanswered).saturating_sub(starts.len());
+        let room = left == 0
+            || (wish.within != Cells::ALL
+                && self.widening.widen(now.at, id, free, &mut wish, left));
+        if !room && step.is_plain() && good.is_none() {
             rooms.refuse(&job.service, step.reserved());
         }
         self.throttled |= wanted > unanswered;
@@ -195,19 +206,19 @@
     /// waits longer is ordered by its rank, and an owner that is short of processor still reads
     /// answers and records in time.
     fn unanswered_limit(&self, step: &Step) -> usize {
-        let left = START_LIMIT.saturating_sub(self.starting);
+        let left = START_LIMIT.saturating_sub(self.starting.len());
         let whole = if step.gang { step.count as usize } else { 1 };
         if left >= whole {
             return left;
         }
-        if self.starting == 0 { whole } else { 0 }
+        if self.starting.is_empty() { whole } else { 0 }
     }
 
     /// Finds places for tasks of a step while there is room.
     fn place_each(
         &self,
         rooms: &mut [Room],
-        mut wish: Wish,
+        wish: &mut Wish,
         idle: &[(u32, u64)],
         most: usize,
     ) -> Vec<(u32, ExecutorId, u64)> {
@@ -225,7 +236,7 @@
     fn place_gang(
         &self,
         rooms: &mut [Room],
-        mut wish: Wish,
+        wish: &mut Wish,
         idle: &[(u32, u64)],
         most: usize,
     ) -> Vec<(u32, ExecutorId, u64)> {
@@ -247,7 +258,7 @@
         starts
     }
 
-    fn is_advised(&self, job: &Job) -> bool {
+    pub(super) fn is_advised(&self, job: &Job) -> bool {
         let policy = self.directives.policy.as_ref();
         let queue = policy.and_then(|policy| policy.named(&job.queue));
         queue.is_some_and(|queue| queue.advised)
@@ -266,25 +277,20 @@
         false
     }
 
-    /// Capacity of the executors on which unknown work of any team may run.
-    fn hidden(&self) -> Demand {
-        let mut hidden = Demand::default();
-        for seat in self.seats.values().filter(|seat| !seat.cleared) {
-            if let Some(info) = &seat.info {
-                hidden.add(&info.capacity);
-            }
-        }
-        hidden
-    }
-
     /// How many more tasks of a demand a team may have running.
-    fn allowed(&self, team: Option<&TeamName>, hidden: &Demand, demand: &Demand) -> usize {
+    fn allowed(
+        &self,
+        team: Option<&TeamName>,
+        hidden: &BTreeMap<TeamName, Demand>,
+        demand: &Demand,
+    ) -> usize {
         let policy = self.directives.policy.as_ref();
         let limits = policy.and_then(|policy| policy.teams.get(team?));
         let Some(limits) = limits else {
             return usize::MAX;
         };
-        let mut used = *hidden;
+        let hidden = team.and_then(|team| hidden.get(team));
+        let mut used = hidden.copied().unwrap_or_default();
         if let Some(own) = team.and_then(|team| self.usage.get(team)) {
             used.add(own);
         }
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -17,6 +17,7 @@
 use crate::batch::dispatcher::upkeeping::is_settling;
 use crate::batch::pools::Member;
 use crate::batch::pools::PoolView;
+use crate::batch::rank::Rank;
 use crate::batch::upkeep::Load;
 use crate::name::ServiceName;
 
@@ -56,8 +57,13 @@
         self.told = now.at;
         for view in views {
             let idle = view.hosts.iter().filter(|member| member.idle).count();
+            let seats = self.seats.values();
+            let unheard = seats.filter(|seat| seat.is_unheard() && seat.service == view.service);
+            let held = self.held.iter().filter_map(|id| self.book.jobs.get(id));
+            let held = held.filter(|entry| entry.job.service == view.service);
             info!(self.log, "pool"; "service" => %view.service, "hosts" => view.hosts.len(),
-                "idle" => idle, "need" => view.need, "floor" => view.floor);
+                "idle" => idle, "need" => view.need, "floor" => view.floor,
+                "unheard" => unheard.count(), "held" => held.count());
         }
     }
 
@@ -87,7 +93,7 @@
         let Some(policy) = self.directives.policy.clone() else {
             return Vec::new();
         };
-        let mut running = self.running();
+        let mut running = self.running(now);
         let mut views = Vec::new();
         for (service, pool) in &policy.pools {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
@@ -125,19 +131,32 @@
         }
     }
 
-    /// What runs or could run now, by service.
-    fn running(&self) -> BTreeMap<ServiceName, Running> {
+    /// What runs or could run now, by service. Tasks that may not start yet, and those of jobs
+    /// that are too late to be of use, take hosts that are there, but none are fetched or kept for
+    /// them.
+    fn running(&self, now: Now) -> BTreeMap<ServiceName, Running> {
         let mut services: BTreeMap<ServiceName, Running> = BTreeMap::new();
+        let unclear = self.unclear();
+        let policy = self.directives.policy.as_ref();
         for entry in self.active.iter().filter_map(|id| self.book.jobs.get(id)) {
+            let queue = policy.and_then(|policy| policy.named(&entry.job.queue));
+            let useless = Rank::of(entry, queue, now.unix).is_useless();
+            let cells = unclear.get(&entry.job.service);
+            let cells = cells.copied().unwrap_or_default();
             let service = services.entry(entry.job.service.clone()).or_default();
-            for stages in entry.occurrences.values() {
-                for (stage, step) in stages.iter().zip(&entry.job.steps) {
+            for (&occurrence, stages) in &entry.occurrences {
+                for (number, (stage, step)) in (0..).zip(stages.iter().zip(&entry.job.steps)) {
                     let open = step.after.iter().all(|&n| stages[n as usize].is_done());
                     if !open {
                         continue;
                     }
-                    let left = stage.tasks.len() as u64 - u64::from(stage.done);
-                    service.cpu += left * step.reserved().cpu;
+                    let waits = useless || entry.may_run_unseen(occurrence, number, cells);
+                    let left = if waits {
+                        stage.placed().count()
+                    } else {
+                        stage.tasks.len() - stage.done as usize
+                    };
+                    service.cpu += left as u64 * step.reserved().cpu;
                     if let Some(spread) = step.spread {
                         let hosts = (stage.tasks.len() as u64).div_ceil(u64::from(spread));
                         service.spread = service.spread.max(hosts as usize);
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::Dispatcher;
 use crate::batch::Executor;
+use crate::batch::HostPhase;
 use crate::batch::Now;
 use crate::batch::Record;
 use crate::batch::seat::Engagement;
@@ -19,7 +20,10 @@
     /// Begins the reign: every executor that may have work of an earlier owner is asked for it.
     pub fn begin(&mut self, now: Now) {
         for (id, (service, addr)) in &self.book.engaged {
-            let seat = Seat::inherited(service.clone(), *addr, now.at);
+            let mut seat = Seat::inherited(service.clone(), *addr, now.at);
+            if let Some(&waited) = self.book.unheard.get(id) {
+                seat.resume_wait(waited);
+            }
             self.seats.insert(id.clone(), seat);
         }
         // Their records may be old.
@@ -39,6 +43,7 @@
         }
         self.release_gone();
         self.index_hosts();
+        self.disengage_moved();
         self.note_missing(now);
         self.dirty = true;
     }
@@ -71,11 +76,11 @@
         }
     }
 
-    fn engage(&mut self, id: &ExecutorId) {
-        let Some(seat) = self.seats.get_mut(id) else {
+    /// Asks for the record without which an executor is given nothing.
+    pub(super) fn engage(&mut self, id: &ExecutorId) {
+        let Some(seat) = self.seats.get(id) else {
             return;
         };
-        seat.engagement = Engagement::Asked;
         let record = Record::Engaged {
             executor: id.clone(),
             service: seat.service.clone(),
@@ -83,12 +88,19 @@
         };
         let receipt = self.append(vec![record]);
         self.engaging.insert(receipt, id.clone());
+        if let Some(seat) = self.seats.get_mut(id) {
+            seat.engagement = Engagement::Asked(receipt);
+        }
     }
 
-    pub(super) fn engaged(&mut self, id: &ExecutorId) {
+    pub(super) fn engaged(&mut self, id: &ExecutorId, receipt: u64) {
         let Some(seat) = self.seats.get_mut(id) else {
             return;
         };
+        if seat.engagement != Engagement::Asked(receipt) {
+            // It was given up meanwhile.
+            return;
+        }
         seat.engagement = Engagement::Recorded;
         let place = (seat.service.clone(), seat.addr);
         self.book.engaged.insert(id.clone(), place);
@@ -100,9 +112,11 @@
         let ids: Vec<ExecutorId> = ids.map(|(id, _)| id.clone()).collect();
         for id in ids {
             info!(self.log, "executor gone"; "executor" => %id);
-            self.seats.remove(&id);
+            let seat = self.seats.remove(&id);
             self.book.engaged.remove(&id);
-            self.append(vec![Record::Released(id)]);
+            if seat.is_some_and(|seat| seat.engagement != Engagement::None) {
+                self.append(vec![Record::Released(id)]);
+            }
         }
     }
 
@@ -113,14 +127,37 @@
             self.free_all(&id);
             if let Some(seat) = self.seats.get_mut(&id) {
                 seat.retired = seat.born;
-                seat.seen = seat.acked;
                 seat.expires = now.at;
             }
-            self.append(vec![Record::Released(id)]);
+            self.disengage(&id);
         }
         self.note_missing(now);
     }
 
+    /// Gives up the executors that the owner hasn't heard from and whose hosts have been ordered
+    /// down or to another pool since: the platform ends an executor with such an order.
+    pub(super) fn disengage_moved(&mut self) {
+        let unheard = self.seats.iter().filter(|(_, seat)| seat.is_unheard());
+        let ended = unheard.filter(|(_, seat)| self.is_ended(seat));
+        let ended: Vec<ExecutorId> = ended.map(|(id, _)| id.clone()).collect();
+        for id in ended {
+            info!(self.log, "executor ended by an order"; "executor" => %id);
+            self.disengage(&id);
+        }
+    }
+
+    fn is_ended(&self, seat: &Seat) -> bool {
+        let host = seat.info.as_ref().and_then(|info| info.host.as_ref());
+        let Some(host) = host.and_then(|host| self.hosts.get(host)) else {
+            return false;
+        };
+        match host.phase {
+            HostPhase::Moving | HostPhase::Upkeep => true,
+            HostPhase::Up => host.pool != seat.service,
+            HostPhase::Down => false,
+        }
+    }
+
     /// Notes which executors say that they are lives of which hosts.
     fn index_hosts(&mut self) {
         self.lives.clear();
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -46,6 +46,7 @@
         state.placed = Some(id.clone());
         let saved = state.saved.clone();
         seat.renew(now.at);
+        seat.asked.get_or_insert(now.at);
         let target = Target {
             executor: id.clone(),
             addr: seat.addr,
@@ -60,7 +61,7 @@
             Slot::of(&job, &task, Phase::Starting, now.at),
         );
         let ticket = self.advisor.ticket(now.at, &task.of_step(), id);
-        self.starting += 1;
+        self.starting.push(now.at);
         self.actions.push(Action::Start(Start {
             target,
             task,
@@ -69,6 +70,7 @@
             deadline,
             saved,
             ticket,
+            decided: now.at,
         }));
     }
 
@@ -77,13 +79,23 @@
         last.max(self.fence * RUNS_PER_FENCE) + 1
     }
 
+    /// Orders to start that are overdue no longer hold up others.
+    pub(super) fn note_overdue(&mut self, now: Now) {
+        if self.starting.expire(now.at) {
+            self.dirty |= std::mem::take(&mut self.throttled);
+        }
+    }
+
     pub(super) fn started(&mut self, now: Now, order: &Start, result: Result<(), OrderError>) {
-        self.starting = self.starting.saturating_sub(1);
+        self.starting.settle(order.decided);
         self.dirty |= std::mem::take(&mut self.throttled);
         let id = &order.target.executor;
         let Some(seat) = self.seats.get_mut(id) else {
             return;
         };
+        if result != Err(OrderError::Silent) {
+            seat.asked = None;
+        }
         let Some(slot) = seat.slots.get_mut(&(order.task, order.run)) else {
             return;
         };
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -19,7 +19,6 @@
 use crate::batch::dispatcher::announcing::HostOrder;
 use crate::batch::room::Rooms;
 use crate::batch::room::Wish;
-use crate::batch::seat::Seat;
 use crate::batch::slot::Phase;
 use crate::batch::stage::Stage;
 use crate::batch::upkeep;
@@ -95,8 +94,7 @@
         if is_settling(self.book.ordered.get(host), now) {
             return HostState::Down;
         }
-        let unknown = |seat: &Seat| !seat.resolved || !seat.cleared;
-        let unknown = self.on_host(host).any(|(_, seat)| unknown(seat));
+        let unknown = self.on_host(host).any(|(_, seat)| !seat.is_known());
         let wait = Duration::from_millis(MISSING_MS);
         let missing = self
             .missing
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::batch::Cells;
 use crate::batch::End;
 use crate::batch::How;
 use crate::batch::JOB_TASK_LIMIT;
@@ -51,10 +52,10 @@
     pub started: bool,
     /// Ends that are acted on, but not in the log yet.
     pub unnoted: u32,
-    /// The log says that its tasks may be started.
-    pub claimed: bool,
-    /// Its tasks may have been started by an earlier owner.
-    pub inherited: bool,
+    /// Where its tasks may be started, as the log says.
+    pub cells: Cells,
+    /// Where its tasks may have been started by an earlier owner.
+    pub inherited: Cells,
     /// Whether it is beyond its team's share, once that is known.
     pub excess: Option<bool>,
     /// When it was last written to the log as a whole, in Unix milliseconds.
@@ -76,8 +77,8 @@
             opened: 0,
             started: false,
             unnoted: 0,
-            claimed: false,
-            inherited: false,
+            cells: Cells::NONE,
+            inherited: Cells::NONE,
             excess: None,
             closed: None,
             verdict: None,
@@ -167,6 +168,28 @@
         stage.tasks.get_mut(id.index as usize)
     }
 
+    /// Whether tasks of a step may run unseen in some cells, started by an earlier owner.
+    #[must_use]
+    pub fn may_run_unseen(&self, occurrence: u32, step: u32, cells: Cells) -> bool {
+        let stages = self.occurrences.get(&occurrence);
+        let stage = stages.and_then(|stages| stages.get(step as usize));
+        self.inherited.meets(cells) && stage.is_some_and(|stage| !stage.untouched)
+    }
+
+    /// A run of a task was found under way, so an earlier owner can't have begun what waits for it.
+    pub fn note_under_way(&mut self, id: &TaskId) {
+        let Some(stages) = self.occurrences.get_mut(&id.occurrence) else {
+            return;
+        };
+        let mut waiting = vec![id.step];
+        for (number, step) in (0..).zip(&self.job.steps) {
+            if step.after.iter().any(|before| waiting.contains(before)) {
+                waiting.push(number);
+                stages[number as usize].untouched = true;
+            }
+        }
+    }
+
     /// Takes an end into account, once however often it is given; returns whether it was new.
     pub fn end(&mut self, end: &End) -> bool {
         let attempts = self.job.attempts;
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use quick_error::quick_error;
 
@@ -56,6 +57,8 @@
     pub saved: Option<Arc<str>>,
     /// Permission of the advice service, where the queue needs one.
     pub ticket: Option<Arc<str>>,
+    /// When the owner decided on it.
+    pub decided: Instant,
 }
 
 /// Asks the advice service which executors may run a step.
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -9,6 +9,9 @@
 /// A job is worth less after its objective and next to nothing after this many times it.
 const LATE_FACTOR: u64 = 3;
 
+/// Lateness of a job that is worth next to nothing.
+const USELESS: u8 = 2;
+
 /// Place of a job in its service's line; the lowest comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -35,7 +38,7 @@
             _ if job.lasts() || job.schedule.is_some() => 0,
             time if time <= objective => 0,
             time if time <= objective * LATE_FACTOR => 1,
-            _ => 2,
+            _ => USELESS,
         };
         Self {
             excess: entry.excess == Some(true),
@@ -45,6 +48,12 @@
             accepted: job.accepted,
         }
     }
+
+    /// Whether the job is too late to be of use to its client.
+    #[must_use]
+    pub const fn is_useless(&self) -> bool {
+        self.lateness == USELESS
+    }
 }
 
 #[allow(
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::batch::Cells;
 use crate::batch::Job;
 use crate::batch::JobId;
 use crate::batch::TaskId;
@@ -71,7 +72,7 @@
     Carried(Box<Carried>),
     /// A client cancelled a job.
     Cancelled(JobId),
-    /// From here on, tasks of these jobs may be started.
+    /// From here on, tasks of these jobs may be started on any executor.
     Claimed(Vec<JobId>),
     /// A host was ordered down or to another pool.
     Ordered {
@@ -107,6 +108,11 @@
     },
     /// Nothing runs on an executor any more, and it will be given nothing.
     Released(ExecutorId),
+    /// From here on, tasks of these jobs may be started on executors of these cells as well.
+    Granted(Vec<(JobId, Cells)>),
+    /// The owner has not heard from these executors and gives them nothing before they are engaged
+    /// anew; beside each, for how long no owner has given it anything, in milliseconds.
+    Unheard(Vec<(ExecutorId, u64)>),
 }
 
 impl Record {
--- a/src/batch/reign.rs
+++ b/src/batch/reign.rs
@@ -130,7 +130,7 @@
             while let Some(one) = message {
                 match one {
                     Message::Event(event) => dispatcher.handle(now(), event),
-                    Message::Ask(ask, reply) => self.answer(&dispatcher, appender, ask, reply),
+                    Message::Ask(ask, reply) => self.answer(&mut dispatcher, appender, ask, reply),
                     Message::Superseded => return,
                 }
                 message = inbox.try_recv().ok();
@@ -147,7 +147,7 @@
     /// Answers a gate, at once or when its records are in the log.
     fn answer(
         &self,
-        dispatcher: &Dispatcher,
+        dispatcher: &mut Dispatcher,
         appender: &Appender,
         ask: Ask,
         reply: oneshot::Sender<Answer>,
@@ -156,8 +156,9 @@
         let stale = self.read.get().elapsed() > Duration::from_millis(STALE_MS);
         let (records, wait) = match (ask, answer) {
             (Ask::Accept(job, wait), Answer::Unsure) => {
-                let claim = Record::Claimed(vec![job.id]);
-                (vec![Record::Accepted(job), claim], wait)
+                let grant = (job.id, dispatcher.first_cells(&job));
+                let grant = Record::Granted(vec![grant]);
+                (vec![Record::Accepted(job), grant], wait)
             }
             (Ask::Cancel(id, wait), _) => (vec![Record::Cancelled(id)], wait),
             (_, answer) => {
--- a/src/batch/room.rs
+++ b/src/batch/room.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::batch::Cells;
 use crate::batch::Demand;
 use crate::batch::Executor;
 use crate::batch::Step;
@@ -17,19 +18,27 @@
     info: Rc<Executor>,
     used: Demand,
     lasting: usize,
+    cell: Cells,
 }
 
 impl Room {
     /// An executor of whose capacity `used` is taken, by `lasting` tasks that last and others.
     #[must_use]
-    pub const fn new(info: Rc<Executor>, used: Demand, lasting: usize) -> Self {
+    pub fn new(info: Rc<Executor>, used: Demand, lasting: usize) -> Self {
         Self {
+            cell: Cells::of(&info.id),
             info,
             used,
             lasting,
         }
     }
 
+    /// The cell that the executor belongs to.
+    #[must_use]
+    pub const fn cell(&self) -> Cells {
+        self.cell
+    }
+
     /// The executor.
     #[must_use]
     pub fn executor(&self) -> &ExecutorId {
@@ -110,10 +119,12 @@
     pub good: Option<&'a Good>,
     /// Tasks of it on each room.
     pub beside: Vec<u32>,
+    /// Where its tasks may be started.
+    pub within: Cells,
 }
 
 impl<'a> Wish<'a> {
-    /// A step of which tasks run on `placed` already.
+    /// A step of which tasks run on `placed` already, to be placed in any cell.
     pub fn new<'b>(
         step: &'a Step,
         good: Option<&'a Good>,
@@ -127,15 +138,31 @@
                 beside[at] += 1;
             }
         }
-        Self { step, good, beside }
+        Self {
+            step,
+            good,
+            beside,
+            within: Cells::ALL,
+        }
     }
 
     /// The room on which the next task is best started, if there is any; the room is taken.
     pub fn take(&mut self, rooms: &mut [Room]) -> Option<ExecutorId> {
+        let at = self.reserve(rooms)?;
+        Some(rooms[at].executor().clone())
+    }
+
+    /// As [`Self::take`], but tells the cell alone.
+    pub fn take_cell(&mut self, rooms: &mut [Room]) -> Option<Cells> {
+        let at = self.reserve(rooms)?;
+        Some(rooms[at].cell())
+    }
+
+    fn reserve(&mut self, rooms: &mut [Room]) -> Option<usize> {
         let at = self.best(rooms)?;
         rooms[at].take(self.step);
         self.beside[at] += 1;
-        Some(rooms[at].executor().clone())
+        Some(at)
     }
 
     /// The room on which the next task is best started, if there is any.
@@ -144,6 +171,7 @@
         let fitting = rooms.iter().enumerate().filter(|&(at, room)| {
             let spread = self.step.spread;
             spread.is_none_or(|most| self.beside[at] < most)
+                && self.within.meets(room.cell)
                 && room.suits(self.step)
                 && self
                     .good
--- a/src/batch/seat.rs
+++ b/src/batch/seat.rs
@@ -9,6 +9,7 @@
 use crate::batch::Demand;
 use crate::batch::Executor;
 use crate::batch::TaskId;
+use crate::batch::in_flight::OVERDUE_MS;
 use crate::batch::slot::Phase;
 use crate::batch::slot::Slot;
 use crate::name::ServiceName;
@@ -21,10 +22,10 @@
 /// Whether the log says that the executor may have work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Engagement {
-    /// It does not.
+    /// It does not. An executor that is listed gets this way when its leases have run out.
     None,
-    /// The record is on its way.
-    Asked,
+    /// The record is on its way, under that receipt.
+    Asked(u64),
     /// It does.
     Recorded,
 }
@@ -59,8 +60,14 @@
     pub cleared: bool,
     /// Its last order got no answer.
     pub silent: bool,
+    /// Number of orders in a row that got no answer.
+    pub misses: u32,
+    /// The log says that it's given nothing before it is engaged anew.
+    pub unheard: bool,
     /// The life of it that was ended by an order, by when it began.
     pub retired: Option<u64>,
+    /// Since when an order to start has had no answer, if none was answered since.
+    pub asked: Option<Instant>,
     /// It gets no new work before that time.
     pub shunned: Option<Instant>,
     /// Its clock in milliseconds, and when it showed that.
@@ -92,7 +99,7 @@
         .with(info)
     }
 
-    /// An executor that an earlier owner may have given work.
+    /// An executor that an earlier owner may have given work, the last time before `now`.
     #[must_use]
     pub fn inherited(service: ServiceName, addr: SocketAddr, now: Instant) -> Self {
         Self {
@@ -104,7 +111,10 @@
             resolved: false,
             cleared: false,
             silent: false,
+            misses: 0,
+            unheard: false,
             retired: None,
+            asked: None,
             shunned: None,
             clock: None,
             expires: now + Duration::from_millis(EXPIRY_MS),
@@ -140,7 +150,13 @@
         let shunned = self.shunned.is_some_and(|until| now < until);
         let known = self.resolved && self.engagement == Engagement::Recorded;
         let stays = self.info.as_ref().is_some_and(|info| !info.draining);
-        known && stays && !self.is_retired() && !self.silent && !shunned
+        known && stays && !self.is_retired() && !self.silent && !shunned && !self.is_overdue(now)
+    }
+
+    /// Whether it has not answered an order to start for too long.
+    fn is_overdue(&self, now: Instant) -> bool {
+        let limit = Duration::from_millis(OVERDUE_MS);
+        self.asked.is_some_and(|asked| now >= asked + limit)
     }
 
     /// Whether its life was ended by an order and no other has begun.
@@ -149,14 +165,50 @@
         self.retired.is_some() && self.retired >= self.born
     }
 
+    /// Goes on with the wait of an earlier owner, which the log gives, in milliseconds.
+    pub fn resume_wait(&mut self, waited: u64) {
+        self.unheard = true;
+        self.expires -= Duration::from_millis(waited.min(EXPIRY_MS));
+    }
+
     /// Whether there is anything to ask it for.
     #[must_use]
     pub fn wants_probe(&self) -> bool {
-        let known = self.engagement == Engagement::Recorded;
-        let known = known && !self.is_retired();
+        let asked = matches!(self.engagement, Engagement::Asked(_));
+        let known = !asked && !self.is_retired();
         known && (!self.resolved || !self.slots.is_empty() || self.seen > self.acked)
     }
 
+    /// Whether it may have work of an earlier owner that this one doesn't know of.
+    #[must_use]
+    pub const fn is_unheard(&self) -> bool {
+        !self.cleared
+    }
+
+    /// Whether it's known what runs there.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        let given_up = self.engagement == Engagement::None;
+        self.cleared && (self.resolved || given_up)
+    }
+
+    /// Time for which no owner has given it anything, in milliseconds, if it's unheard of.
+    #[must_use]
+    pub fn waited(&self, now: Instant) -> u64 {
+        let left = self.expires.saturating_duration_since(now).as_millis();
+        EXPIRY_MS.saturating_sub(left as u64)
+    }
+
+    /// Nothing runs there any more, and the log is told so: it is engaged anew before it's given
+    /// anything.
+    pub const fn give_up(&mut self) {
+        self.cleared = true;
+        self.resolved = false;
+        self.unheard = false;
+        self.seen = self.acked;
+        self.engagement = Engagement::None;
+    }
+
     /// Whether the executor's answer must not wait for an end.
     #[must_use]
     pub fn is_urgent(&self) -> bool {
@@ -164,10 +216,10 @@
         !self.resolved || self.silent || self.slots.values().any(doubtful)
     }
 
-    /// Whether its leases are over while something may run there by what is known.
+    /// Whether its leases are over while something may run there by what the log says.
     #[must_use]
     pub fn is_lapsed(&self, now: Instant) -> bool {
-        let holding = !self.cleared || (self.silent && !self.slots.is_empty());
+        let holding = !self.cleared || (self.silent && self.engagement == Engagement::Recorded);
         holding && self.expires <= now
     }
 
--- a/tests/batch/entries.rs
+++ b/tests/batch/entries.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use mimosastep::batch::Book;
+use mimosastep::batch::Cells;
 use mimosastep::batch::End;
 use mimosastep::batch::How;
 use mimosastep::batch::Job;
@@ -107,7 +108,7 @@
             Record::Cancelled(id(2)),
         ],
     );
-    assert!(by_gate.jobs[&id(1)].claimed);
+    assert_eq!(by_gate.jobs[&id(1)].cells, Cells::ALL);
     assert_eq!(by_gate.jobs[&id(2)].state(), JobState::Cancelled);
     let by_owner = Book::fold(
         vec![Record::Accepted(job(1)), Record::Cancelled(id(2)), ended],
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -11,6 +11,7 @@
 mod peaks;
 mod rules;
 mod sizes;
+mod takeover;
 mod teams;
 mod upkeep;
 mod world;
--- a/tests/batch/sizes.rs
+++ b/tests/batch/sizes.rs
@@ -71,7 +71,7 @@
     assert_eq!(entry.opened, 101);
 }
 
-/// The pattern: an owner takes over while tens of thousands of jobs wait that nobody has claimed.
+/// The pattern: an owner takes over while tens of thousands of jobs wait that nobody may start yet.
 #[test]
 fn what_an_owner_writes_of_many_jobs_fits_in_records() {
     let mut world = World::new(&[("captions", 1)]);
@@ -83,11 +83,11 @@
     }
     world.take_over(2);
     world.run(30);
-    let claims = |record: &&Record| matches!(record, Record::Claimed(_));
+    let claims = |record: &&Record| matches!(record, Record::Granted(_));
     assert!(world.records.iter().filter(claims).count() > 0);
     for record in &world.records {
         assert!(record.encode().expect("bytes").len() <= RECORD_BYTES);
     }
     let book = Book::fold(world.records.clone(), Vec::new());
-    assert!(book.jobs.values().all(|entry| entry.claimed));
+    assert!(book.jobs.values().all(|entry| !entry.cells.is_empty()));
 }
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -68,6 +68,8 @@
     pub dispatcher: Dispatcher,
     pub fakes: BTreeMap<ExecutorId, Fake>,
     machines: BTreeMap<HostName, Machine>,
+    // Executors that are no more and still listed.
+    stale: Vec<(ExecutorId, HostName, ServiceName)>,
     pub directives: Directives,
     events: Vec<(Instant, Event)>,
     pub records: Vec<Record>,
@@ -174,6 +176,7 @@
             dispatcher: Dispatcher::new(now, 1, node, Book::default(), log),
             fakes: BTreeMap::new(),
             machines: BTreeMap::new(),
+            stale: Vec::new(),
             directives,
             events: Vec::new(),
             records: Vec::new(),
--- a/tests/batch/world/carrying_out.rs
+++ b/tests/batch/world/carrying_out.rs
@@ -15,6 +15,9 @@
 use crate::world::TRIP_MS;
 use crate::world::World;
 
+/// Time after which an order without an answer is given up, in milliseconds.
+const SILENCE_MS: u64 = 800;
+
 impl World {
     pub(super) fn act(&mut self, action: Action) {
         match action {
@@ -29,7 +32,7 @@
                 let sent = self.now.at;
                 let id = &order.target.executor;
                 let result = self.reach(id).and_then(|fake| fake.hold(sent, &order));
-                let trip = if result.is_ok() { TRIP_MS } else { 400 };
+                let trip = if result.is_ok() { TRIP_MS } else { SILENCE_MS };
                 self.later(
                     trip,
                     Event::Held {
@@ -136,6 +139,11 @@
             let result = Err(OrderError::Silent);
             return self.later(500, Event::Started { order, result });
         }
-        self.later(TRIP_MS, Event::Started { order, result });
+        let trip = if result == Err(OrderError::Silent) {
+            SILENCE_MS
+        } else {
+            TRIP_MS
+        };
+        self.later(trip, Event::Started { order, result });
     }
 }
--- a/tests/batch/world/machines.rs
+++ b/tests/batch/world/machines.rs
@@ -1,5 +1,6 @@
 //! Hosts and the executors that are their lives.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +18,16 @@
 use crate::fake::Fake;
 use crate::world::AWAY_MS;
 use crate::world::HOST_CPU;
+use crate::world::Machine;
 use crate::world::World;
+use crate::world::service;
+
+/// What a host has.
+const CAPACITY: Demand = Demand {
+    cpu: HOST_CPU,
+    memory: 64_000,
+    gpu: 0,
+};
 
 impl World {
     pub(super) fn bring_back(&mut self) {
@@ -33,12 +43,7 @@
         for host in births {
             self.lives += 1;
             let id = ExecutorId::new(&format!("{host}.{}", self.lives)).expect("a name");
-            let capacity = Demand {
-                cpu: HOST_CPU,
-                memory: 64_000,
-                gpu: 0,
-            };
-            let mut fake = Fake::new(capacity, self.now.at);
+            let mut fake = Fake::new(CAPACITY, self.now.at);
             fake.tail = (self.tail)(100);
             self.fakes.insert(id.clone(), fake);
             if let Some(machine) = self.machines.get_mut(&host) {
@@ -53,12 +58,6 @@
         let mut executors = Vec::new();
         let mut hosts = Vec::new();
         for (name, machine) in &self.machines {
-            let capacity = Demand {
-                cpu: HOST_CPU,
-                memory: 64_000,
-                gpu: 0,
-            };
-            let dc = dc_of(name);
             hosts.push(Host {
                 name: name.clone(),
                 pool: machine.pool.clone(),
@@ -67,8 +66,8 @@
                     Some(_) if machine.moving => HostPhase::Moving,
                     Some(_) => HostPhase::Upkeep,
                 },
-                dc: dc.clone(),
-                capacity,
+                dc: dc_of(name),
+                capacity: CAPACITY,
             });
             let Some(id) = &machine.executor else {
                 continue;
@@ -77,17 +76,14 @@
                 continue;
             }
             executors.push(Executor {
-                id: id.clone(),
-                host: Some(name.clone()),
-                service: machine.pool.clone(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-                dc,
                 draining: self.leaving.contains(id),
-                capacity,
-                labels: vec![Arc::from("a"), Arc::from("r1")],
-                born: 1,
+                ..executor_entry(id, name, &machine.pool)
             });
         }
+        for (id, host, service) in &self.stale {
+            let entry = executor_entry(id, host, service);
+            executors.push(entry);
+        }
         self.later(0, Event::Executors(executors));
         self.later(0, Event::Hosts(hosts));
     }
@@ -111,6 +107,20 @@
         }
     }
 
+    /// A host has moved to another pool by an order of which nobody knows the outcome; `executor`
+    /// was its life until then.
+    pub fn relocate(&mut self, executor: &ExecutorId, pool: &str) {
+        let machine = Machine {
+            pool: service(pool),
+            executor: None,
+            back: Some(self.now.at + Duration::from_millis(AWAY_MS)),
+            moving: true,
+        };
+        let (host, was) = find(&mut self.machines, executor);
+        self.stale.push((executor.clone(), host, was.pool.clone()));
+        *was = machine;
+    }
+
     /// Number of hosts that are away.
     pub fn down(&self) -> usize {
         let away = self
@@ -121,6 +131,31 @@
     }
 }
 
+/// What the platform lists of an executor that is the life of a host.
+fn executor_entry(id: &ExecutorId, host: &HostName, service: &ServiceName) -> Executor {
+    Executor {
+        id: id.clone(),
+        host: Some(host.clone()),
+        service: service.clone(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        dc: dc_of(host),
+        draining: false,
+        capacity: CAPACITY,
+        labels: vec![Arc::from("a"), Arc::from("r1")],
+        born: 1,
+    }
+}
+
+fn find<'a>(
+    machines: &'a mut BTreeMap<HostName, Machine>,
+    executor: &ExecutorId,
+) -> (HostName, &'a mut Machine) {
+    let mut machines = machines.iter_mut();
+    let found = machines.find(|(_, machine)| machine.executor.as_ref() == Some(executor));
+    let (host, machine) = found.expect("a host of that executor");
+    (host.clone(), machine)
+}
+
 /// Hosts of an even number stand in `dc-a`, the others in `dc-b`.
 pub fn dc_of(host: &HostName) -> DcName {
     let even = host.as_str().ends_with(['0', '2', '4', '6', '8']);
