Take copies, repeated looks and connections out of the owner's work

What is left of a job is worked out when it changes (`batch::Agenda`), not at each look; whether a host is closed is marked on its executor when that may change; tasks that last are counted as they come and go; a look for tasks to start comes every 4 ms at the most, one at the executors every 3 ms.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -56,6 +56,8 @@
 const RUNS_PER_FENCE: u64 = 1_000_000;
 /// Time between two looks for jobs that have become due.
 const OPEN_PACE: Duration = Duration::from_millis(20);
+/// Time between two looks for executors whose turn it is to be asked.
+const PROBE_PACE: Duration = Duration::from_millis(3);
 /// Time between two readings of the meters.
 const METER_PACE: Duration = Duration::from_millis(250);
 /// How long a job that is over can be asked for, in milliseconds.
@@ -106,6 +108,7 @@
     settled: Instant,
     carried: Instant,
     rewritten: u64,
+    probed: Instant,
     // When the log was last told of executors that were not heard from.
     awaited: Instant,
     // Since when the log is longer than what was read of it.
@@ -169,6 +172,7 @@
             settled: now.at,
             carried: now.at,
             rewritten: now.unix,
+            probed: now.at,
             awaited: now.at,
             behind: None,
             placed: now.at,
@@ -203,6 +207,7 @@
                 self.waves.ask(now.at, &directives.waves);
                 self.directives = directives;
                 self.note_missing(now);
+                self.mark_usable();
                 self.dirty = true;
             }
             Event::Executors(list) => self.list(now, list),
@@ -239,7 +244,6 @@
 
     /// What is to be done now.
     pub fn poll(&mut self, now: Now) -> Vec<Action> {
-        self.expire(now);
         self.open_due(now);
         self.upkeep(now);
         self.balance(now);
@@ -256,7 +260,11 @@
             self.placed = now.at;
             self.place(now);
         }
-        self.probe(now);
+        if now.at >= self.probed + PROBE_PACE {
+            self.probed = now.at;
+            self.expire(now);
+            self.probe(now);
+        }
         std::mem::take(&mut self.actions)
     }
 
--- a/src/batch/dispatcher/granting.rs
+++ b/src/batch/dispatcher/granting.rs
@@ -76,9 +76,9 @@
     /// The cells, by service, of executors on which tasks may run that this owner doesn't know of.
     pub(super) fn unclear(&self) -> BTreeMap<ServiceName, Cells> {
         let mut unclear: BTreeMap<ServiceName, Cells> = BTreeMap::new();
-        for (id, seat) in self.seats.iter().filter(|(_, seat)| seat.is_unheard()) {
+        for seat in self.seats.values().filter(|seat| seat.is_unheard()) {
             let cells = unclear.entry(seat.service.clone()).or_default();
-            *cells = cells.with(Cells::of(id));
+            *cells = cells.with(seat.cell);
         }
         unclear
     }
@@ -93,10 +93,8 @@
                 continue;
             };
             let service = &entry.job.service;
-            let waits = self.seats.iter().filter(|(executor, seat)| {
-                seat.is_unheard()
-                    && seat.service == *service
-                    && entry.inherited.meets(Cells::of(executor))
+            let waits = self.seats.iter().filter(|(_, seat)| {
+                seat.is_unheard() && seat.service == *service && entry.inherited.meets(seat.cell)
             });
             let waits: Vec<&str> = waits.map(|(executor, _)| executor.as_str()).collect();
             info!(self.log, "job held"; "job" => %id, "service" => %service,
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -318,9 +318,8 @@
         let Some(saved) = &run.saved else {
             return;
         };
-        let entry = self.book.jobs.get_mut(&run.task.job);
-        if let Some(task) = entry.and_then(|entry| entry.task_mut(&run.task)) {
-            task.saved = Some(saved.clone());
+        if let Some(entry) = self.book.jobs.get_mut(&run.task.job) {
+            entry.save(&run.task, saved);
         }
     }
 
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -9,7 +9,6 @@
 use crate::batch::Cells;
 use crate::batch::Demand;
 use crate::batch::Dispatcher;
-use crate::batch::Entry;
 use crate::batch::Executor;
 use crate::batch::Job;
 use crate::batch::JobId;
@@ -20,7 +19,6 @@
 use crate::batch::room::Room;
 use crate::batch::room::Rooms;
 use crate::batch::room::Wish;
-use crate::batch::stage::Stage;
 use crate::name::ExecutorId;
 use crate::name::TeamName;
 
@@ -28,13 +26,16 @@
 const BEHIND_MS: u64 = 300;
 /// Most orders to start that are on their way.
 const START_LIMIT: usize = 100;
+/// Shortest time between two looks for tasks to start, in milliseconds.
+const LOOK_MS: u64 = 4;
 /// Jobs for each of which a look for tasks to start is put off, in jobs a millisecond.
 const JOBS_PER_MS: u64 = 100;
 
 impl Dispatcher {
     /// Time between two looks for tasks to start. A look takes longer the more jobs there are.
     pub(super) fn place_pace(&self) -> Duration {
-        Duration::from_millis(self.active.len() as u64 / JOBS_PER_MS)
+        let pace = self.active.len() as u64 / JOBS_PER_MS;
+        Duration::from_millis(pace.max(LOOK_MS))
     }
 
     /// Whether tasks may wait to be started.
@@ -70,9 +71,11 @@
                 continue;
             }
             let cells = unclear.get(&entry.job.service).copied().unwrap_or_default();
-            let (unseen, due): (Vec<_>, Vec<_>) = ready(entry)
-                .into_iter()
-                .partition(|&(occurrence, step)| entry.may_run_unseen(occurrence, step, cells));
+            let agenda = entry.agenda();
+            let (unseen, due): (Vec<_>, Vec<_>) = agenda
+                .ready
+                .iter()
+                .partition(|&&(occurrence, step)| entry.may_run_unseen(occurrence, step, cells));
             if !unseen.is_empty() {
                 held.push(id);
             }
@@ -117,7 +120,7 @@
     fn ranked(&self, now: Now) -> Vec<JobId> {
         let policy = self.directives.policy.as_ref();
         let jobs = self.active.iter().filter_map(|id| self.book.jobs.get(id));
-        let jobs = jobs.filter(|entry| !ready(entry).is_empty());
+        let jobs = jobs.filter(|entry| !entry.agenda().ready.is_empty());
         let ranked = jobs.map(|entry| {
             let queue = policy.and_then(|policy| policy.named(&entry.job.queue));
             (Rank::of(entry, queue, now.unix), entry.job.id)
@@ -130,14 +133,25 @@
     /// The executors that take new work.
     pub(super) fn rooms(&self, now: Now) -> Rooms {
         let mut rooms = Rooms::default();
-        for seat in self.seats.values().filter(|seat| seat.is_open(now.at)) {
-            if let Some(info) = seat.info.as_ref().filter(|info| self.is_usable(info)) {
-                rooms.add(Room::new(info.clone(), seat.used, seat.lasting()));
+        let open = self.seats.values().filter(|seat| seat.is_open(now.at));
+        for seat in open {
+            if let Some(info) = &seat.info {
+                rooms.add(Room::new(info.clone(), seat.cell, seat.used, seat.lasting));
             }
         }
         rooms
     }
 
+    /// Marks the executors whose hosts are not about to leave. To be called whenever what follows
+    /// for hosts may have changed.
+    pub(super) fn mark_usable(&mut self) {
+        let mut seats = std::mem::take(&mut self.seats);
+        for seat in seats.values_mut() {
+            seat.usable = seat.info.as_ref().is_some_and(|info| self.is_usable(info));
+        }
+        self.seats = seats;
+    }
+
     fn is_usable(&self, info: &Executor) -> bool {
         let host = info.host.as_ref();
         let evacuated = self.directives.closed.contains(&info.dc);
@@ -297,17 +311,3 @@
         usize::try_from(limits.limit.allows(&used, demand)).unwrap_or(usize::MAX)
     }
 }
-
-/// The steps, by occurrence, that wait for none and have tasks to start.
-fn ready(entry: &Entry) -> Vec<(u32, u32)> {
-    let mut found = Vec::new();
-    for (&occurrence, stages) in &entry.occurrences {
-        for (number, step) in entry.job.steps.iter().enumerate() {
-            let done = |&before: &u32| stages.get(before as usize).is_none_or(Stage::is_done);
-            if stages[number].has_idle() && step.after.iter().all(done) {
-                found.push((occurrence, number as u32));
-            }
-        }
-    }
-    found
-}
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -5,6 +5,7 @@
 
 use slog::info;
 
+use crate::batch::Cells;
 use crate::batch::Dispatcher;
 use crate::batch::Executor;
 use crate::batch::HostPhase;
@@ -20,7 +21,7 @@
     /// Begins the reign: every executor that may have work of an earlier owner is asked for it.
     pub fn begin(&mut self, now: Now) {
         for (id, (service, addr)) in &self.book.engaged {
-            let mut seat = Seat::inherited(service.clone(), *addr, now.at);
+            let mut seat = Seat::inherited(service.clone(), *addr, Cells::of(id), now.at);
             if let Some(&waited) = self.book.unheard.get(id) {
                 seat.resume_wait(waited);
             }
@@ -45,6 +46,7 @@
         self.index_hosts();
         self.disengage_moved();
         self.note_missing(now);
+        self.mark_usable();
         self.dirty = true;
     }
 
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -221,6 +221,7 @@
             return;
         };
         seat.used.add(&slot.reserved);
+        seat.lasting += usize::from(slot.lasting);
         if let Some(team) = &slot.team {
             let used = self.usage.entry(team.clone()).or_default();
             used.add(&slot.demand);
@@ -234,6 +235,7 @@
         let seat = self.seats.get_mut(id)?;
         let slot = seat.slots.remove(&(task, run))?;
         seat.used.sub(&slot.reserved);
+        seat.lasting -= usize::from(slot.lasting);
         if let Some(team) = &slot.team
             && let Some(used) = self.usage.get_mut(team)
         {
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -46,6 +46,7 @@
         let mut waves = std::mem::take(&mut self.waves);
         let wishes = waves.plan(now.at, |host| self.host_state(now, host));
         self.waves = waves;
+        self.mark_usable();
         for (wave, host, wish) in wishes {
             match wish {
                 upkeep::Wish::TakeDown => self.take_down(now, wave, host),
@@ -140,6 +141,7 @@
             let (wave, host) = (*wave, host.clone());
             self.append(vec![Record::Kept { wave, host }]);
         }
+        self.mark_usable();
         self.dirty = true;
     }
 
@@ -215,7 +217,7 @@
     pub(super) fn load(&self, host: &HostName) -> Load {
         let mut load = Load::default();
         for (_, seat) in self.on_host(host) {
-            let lasting = seat.lasting();
+            let lasting = seat.lasting;
             load.lasting += lasting;
             load.passing += seat.slots.len() - lasting;
         }
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -1,7 +1,9 @@
 //! What is known of one job.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,6 +14,7 @@
 use crate::batch::JOB_TASK_LIMIT;
 use crate::batch::Job;
 use crate::batch::TaskId;
+use crate::batch::agenda::Agenda;
 use crate::batch::stage::Stage;
 use crate::batch::task::Task;
 
@@ -64,6 +67,8 @@
     pub closed: Option<u64>,
     /// Why it is over before its tasks are done, if it is.
     pub verdict: Option<Verdict>,
+    /// What is left to do, if that was asked for since it last changed.
+    pub(super) agenda: RefCell<Option<Rc<Agenda>>>,
 }
 
 impl Entry {
@@ -82,9 +87,22 @@
             excess: None,
             closed: None,
             verdict: None,
+            agenda: RefCell::default(),
         }
     }
 
+    /// What is left to do of it.
+    #[must_use]
+    pub fn agenda(&self) -> Rc<Agenda> {
+        let mut agenda = self.agenda.borrow_mut();
+        let agenda = agenda.get_or_insert_with(|| Rc::new(Agenda::of(self)));
+        agenda.clone()
+    }
+
+    fn note_change(&mut self) {
+        *self.agenda.get_mut() = None;
+    }
+
     /// Number of its occurrences.
     #[must_use]
     pub fn count(&self) -> u32 {
@@ -115,6 +133,7 @@
     }
 
     fn open(&mut self, occurrence: u32) {
+        self.note_change();
         let steps = &self.job.steps;
         let stages = || steps.iter().map(|step| Stage::new(step.count)).collect();
         self.occurrences.entry(occurrence).or_insert_with(stages);
@@ -161,8 +180,20 @@
         stage.tasks.get(id.index as usize)
     }
 
+    /// Keeps the progress of a run.
+    pub fn save(&mut self, id: &TaskId, saved: &Arc<str>) {
+        if let Some(task) = self.find(id) {
+            task.saved = Some(saved.clone());
+        }
+    }
+
     /// A task of it, to change.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        self.note_change();
+        self.find(id)
+    }
+
+    fn find(&mut self, id: &TaskId) -> Option<&mut Task> {
         let stages = self.occurrences.get_mut(&id.occurrence)?;
         let stage = stages.get_mut(id.step as usize)?;
         stage.tasks.get_mut(id.index as usize)
@@ -238,6 +269,7 @@
     }
 
     fn finish(&mut self, id: &TaskId, gang: bool) {
+        self.note_change();
         let Some(stages) = self.occurrences.get_mut(&id.occurrence) else {
             return;
         };
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs of steps and tasks that run on executors under leases.
 
 mod advisor;
+mod agenda;
 mod answer_time;
 mod appender;
 mod book;
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -32,8 +32,8 @@
         let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
         let latency = queue.map_or(DEFAULT_LATENCY_MS, |queue| queue.latency);
         let objective = scaled(job.chain(), stretch) + latency;
-        let (chain, work) = left(entry);
-        let expected = unix.saturating_sub(job.accepted) + chain;
+        let agenda = entry.agenda();
+        let expected = unix.saturating_sub(job.accepted) + agenda.chain;
         let lateness = match expected {
             _ if job.lasts() || job.schedule.is_some() => 0,
             time if time <= objective => 0,
@@ -44,7 +44,7 @@
             excess: entry.excess == Some(true),
             priority: queue.map_or(0, |queue| queue.priority),
             lateness,
-            remaining: work,
+            remaining: agenda.work,
             accepted: job.accepted,
         }
     }
@@ -64,22 +64,3 @@
 fn scaled(time: u64, factor: f64) -> u64 {
     (time as f64 * factor.max(0.0)) as u64
 }
-
-/// Time of the chain that is left, in milliseconds, and the work, in core-milliseconds.
-fn left(entry: &Entry) -> (u64, u64) {
-    let mut chain = 0;
-    let mut work = 0;
-    for stages in entry.occurrences.values() {
-        let mut ends = Vec::with_capacity(stages.len());
-        for (stage, step) in stages.iter().zip(&entry.job.steps) {
-            let before = step.after.iter().filter_map(|&n| ends.get(n as usize));
-            let start = before.max().copied().unwrap_or(0);
-            let count = stage.tasks.len() as u64 - u64::from(stage.done);
-            let own = if count == 0 { 0 } else { step.estimate };
-            ends.push(start + own);
-            work += count * step.estimate * step.demand.cpu.max(1) / 1_000;
-        }
-        chain = chain.max(ends.into_iter().max().unwrap_or(0));
-    }
-    (chain, work)
-}
--- a/src/batch/room.rs
+++ b/src/batch/room.rs
@@ -24,12 +24,12 @@
 impl Room {
     /// An executor of whose capacity `used` is taken, by `lasting` tasks that last and others.
     #[must_use]
-    pub fn new(info: Rc<Executor>, used: Demand, lasting: usize) -> Self {
+    pub const fn new(info: Rc<Executor>, cell: Cells, used: Demand, lasting: usize) -> Self {
         Self {
-            cell: Cells::of(&info.id),
             info,
             used,
             lasting,
+            cell,
         }
     }
 
@@ -81,8 +81,10 @@
 impl Rooms {
     /// Adds a room.
     pub fn add(&mut self, room: Room) {
-        let rooms = self.services.entry(room.info.service.clone()).or_default();
-        rooms.push(room);
+        if let Some(rooms) = self.services.get_mut(&room.info.service) {
+            return rooms.push(room);
+        }
+        self.services.insert(room.info.service.clone(), vec![room]);
     }
 
     /// The rooms of a service.
--- a/src/batch/seat.rs
+++ b/src/batch/seat.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::batch::Cells;
 use crate::batch::Demand;
 use crate::batch::Executor;
 use crate::batch::TaskId;
@@ -46,6 +47,10 @@
 pub struct Seat {
     /// Service whose tasks it runs.
     pub service: ServiceName,
+    /// The cell that it belongs to.
+    pub cell: Cells,
+    /// Its host is not about to leave, and its data centre is open.
+    pub usable: bool,
     /// Its address.
     pub addr: SocketAddr,
     /// When this life of it began, in Unix milliseconds, once it's known.
@@ -84,26 +89,31 @@
     pub slots: BTreeMap<(TaskId, u64), Slot>,
     /// What the runs take off its capacity.
     pub used: Demand,
+    /// Number of runs of tasks that last.
+    pub lasting: usize,
 }
 
 impl Seat {
     /// An executor that nobody has given work yet.
     #[must_use]
     pub fn fresh(info: Executor, now: Instant) -> Self {
+        let cell = Cells::of(&info.id);
         Self {
             born: Some(info.born),
             cleared: true,
             engagement: Engagement::None,
-            ..Self::inherited(info.service.clone(), info.addr, now)
+            ..Self::inherited(info.service.clone(), info.addr, cell, now)
         }
         .with(info)
     }
 
     /// An executor that an earlier owner may have given work, the last time before `now`.
     #[must_use]
-    pub fn inherited(service: ServiceName, addr: SocketAddr, now: Instant) -> Self {
+    pub fn inherited(service: ServiceName, addr: SocketAddr, cell: Cells, now: Instant) -> Self {
         Self {
             service,
+            cell,
+            usable: false,
             addr,
             born: None,
             info: None,
@@ -123,6 +133,7 @@
             acked: 0,
             slots: BTreeMap::new(),
             used: Demand::default(),
+            lasting: 0,
         }
     }
 
@@ -150,7 +161,13 @@
         let shunned = self.shunned.is_some_and(|until| now < until);
         let known = self.resolved && self.engagement == Engagement::Recorded;
         let stays = self.info.as_ref().is_some_and(|info| !info.draining);
-        known && stays && !self.is_retired() && !self.silent && !shunned && !self.is_overdue(now)
+        known
+            && stays
+            && self.usable
+            && !self.is_retired()
+            && !self.silent
+            && !shunned
+            && !self.is_overdue(now)
     }
 
     /// Whether it has not answered an order to start for too long.
@@ -229,12 +246,6 @@
         self.cleared && self.slots.is_empty() && self.seen == self.acked
     }
 
-    /// Number of tasks on it that last.
-    #[must_use]
-    pub fn lasting(&self) -> usize {
-        self.slots.values().filter(|slot| slot.lasting).count()
-    }
-
     /// Share of its processor that is taken, in thousandths.
     #[must_use]
     pub fn load(&self) -> u64 {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -14,6 +14,8 @@
 use crate::http::Backend;
 use crate::http::BackendError;
 use crate::http::IdleConnections;
+use crate::http::Turn;
+use crate::http::Turns;
 
 quick_error! {
     /// Why a request has no answer.
@@ -35,6 +37,7 @@
 pub struct Client {
     idle: RefCell<IdleConnections>,
     wide: bool,
+    turns: Option<Turns>,
 }
 
 impl Client {
@@ -53,6 +56,16 @@
         }
     }
 
+    /// A client that sends at most so many requests to one server at a time; others wait for a
+    /// connection instead of opening further ones.
+    #[must_use]
+    pub fn sparing(most: usize) -> Self {
+        Self {
+            turns: Some(Turns::new(most)),
+            ..Self::default()
+        }
+    }
+
     /// Sends a request and reads the whole answer, by `deadline`.
     ///
     /// # Errors
@@ -63,6 +76,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Bytes>, ClientError> {
+        let _turn = self.turn(addr, deadline).await?;
         let mut backend = self.connect(addr, deadline).await?;
         let exchange = backend.exchange(request);
         let Ok(result) = timeout_at(deadline, exchange).await else {
@@ -80,6 +94,15 @@
         }
     }
 
+    async fn turn(&self, addr: SocketAddr, deadline: Instant) -> Result<Option<Turn>, ClientError> {
+        let Some(turns) = &self.turns else {
+            return Ok(None);
+        };
+        let turn = timeout_at(deadline, turns.take(addr)).await;
+        let late = |_| ClientError::Unsent("no turn in time".to_owned());
+        turn.map(Some).map_err(late)
+    }
+
     async fn connect(&self, addr: SocketAddr, deadline: Instant) -> Result<Backend, ClientError> {
         let kept = self.idle.borrow_mut().take(Instant::now(), addr);
         if let Some(backend) = kept {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod reply;
 mod server;
+mod turns;
 mod watched;
 mod wide_stream;
 
@@ -31,3 +32,5 @@
 pub use reply::text_reply;
 pub use server::Handler;
 pub use server::HttpServer;
+pub use turns::Turn;
+pub use turns::Turns;
