Let a paused owner ask the election before it gives orders

An owner that froze while the answer to its renewal was on its way woke with that answer and with orders due, and gave them until an executor refused it. An executor that the next owner didn't reach would have obeyed: a task that was started elsewhere could have begun there again.

`batch::Pause` notices a pause of over 0.7 s by either clock; from then on the owner's orders wait for an answer of the election that was asked for after the pause, or for its failure (an outage of the store must not stop work). Tests in tests/batch/pause.rs: the renewal answered late, a suspension in which the steady clock stands still, a process that is only busy.

Left: paused and then cut off from the store, an owner goes on under its fence.

--- a/src/batch/election.rs
+++ b/src/batch/election.rs
@@ -34,6 +34,7 @@
     meters: Meters,
     strength: Strength,
     owner: RefCell<Option<Owner>>,
+    asked: Rc<Cell<Instant>>,
     stopping: Cell<bool>,
 }
 
@@ -55,6 +56,7 @@
             meters,
             strength,
             owner: RefCell::new(None),
+            asked: Rc::new(Cell::new(Instant::now())),
             stopping: Cell::new(false),
         });
         compio::runtime::spawn(election.clone().run()).detach();
@@ -106,6 +108,7 @@
                 compio::time::sleep(Duration::from_millis(RENEW_MS)).await;
                 continue;
             }
+            let asked = Instant::now();
             match self.platform.join(generation).await {
                 Ok(_) if self.stopping.get() => return,
                 Ok(membership) => {
@@ -123,6 +126,8 @@
                     reached = false;
                 }
             }
+            // Without an answer a reign goes on under its fence, as in an outage of the store.
+            self.asked.set(asked);
             if self.is_over() {
                 // The election's own view lags behind the executors' or the log's.
                 self.withdraw().await;
@@ -148,6 +153,7 @@
                     self.node.clone(),
                     self.log.clone(),
                     self.meters.clone(),
+                    self.asked.clone(),
                 ));
             }
             (false, Some(old)) => {
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -38,7 +38,8 @@
 }
 
 impl Owner {
-    /// Starts a reign: reads the log, takes the executors over and decides from then on.
+    /// Starts a reign: reads the log, takes the executors over and decides from then on. `asked`
+    /// is when the election was last asked for the owner.
     pub fn spawn<P: Platform>(
         platform: Rc<P>,
         view: Rc<View>,
@@ -46,6 +47,7 @@
         node: NodeName,
         log: Logger,
         meters: Meters,
+        asked: Rc<Cell<Instant>>,
     ) -> Self {
         let (inbox, received) = unbounded();
         let reign = Reign {
@@ -57,6 +59,7 @@
             meters,
             inbox: inbox.clone(),
             read: Rc::new(Cell::new(Instant::now())),
+            asked,
         };
         let task = compio::runtime::spawn(reign.run(received));
         Self { fence, inbox, task }
--- a/src/batch/reign.rs
+++ b/src/batch/reign.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 
 use crate::batch::Action;
 use crate::batch::Answer;
@@ -21,6 +22,7 @@
 use crate::batch::Meters;
 use crate::batch::Now;
 use crate::batch::OrderError;
+use crate::batch::Pause;
 use crate::batch::Platform;
 use crate::batch::Record;
 use crate::batch::Stream;
@@ -50,12 +52,15 @@
     pub meters: Meters,
     pub inbox: UnboundedSender<Message>,
     pub read: Rc<Cell<Instant>>,
+    /// When the election was last asked who the owner is; it ends the reign if it's another.
+    pub asked: Rc<Cell<Instant>>,
 }
 
 impl<P: Platform> Reign<P> {
     /// Takes over and decides until the reign is over.
     pub async fn run(self, inbox: UnboundedReceiver<Message>) {
         let begun = Instant::now();
+        let pause = Pause::new(now());
         let takeover = Takeover {
             platform: self.platform.clone(),
             fence: self.fence,
@@ -100,7 +105,7 @@
                 self.log.clone(),
             )),
         ];
-        self.decide(dispatcher, inbox, &appender).await;
+        self.decide(dispatcher, inbox, &appender, pause).await;
         info!(self.log, "owner no more"; "fence" => self.fence);
     }
 
@@ -109,6 +114,7 @@
         mut dispatcher: Dispatcher,
         mut inbox: UnboundedReceiver<Message>,
         appender: &Appender,
+        mut pause: Pause,
     ) {
         let mut changes = 0;
         loop {
@@ -135,6 +141,12 @@
                 }
                 message = inbox.try_recv().ok();
             }
+            if pause.note(now()) {
+                warn!(self.log, "paused"; "fence" => self.fence);
+            }
+            if !pause.allows(self.asked.get()) {
+                continue;
+            }
             dispatcher.measure(now(), &self.meters);
             for action in dispatcher.poll(now()) {
                 if !self.act(action, appender) {
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -8,6 +8,7 @@
 mod line;
 mod operators;
 mod pacing;
+mod pause;
 mod peaks;
 mod rules;
 mod sizes;
--- /dev/null
+++ b/tests/batch/pause.rs
@@ -0,0 +1,60 @@
+//! An owner that was paused.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mimosastep::batch::Now;
+use mimosastep::batch::Pause;
+
+fn later(now: Now, steady: u64, unix: u64) -> Now {
+    Now {
+        at: now.at + Duration::from_millis(steady),
+        unix: now.unix + unix,
+    }
+}
+
+fn start() -> Now {
+    Now {
+        at: Instant::now(),
+        unix: 1_000_000,
+    }
+}
+
+/// The pattern: a process freezes while the answer to its renewal is on its way, another one is
+/// elected, and the first wakes with that answer and a list of orders that are due.
+#[test]
+fn an_answer_asked_for_before_a_pause_allows_nothing_after_it() {
+    let begun = start();
+    let mut pause = Pause::new(begun);
+    let asked = later(begun, 40, 40);
+    assert!(!pause.note(asked));
+    assert!(pause.allows(begun.at));
+    let woken = later(asked, 3_000, 3_000);
+    assert!(pause.note(woken));
+    assert!(!pause.allows(asked.at));
+    assert!(!pause.note(later(woken, 5, 5)));
+    assert!(!pause.allows(asked.at));
+    assert!(pause.allows(later(woken, 5, 5).at));
+}
+
+/// The pattern: the machine is suspended, and its steady clock stands still meanwhile.
+#[test]
+fn a_suspension_counts_though_the_steady_clock_stood_still() {
+    let begun = start();
+    let mut pause = Pause::new(begun);
+    let woken = later(begun, 10, 5_000);
+    assert!(pause.note(woken));
+    assert!(!pause.allows(begun.at));
+}
+
+#[test]
+fn a_busy_process_is_not_paused() {
+    let mut now = start();
+    let begun = now.at;
+    let mut pause = Pause::new(now);
+    for _ in 0..100 {
+        now = later(now, 300, 300);
+        assert!(!pause.note(now));
+    }
+    assert!(pause.allows(begun));
+}
