Infer from a running task only in the reign that accepted its job

Found by reading the change: a task's end that an owner has acted on can be lost with its executor and that owner. What waits for the task has begun, the next owner runs the task again, and the one after that finds it running. It took what waits for it as never begun, and could have started it a second time while the executor that has it is silent.

Test in tests/batch/entries.rs; it needs the reign, which was not kept before.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -48,6 +48,7 @@
                     return None;
                 }
                 let mut entry = Entry::new(job);
+                entry.reign = self.fence;
                 if self.revoked.contains(&id) {
                     entry.cancel();
                 }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -52,8 +52,6 @@
 use crate::name::QueueName;
 use crate::name::TeamName;
 
-/// Runs of an owner are numbered from its fence times this on, so that they rise over all owners.
-const RUNS_PER_FENCE: u64 = 1_000_000;
 /// Time between two looks for jobs that have become due.
 const OPEN_PACE: Duration = Duration::from_millis(20);
 /// Time between two looks for executors whose turn it is to be asked.
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -14,7 +14,7 @@
 use crate::batch::Stop;
 use crate::batch::Target;
 use crate::batch::TaskId;
-use crate::batch::dispatcher::RUNS_PER_FENCE;
+use crate::batch::record::RUNS_PER_FENCE;
 use crate::batch::seat::LEASE_MS;
 use crate::batch::seat::Probe;
 use crate::batch::slot::Phase;
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -10,11 +10,13 @@
 
 use crate::batch::Cells;
 use crate::batch::End;
+use crate::batch::Fence;
 use crate::batch::How;
 use crate::batch::JOB_TASK_LIMIT;
 use crate::batch::Job;
 use crate::batch::TaskId;
 use crate::batch::agenda::Agenda;
+use crate::batch::record::RUNS_PER_FENCE;
 use crate::batch::stage::Stage;
 use crate::batch::task::Task;
 
@@ -55,6 +57,8 @@
     pub started: bool,
     /// Ends that are acted on, but not in the log yet.
     pub unnoted: u32,
+    /// The reign in which it was accepted; 0 if that isn't known.
+    pub reign: Fence,
     /// Where its tasks may be started, as the log says.
     pub cells: Cells,
     /// Where its tasks may have been started by an earlier owner.
@@ -82,6 +86,7 @@
             opened: 0,
             started: false,
             unnoted: 0,
+            reign: 0,
             cells: Cells::NONE,
             inherited: Cells::NONE,
             excess: None,
@@ -207,8 +212,13 @@
         self.inherited.meets(cells) && stage.is_some_and(|stage| !stage.untouched)
     }
 
-    /// A run of a task was found under way, so an earlier owner can't have begun what waits for it.
-    pub fn note_under_way(&mut self, id: &TaskId) {
+    /// A run of a task was found under way. If the first owner that had the job began it, no owner
+    /// can have begun what waits for the task. A later one may have begun it anew after its end was
+    /// lost, when what waits for it had begun.
+    pub fn note_under_way(&mut self, id: &TaskId, run: u64) {
+        if run / RUNS_PER_FENCE > self.reign {
+            return;
+        }
         let Some(stages) = self.occurrences.get_mut(&id.occurrence) else {
             return;
         };
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -19,6 +19,9 @@
 /// Number of an owner's reign; each owner's is higher than all before.
 pub type Fence = u64;
 
+/// Runs of an owner are numbered from its fence times this on, so that they rise over all owners.
+pub const RUNS_PER_FENCE: u64 = 1_000_000;
+
 /// How a run of a task ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum How {
--- a/tests/batch/entries.rs
+++ b/tests/batch/entries.rs
@@ -9,7 +9,9 @@
 use mimosastep::batch::Job;
 use mimosastep::batch::JobState;
 use mimosastep::batch::Record;
+use mimosastep::batch::Step;
 use mimosastep::batch::TaskId;
+use mimosastep::name::NodeName;
 use mimosastep::name::QueueName;
 use test_case::test_case;
 
@@ -127,3 +129,44 @@
     assert_eq!(book.jobs[&id(1)].state(), JobState::Cancelled);
     assert!(!book.jobs[&id(1)].is_active());
 }
+
+/// The pattern: a task's end is acted on and then lost with its executor and its owner; the next
+/// owner runs the task again, and the one after that finds it.
+#[test_case(1_000_001, false; "begun by the owner that accepted the job")]
+#[test_case(2_000_001, true; "begun anew by a later owner")]
+fn what_waits_for_a_running_task_is_untouched_only_if_nobody_ran_it_before(run: u64, unseen: bool) {
+    let node = NodeName::new("node-1").expect("a name");
+    let took = |fence| Record::Took {
+        fence,
+        node: node.clone(),
+    };
+    let after = Step {
+        after: vec![0],
+        ..step(1)
+    };
+    let accepted = Job {
+        steps: vec![step(1), after],
+        ..job(1)
+    };
+    let granted = Record::Granted(vec![(id(1), Cells::ALL)]);
+    let records = vec![
+        took(1),
+        Record::Accepted(accepted),
+        granted,
+        took(2),
+        took(3),
+    ];
+    let mut book = Book::fold(records, Vec::new());
+    let entry = book.jobs.get_mut(&id(1)).expect("a job");
+    entry.open_due(0);
+    entry.note_under_way(
+        &TaskId {
+            job: id(1),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run,
+    );
+    assert_eq!(entry.may_run_unseen(0, 1, Cells::ALL), unseen);
+}
