--- a/tests/batch/fake.rs
+++ b/tests/batch/fake.rs
@@ -32,12 +32,18 @@
 }
 
 impl Work {
-    /// A task is at work after its start-up time.
+    /// Share of its work that is done; a task that lasts is at work after its start-up time.
     pub fn percent(&self, now: Instant) -> u64 {
-        if now < self.begun + Duration::from_millis(STARTUP_MS) {
+        let worked = now - self.begun;
+        let whole = self.ends.map_or(STARTUP_MS, |(ends, _)| {
+            u64::try_from((ends - self.begun).as_millis()).expect("a short test")
+        });
+        let share = worked.as_millis() * 100 / u128::from(whole.max(1));
+        let share = u64::try_from(share.min(100)).expect("a share");
+        if self.ends.is_none() && share < 100 {
             return 0;
         }
-        100
+        share
     }
 }
 
@@ -139,6 +145,11 @@
             self.renew(deadline);
         }
         self.ends.retain(|end| end.number > order.acked);
+        Ok(self.report(now))
+    }
+
+    /// What it tells of its runs.
+    pub fn report(&self, now: Instant) -> Report {
         let running = self.works.iter().map(|(task, work)| Running {
             task: *task,
             run: work.run,
@@ -146,12 +157,12 @@
             percent: work.percent(now),
             gauge: self.tail,
         });
-        Ok(Report {
+        Report {
             clock: self.clock(now),
             born: None,
             running: running.collect(),
             ended: self.ends.clone(),
-        })
+        }
     }
 
     pub fn start(
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -31,7 +31,7 @@
     let cut = world.fakes.keys().next().expect("an executor").clone();
     let there = world.fakes[&cut].works.len();
     assert!(there > 0);
-    world.cut.insert(cut.clone());
+    world.leader().cut.insert(cut.clone());
     world.take_over(2);
     world.run(3_000);
     assert_eq!(
@@ -77,8 +77,9 @@
     for fake in world.fakes.values_mut() {
         fake.fence = 7;
     }
+    world.submit(2, "captions", vec![step(4)]);
     world.run(2_000);
-    assert!(world.abdicated);
+    assert!(world.abdicated());
 }
 
 /// The pattern: an owner dies while a whole rack of another service is dark.
@@ -136,7 +137,7 @@
 #[test]
 fn a_job_is_known_after_its_first_records_have_expired() {
     let mut world = World::new(&[("captions", 2)]);
-    world.dispatcher.retain(9_000);
+    world.leader().dispatcher.retain(9_000);
     let job = world.submit(1, "captions", vec![step(2), lasting(1)]);
     world.run(8_000);
     let first = world
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -4,6 +4,7 @@
 mod entries;
 mod fake;
 mod faults;
+mod handover;
 mod large;
 mod line;
 mod operators;
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -43,7 +43,7 @@
     let id = busy.expect("a busy executor").0.clone();
     match silence {
         Silence::Cut => {
-            world.cut.insert(id.clone());
+            world.leader().cut.insert(id.clone());
             let fake = world.fakes.get_mut(&id).expect("a fake");
             for work in fake.works.values_mut() {
                 work.ends = None;
@@ -135,7 +135,7 @@
     world.submit(1, "captions", vec![step(100)]);
     world.run(200);
     let cut: Vec<ExecutorId> = world.fakes.keys().cloned().collect();
-    world.cut.extend(cut);
+    world.leader().cut.extend(cut);
     world.take_over(2);
     let moves = world.moves;
     world.run(3_000);
@@ -148,11 +148,9 @@
 #[test]
 fn executors_that_do_not_answer_do_not_use_up_the_starts_on_their_way() {
     let mut world = World::new(&[("captions", 20), ("tags", 4)]);
-    for id in world.fakes.keys() {
-        if id.as_str().starts_with("captions") {
-            world.cut.insert(id.clone());
-        }
-    }
+    let ids: Vec<ExecutorId> = world.fakes.keys().cloned().collect();
+    let captions = |id: &ExecutorId| id.as_str().starts_with("captions");
+    world.leader().cut.extend(ids.into_iter().filter(captions));
     world.submit(1, "captions", vec![step(100)]);
     world.run(50);
     world.submit(2, "tags", vec![step(24)]);
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -105,7 +105,7 @@
     world.submit(1, "captions", vec![lasting(5)]);
     world.run(2_000);
     let dark = world.starts[4].3.clone();
-    world.cut.insert(dark);
+    world.leader().cut.insert(dark);
     world.run(3_000);
     world.ask_wave(&["captions-0"], 30_000, 1);
     world.run(500);
@@ -118,7 +118,7 @@
 #[test]
 fn no_host_is_taken_down_before_the_log_says_so() {
     let mut world = World::new(&[("captions", 4)]);
-    world.dark = true;
+    world.leader().dark = true;
     world.ask_wave(&["captions-0", "captions-1"], 20_000, 2);
     world.run(1_000);
     assert_eq!(world.downs.len(), 0);
@@ -131,7 +131,7 @@
 #[test]
 fn a_host_is_not_taken_down_on_a_record_that_took_too_long() {
     let mut world = World::new(&[("captions", 4)]);
-    world.dark = true;
+    world.leader().dark = true;
     world.ask_wave(&["captions-0"], 20_000, 1);
     world.run(2_000);
     world.light();
@@ -146,7 +146,7 @@
 #[test]
 fn a_host_is_not_taken_down_after_a_suspension() {
     let mut world = World::new(&[("captions", 4)]);
-    world.dark = true;
+    world.leader().dark = true;
     world.ask_wave(&["captions-0"], 30_000, 1);
     world.run(200);
     world.now.unix += 5_000;
@@ -175,7 +175,7 @@
 #[test]
 fn a_new_owner_leaves_a_host_alone_whose_order_was_given_late() {
     let mut world = World::new(&[("captions", 4)]);
-    world.dark = true;
+    world.leader().dark = true;
     world.ask_wave(&["captions-0"], 30_000, 1);
     world.run(1_200);
     world.light();
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -1,6 +1,7 @@
-//! A site in memory, in virtual time: one owner, its executors and hosts, and the log.
+//! A site in memory, in virtual time: owners, executors and hosts, and the log.
 
 mod carrying_out;
+mod leader;
 mod machines;
 mod operators;
 
@@ -41,6 +42,8 @@
 use slog::o;
 
 use crate::fake::Fake;
+pub use crate::world::leader::Fate;
+use crate::world::leader::Leader;
 
 /// Time between two looks at the world, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -65,24 +68,19 @@
 /// The site.
 pub struct World {
     pub now: Now,
-    pub dispatcher: Dispatcher,
+    /// Owners that give orders, the elected one last.
+    pub leaders: Vec<Leader>,
     pub fakes: BTreeMap<ExecutorId, Fake>,
     machines: BTreeMap<HostName, Machine>,
     // Executors that are no more and still listed.
     stale: Vec<(ExecutorId, HostName, ServiceName)>,
     pub directives: Directives,
-    events: Vec<(Instant, Event)>,
     pub records: Vec<Record>,
     pub script: Script,
     /// Tail of serving tasks by the pace of the fill work beside them, in milliseconds.
     pub tail: Box<dyn Fn(u64) -> u64>,
-    /// Executors that neither get orders nor answer.
-    pub cut: BTreeSet<ExecutorId>,
     /// The owner reads the log late.
     pub behind: bool,
-    /// The log takes nothing of the owner's.
-    pub dark: bool,
-    unwritten: Vec<(u64, Vec<Record>)>,
     /// Executors that are about to leave.
     pub leaving: BTreeSet<ExecutorId>,
     /// Answers of starts that are lost from now on.
@@ -101,7 +99,6 @@
     lives: u64,
     listed: Instant,
     spare: Option<ServiceName>,
-    pub abdicated: bool,
 }
 
 pub fn service(name: &str) -> ServiceName {
@@ -150,6 +147,10 @@
         };
         let log = Logger::root(Discard, o!());
         let node = NodeName::new("node-1").expect("a name");
+        let took = Record::Took {
+            fence: 1,
+            node: node.clone(),
+        };
         let mut policy = Policy {
             version: 1,
             ..Policy::default()
@@ -173,19 +174,21 @@
         };
         let mut world = Self {
             now,
-            dispatcher: Dispatcher::new(now, 1, node, Book::default(), log),
+            leaders: vec![Leader::new(Dispatcher::new(
+                now,
+                1,
+                node,
+                Book::default(),
+                log,
+            ))],
             fakes: BTreeMap::new(),
             machines: BTreeMap::new(),
             stale: Vec::new(),
             directives,
-            events: Vec::new(),
-            records: Vec::new(),
+            records: vec![took],
             script: Box::new(|_, _| (1_000, How::Done)),
             tail: Box::new(|_| 0),
-            cut: BTreeSet::new(),
             behind: false,
-            dark: false,
-            unwritten: Vec::new(),
             leaving: BTreeSet::new(),
             lost: 0,
             starts: Vec::new(),
@@ -199,7 +202,6 @@
             lives: 0,
             listed: begun,
             spare: None,
-            abdicated: false,
         };
         for (name, count) in pools {
             for number in 0..*count {
@@ -217,15 +219,42 @@
             }
         }
         let directives = world.directives.clone();
-        world.dispatcher.handle(now, Event::Directives(directives));
+        world
+            .leader()
+            .dispatcher
+            .handle(now, Event::Directives(directives));
         world.run(4_000);
         world
     }
 
-    /// Another owner takes over from the log, with the next fence.
+    /// The elected owner.
+    pub fn leader(&mut self) -> &mut Leader {
+        self.leaders.last_mut().expect("an owner")
+    }
+
+    /// Whether the elected owner has given up.
+    pub fn abdicated(&self) -> bool {
+        self.leaders.last().is_none_or(|leader| leader.abdicated)
+    }
+
+    /// Another owner takes over from the log, with the next fence; the one before is no more.
     pub fn take_over(&mut self, fence: u64) {
+        self.elect(fence);
+        let earlier = self.leaders.len() - 1;
+        self.leaders.drain(..earlier);
+    }
+
+    /// Another owner takes over from the log, with the next fence, and the one before goes on as
+    /// long as nobody stops it.
+    pub fn hand_over(&mut self, fence: u64, fate: Fate) {
+        let now = self.now.at;
+        self.leader().lose(now, fate);
+        self.elect(fence);
+    }
+
+    fn elect(&mut self, fence: u64) {
         let mut book = Book::default();
-        let node = NodeName::new("node-2").expect("a name");
+        let node = NodeName::new(&format!("node-{fence}")).expect("a name");
         self.records.push(Record::Took {
             fence,
             node: node.clone(),
@@ -234,13 +263,14 @@
             book.apply(record.clone());
         }
         let log = Logger::root(Discard, o!());
-        self.events.clear();
-        self.dispatcher = Dispatcher::new(self.now, fence, node, book, log);
-        self.dispatcher.settle(self.now, 1_000);
-        self.dispatcher.begin(self.now);
+        let mut dispatcher = Dispatcher::new(self.now, fence, node, book, log);
+        dispatcher.settle(self.now, 1_000);
+        dispatcher.begin(self.now);
         let directives = self.directives.clone();
-        self.dispatcher
-            .handle(self.now, Event::Directives(directives));
+        dispatcher.handle(self.now, Event::Directives(directives));
+        let mut leader = Leader::new(dispatcher);
+        leader.cut.clone_from(&self.leader().cut);
+        self.leaders.push(leader);
         self.list();
     }
 
@@ -274,11 +304,9 @@
 
     /// The log takes again what it did not.
     pub fn light(&mut self) {
-        self.dark = false;
-        for (receipt, records) in std::mem::take(&mut self.unwritten) {
-            self.records.extend(records);
-            self.later(TRIP_MS, Event::Appended(receipt));
-        }
+        let now = self.now.at;
+        let records = self.leader().light(now);
+        self.records.extend(records);
     }
 
     pub fn cancel(&mut self, job: JobId) {
@@ -298,7 +326,8 @@
 
     pub fn state(&self, pool: &str, job: JobId) -> JobState {
         let queue = QueueName::new(pool).expect("a name");
-        match self.dispatcher.answer(&Ask::State(queue, job)) {
+        let leader = self.leaders.last().expect("an owner");
+        match leader.dispatcher.answer(&Ask::State(queue, job)) {
             Answer::State(Some(state)) => state,
             answer => panic!("no state of {job}: {answer:?}"),
         }
@@ -315,14 +344,14 @@
 
     pub fn run(&mut self, ms: u64) {
         let until = self.now.at + Duration::from_millis(ms);
-        while self.now.at < until && !self.abdicated {
+        while self.now.at < until && !self.abdicated() {
             self.advance();
         }
     }
 
     fn later(&mut self, ms: u64, event: Event) {
-        let at = self.now.at + Duration::from_millis(ms);
-        self.events.push((at, event));
+        let now = self.now.at;
+        self.leader().later(now, ms, event);
     }
 
     fn advance(&mut self) {
@@ -345,20 +374,28 @@
         if self.now.at >= self.listed + Duration::from_millis(200) {
             self.list();
         }
-        let (due, rest) = std::mem::take(&mut self.events)
-            .into_iter()
-            .partition(|(at, _)| *at <= self.now.at);
-        self.events = rest;
-        let due: Vec<(Instant, Event)> = due;
-        for (_, event) in due {
-            self.dispatcher.handle(self.now, event);
-        }
-        for action in self.dispatcher.poll(self.now) {
-            self.act(action);
+        let mut leaders = std::mem::take(&mut self.leaders);
+        for leader in &mut leaders {
+            self.drive(leader);
         }
+        self.leaders = leaders;
         self.check();
     }
 
+    /// Lets an owner decide.
+    fn drive(&mut self, leader: &mut Leader) {
+        leader.answer_polls(self.now.at, &self.fakes);
+        if !leader.is_awake(self.now.at) {
+            return;
+        }
+        for event in leader.due(self.now.at) {
+            leader.dispatcher.handle(self.now, event);
+        }
+        for action in leader.dispatcher.poll(self.now) {
+            self.act(leader, action);
+        }
+    }
+
     /// What must hold at every moment.
     fn check(&self) {
         let mut seen = BTreeSet::new();
--- a/tests/batch/world/carrying_out.rs
+++ b/tests/batch/world/carrying_out.rs
@@ -14,40 +14,33 @@
 use crate::fake::Fake;
 use crate::world::TRIP_MS;
 use crate::world::World;
+use crate::world::leader::Leader;
 
 /// Time after which an order without an answer is given up, in milliseconds.
-const SILENCE_MS: u64 = 800;
+pub const SILENCE_MS: u64 = 800;
 
 impl World {
-    pub(super) fn act(&mut self, action: Action) {
+    pub(super) fn act(&mut self, leader: &mut Leader, action: Action) {
+        let now = self.now.at;
         match action {
             Action::Append { receipt, records } => {
-                if self.dark {
-                    return self.unwritten.push((receipt, records));
+                if let Some(records) = leader.append(now, receipt, records) {
+                    self.records.extend(records);
                 }
-                self.records.extend(records);
-                self.later(TRIP_MS, Event::Appended(receipt));
             }
             Action::Hold(order) => {
-                let sent = self.now.at;
                 let id = &order.target.executor;
-                let result = self.reach(id).and_then(|fake| fake.hold(sent, &order));
-                let trip = if result.is_ok() { TRIP_MS } else { SILENCE_MS };
-                self.later(
-                    trip,
-                    Event::Held {
-                        order,
-                        sent,
-                        result,
-                    },
-                );
+                let fake = self.reach(leader, id);
+                let result = fake.and_then(|fake| fake.hold(now, &order));
+                leader.held(now, order, result);
             }
-            Action::Start(order) => self.start(order),
+            Action::Start(order) => self.start(leader, order),
             Action::Stop(order) => {
-                let now = self.now.at;
                 let id = &order.target.executor;
-                let result = self.reach(id).and_then(|fake| fake.stop(now, &order));
-                self.later(TRIP_MS, Event::Stopped { order, result });
+                let result = self
+                    .reach(leader, id)
+                    .and_then(|fake| fake.stop(now, &order));
+                leader.later(now, TRIP_MS, Event::Stopped { order, result });
             }
             Action::Consult(question) => {
                 self.consulted += 1;
@@ -57,7 +50,7 @@
                     good,
                     validity: 1_000,
                 });
-                self.later(50, Event::Advised { question, result });
+                leader.later(now, 50, Event::Advised { question, result });
             }
             Action::Pace(order) => {
                 self.paces.push((order.task, order.percent));
@@ -65,7 +58,8 @@
                 if let Some(fake) = self.fakes.get_mut(&order.target.executor) {
                     fake.tail = tail;
                 }
-                self.later(
+                leader.later(
+                    now,
                     TRIP_MS,
                     Event::Paced {
                         order,
@@ -80,12 +74,13 @@
                     self.downs.push(order.host.clone());
                     self.take_away(&order.host.clone(), None);
                 }
-                self.later(TRIP_MS, Event::Maintained { order, result });
+                leader.later(now, TRIP_MS, Event::Maintained { order, result });
             }
             Action::Transfer(order) => {
                 self.moves += 1;
                 self.take_away(&order.host.clone(), Some(order.pool.clone()));
-                self.later(
+                leader.later(
+                    now,
                     TRIP_MS,
                     Event::Transferred {
                         order,
@@ -96,14 +91,14 @@
             Action::Report { wave, state } => {
                 self.told.insert(wave, state);
                 let told = true;
-                self.later(TRIP_MS, Event::Reported { wave, state, told });
+                leader.later(now, TRIP_MS, Event::Reported { wave, state, told });
             }
-            Action::Abdicate => self.abdicated = true,
+            Action::Abdicate => leader.abdicated = true,
         }
     }
 
-    fn reach(&mut self, id: &ExecutorId) -> Result<&mut Fake, OrderError> {
-        if self.cut.contains(id) {
+    fn reach(&mut self, leader: &Leader, id: &ExecutorId) -> Result<&mut Fake, OrderError> {
+        if leader.cut.contains(id) {
             return Err(OrderError::Silent);
         }
         let fake = self.fakes.get_mut(id).ok_or(OrderError::Silent)?;
@@ -113,7 +108,7 @@
         Ok(fake)
     }
 
-    fn start(&mut self, order: Start) {
+    fn start(&mut self, leader: &mut Leader, order: Start) {
         let now = self.now.at;
         let job = self.records.iter().find_map(|record| match record {
             Record::Accepted(job) if job.id == order.task.job => Some(job.clone()),
@@ -124,7 +119,7 @@
         let ends = (!step.lasting).then(|| (now + Duration::from_millis(ms), how));
         let id = order.target.executor.clone();
         let result = self
-            .reach(&id)
+            .reach(leader, &id)
             .and_then(|fake| fake.start(now, &order, step.reserved(), ends));
         if result.is_ok() {
             self.starts.push((now, order.task, order.run, id));
@@ -137,13 +132,13 @@
         if self.lost > 0 && result.is_ok() {
             self.lost -= 1;
             let result = Err(OrderError::Silent);
-            return self.later(500, Event::Started { order, result });
+            return leader.later(now, 500, Event::Started { order, result });
         }
         let trip = if result == Err(OrderError::Silent) {
             SILENCE_MS
         } else {
             TRIP_MS
         };
-        self.later(trip, Event::Started { order, result });
+        leader.later(now, trip, Event::Started { order, result });
     }
 }
--- a/tests/batch/world/operators.rs
+++ b/tests/batch/world/operators.rs
@@ -19,8 +19,10 @@
     pub fn write_directives(&mut self, change: impl FnOnce(&mut Directives)) {
         change(&mut self.directives);
         let directives = self.directives.clone();
-        self.dispatcher
-            .handle(self.now, Event::Directives(directives));
+        let now = self.now;
+        self.leader()
+            .dispatcher
+            .handle(now, Event::Directives(directives));
     }
 
     /// Changes the configuration.
