Let a later owner conclude nothing from a run that it finds under way

Cause: a run found under way was taken to prove, for good, that no step which waits for it had begun. It says so for that moment only: the earlier owner, alive and not told, sees the same end and begins the step on executors that have not seen the later fence. Class of fault: an observation taken as lasting while another owner may still act.

Now a job waits for every executor of its cells that has not answered, whatever of it is seen to run. The alternatives: to conclude once every earlier owner is surely silent, which nothing proves while an owner that can't reach the store goes on under its fence; and to let such an owner stop, which ends all work in an outage of the store.

The test of the removed conclusion is replaced by one that demands the wait in both of its cases.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -48,7 +48,6 @@
                     return None;
                 }
                 let mut entry = Entry::new(job);
-                entry.reign = self.fence;
                 if self.revoked.contains(&id) {
                     entry.cancel();
                 }
--- a/src/batch/carried.rs
+++ b/src/batch/carried.rs
@@ -102,7 +102,6 @@
             done: u32::try_from(done).unwrap_or(u32::MAX),
             failed: carried.failed.into_iter().collect(),
             tasks,
-            untouched: false,
         }
     }
 }
--- a/src/batch/dispatcher/granting.rs
+++ b/src/batch/dispatcher/granting.rs
@@ -121,7 +121,7 @@
                 hidden
                     .entry(team.clone())
                     .or_default()
-                    .add(&unseen(entry, cells));
+                    .add(&unplaced(entry));
             }
         }
         let mut room = Demand::default();
@@ -138,16 +138,12 @@
     }
 }
 
-/// What the tasks of a job take that may run unseen in some cells.
-fn unseen(entry: &Entry, cells: Cells) -> Demand {
+/// What the tasks of a job take that are not known to run.
+fn unplaced(entry: &Entry) -> Demand {
     let mut demand = Demand::default();
-    for (&occurrence, stages) in &entry.occurrences {
-        for (number, step) in (0..).zip(&entry.job.steps) {
-            if !entry.may_run_unseen(occurrence, number, cells) {
-                continue;
-            }
-            let tasks = &stages[number as usize].tasks;
-            for _ in tasks.iter().filter(|task| task.is_idle()) {
+    for stages in entry.occurrences.values() {
+        for (stage, step) in stages.iter().zip(&entry.job.steps) {
+            for _ in stage.tasks.iter().filter(|task| task.is_idle()) {
                 demand.add(&step.demand);
             }
         }
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -343,9 +343,6 @@
         });
         info!(self.log, "run found"; "task" => %run.task, "run" => run.run, "executor" => %id,
             "kept" => wanted);
-        if wanted {
-            entry.note_under_way(&run.task, run.run);
-        }
         self.occupy(id, run.task, run.run, slot);
         if wanted {
             self.save(run);
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -71,15 +71,12 @@
                 continue;
             }
             let cells = unclear.get(&entry.job.service).copied().unwrap_or_default();
-            let agenda = entry.agenda();
-            let (unseen, due): (Vec<_>, Vec<_>) = agenda
-                .ready
-                .iter()
-                .partition(|&&(occurrence, step)| entry.may_run_unseen(occurrence, step, cells));
-            if !unseen.is_empty() {
+            if entry.may_run_unseen(cells) {
                 held.push(id);
+                continue;
             }
-            for (occurrence, step) in due {
+            let agenda = entry.agenda();
+            for &(occurrence, step) in &agenda.ready {
                 self.place_step(now, &mut rooms, &hidden, id, occurrence, step);
             }
         }
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -146,14 +146,14 @@
             let useless = Rank::of(entry, queue, now.unix).is_useless();
             let cells = unclear.get(&entry.job.service);
             let cells = cells.copied().unwrap_or_default();
+            let waits = useless || entry.may_run_unseen(cells);
             let service = services.entry(entry.job.service.clone()).or_default();
-            for (&occurrence, stages) in &entry.occurrences {
-                for (number, (stage, step)) in (0..).zip(stages.iter().zip(&entry.job.steps)) {
+            for stages in entry.occurrences.values() {
+                for (stage, step) in stages.iter().zip(&entry.job.steps) {
                     let open = step.after.iter().all(|&n| stages[n as usize].is_done());
                     if !open {
                         continue;
                     }
-                    let waits = useless || entry.may_run_unseen(occurrence, number, cells);
                     let left = if waits {
                         stage.placed().count()
                     } else {
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -10,13 +10,11 @@
 
 use crate::batch::Cells;
 use crate::batch::End;
-use crate::batch::Fence;
 use crate::batch::How;
 use crate::batch::JOB_TASK_LIMIT;
 use crate::batch::Job;
 use crate::batch::TaskId;
 use crate::batch::agenda::Agenda;
-use crate::batch::record::RUNS_PER_FENCE;
 use crate::batch::stage::Stage;
 use crate::batch::task::Task;
 
@@ -57,8 +55,6 @@
     pub started: bool,
     /// Ends that are acted on, but not in the log yet.
     pub unnoted: u32,
-    /// The reign in which it was accepted; 0 if that isn't known.
-    pub reign: Fence,
     /// Where its tasks may be started, as the log says.
     pub cells: Cells,
     /// Where its tasks may have been started by an earlier owner.
@@ -86,7 +82,6 @@
             opened: 0,
             started: false,
             unnoted: 0,
-            reign: 0,
             cells: Cells::NONE,
             inherited: Cells::NONE,
             excess: None,
@@ -204,31 +199,11 @@
         stage.tasks.get_mut(id.index as usize)
     }
 
-    /// Whether tasks of a step may run unseen in some cells, started by an earlier owner.
+    /// Whether tasks of it may run unseen in some cells. An earlier owner may still start any of
+    /// them on an executor that has not seen a later fence, whatever is seen to run elsewhere.
     #[must_use]
-    pub fn may_run_unseen(&self, occurrence: u32, step: u32, cells: Cells) -> bool {
-        let stages = self.occurrences.get(&occurrence);
-        let stage = stages.and_then(|stages| stages.get(step as usize));
-        self.inherited.meets(cells) && stage.is_some_and(|stage| !stage.untouched)
-    }
-
-    /// A run of a task was found under way. If the first owner that had the job began it, no owner
-    /// can have begun what waits for the task. A later one may have begun it anew after its end was
-    /// lost, when what waits for it had begun.
-    pub fn note_under_way(&mut self, id: &TaskId, run: u64) {
-        if run / RUNS_PER_FENCE > self.reign {
-            return;
-        }
-        let Some(stages) = self.occurrences.get_mut(&id.occurrence) else {
-            return;
-        };
-        let mut waiting = vec![id.step];
-        for (number, step) in (0..).zip(&self.job.steps) {
-            if step.after.iter().any(|before| waiting.contains(before)) {
-                waiting.push(number);
-                stages[number as usize].untouched = true;
-            }
-        }
+    pub fn may_run_unseen(&self, cells: Cells) -> bool {
+        self.inherited.meets(cells)
     }
 
     /// Takes an end into account, once however often it is given; returns whether it was new.
--- a/src/batch/stage.rs
+++ b/src/batch/stage.rs
@@ -14,8 +14,6 @@
     pub done: u32,
     /// Runs of the whole gang that failed, if the step is one.
     pub failed: BTreeSet<u64>,
-    /// No earlier owner can have begun it.
-    pub untouched: bool,
 }
 
 impl Stage {
--- a/tests/batch/entries.rs
+++ b/tests/batch/entries.rs
@@ -130,16 +130,18 @@
     assert!(!book.jobs[&id(1)].is_active());
 }
 
-/// The pattern: a task's end is acted on and then lost with its executor and its owner; the next
-/// owner runs the task again, and the one after that finds it.
-#[test_case(1_000_001, false; "begun by the owner that accepted the job")]
-#[test_case(2_000_001, true; "begun anew by a later owner")]
-fn what_waits_for_a_running_task_is_untouched_only_if_nobody_ran_it_before(run: u64, unseen: bool) {
+/// The pattern: a run is found under way, and the owner that began it goes on. Where it is not
+/// fenced yet it can begin anything of the job, so no run that is seen tells what does not run.
+#[test]
+fn a_job_may_run_unseen_wherever_an_earlier_owner_was_allowed_to_start_it() {
     let node = NodeName::new("node-1").expect("a name");
     let took = |fence| Record::Took {
         fence,
         node: node.clone(),
     };
+    let home = Cells::home(id(1));
+    let other = Cells::home(id(2));
+    assert_ne!(home, other);
     let after = Step {
         after: vec![0],
         ..step(1)
@@ -148,25 +150,16 @@
         steps: vec![step(1), after],
         ..job(1)
     };
-    let granted = Record::Granted(vec![(id(1), Cells::ALL)]);
+    let granted = |cells| Record::Granted(vec![(id(1), cells)]);
     let records = vec![
         took(1),
         Record::Accepted(accepted),
-        granted,
+        granted(home),
         took(2),
-        took(3),
+        granted(other),
     ];
-    let mut book = Book::fold(records, Vec::new());
-    let entry = book.jobs.get_mut(&id(1)).expect("a job");
-    entry.open_due(0);
-    entry.note_under_way(
-        &TaskId {
-            job: id(1),
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        run,
-    );
-    assert_eq!(entry.may_run_unseen(0, 1, Cells::ALL), unseen);
+    let book = Book::fold(records, Vec::new());
+    let entry = &book.jobs[&id(1)];
+    assert!(entry.may_run_unseen(home));
+    assert!(!entry.may_run_unseen(other), "granted by this owner");
 }
