Move no host before the log says so

Cause: a move waited 0.4 s for its record and was then ordered without it, since nobody else can begin while the store is away. It may be away for this owner alone: the next one is elected, knows nothing of the order and starts tasks on the host. Same class as the step begun twice: acting on what was true before another owner began.

A move is now ordered once its record is in the log, as upkeep is. In an outage of the whole store hosts stay where they are.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -245,7 +245,6 @@
         self.open_due(now);
         self.upkeep(now);
         self.balance(now);
-        self.give_moves(now);
         self.carry(now);
         self.tell_unheard(now);
         if !self.ungranted.is_empty() {
--- a/src/batch/dispatcher/announcing.rs
+++ b/src/batch/dispatcher/announcing.rs
@@ -16,9 +16,6 @@
 /// Age of a record from which on its order is no longer given, in milliseconds. A later owner
 /// leaves the host alone for longer than that.
 pub(super) const FRESH_MS: u64 = 1_500;
-/// Time that a move waits for its record, in milliseconds. While the store is away no other owner
-/// can begin, and demand does not wait.
-const MOVE_MS: u64 = 400;
 
 /// An order for a host.
 #[derive(Debug)]
@@ -78,21 +75,6 @@
         });
     }
 
-    /// Gives the moves that have waited for their records for long enough.
-    pub(super) fn give_moves(&mut self, now: Now) {
-        let wait = Duration::from_millis(MOVE_MS);
-        let due = |announced: &Announced| {
-            matches!(announced.order, HostOrder::Transfer(_)) && now.at > announced.at.at + wait
-        };
-        let receipts = self.announced.iter().filter(|(_, order)| due(order));
-        let receipts: Vec<u64> = receipts.map(|(&receipt, _)| receipt).collect();
-        for receipt in receipts {
-            if let Some(announced) = self.announced.remove(&receipt) {
-                self.give(now, announced);
-            }
-        }
-    }
-
     fn drop_order(&mut self, now: Now, order: HostOrder) {
         match order {
             HostOrder::Transfer(order) => {
--- a/tests/batch/handover.rs
+++ b/tests/batch/handover.rs
@@ -1,5 +1,7 @@
 //! Owners that go on while another one is elected.
 
+use mimosastep::batch::How;
+use mimosastep::batch::Record;
 use mimosastep::batch::Step;
 use mimosastep::name::ExecutorId;
 use rand::RngExt;
@@ -108,6 +110,48 @@
     assert_eq!(world.done.len(), TASKS);
 }
 
+/// The fault: an owner that is cut off from the store moves a host without a record, and another
+/// one has started tasks there.
+#[test]
+fn no_host_is_moved_before_the_log_says_so() {
+    let mut world = World::new(&[("captions", 8), ("spare", 1)]);
+    world.submit(1, "captions", vec![step(40)]);
+    world.run(300);
+    world.leader().dark = true;
+    let moves = world.moves;
+    world.run(4_000);
+    assert_eq!(world.done.len(), 40);
+    assert_eq!(world.moves, moves, "the log takes no records");
+    world.light();
+    world.run(2_000);
+    assert!(world.moves > moves, "idle hosts rest");
+}
+
+/// The fault: an owner is paused between the record of a move and its order. The next one has
+/// started tasks on the host when the order comes.
+#[test]
+fn a_host_with_an_order_on_its_way_gets_no_work_of_the_next_owner() {
+    let mut world = World::new(&[("captions", 8), ("spare", 1)]);
+    world.submit(1, "captions", vec![step(100)]);
+    while world.done.len() < 100 {
+        world.run(5);
+    }
+    let ordered = |world: &World| {
+        let records = world.records.iter();
+        records
+            .filter(|record| matches!(record, Record::Ordered { .. }))
+            .count()
+    };
+    let before = ordered(&world);
+    while ordered(&world) == before {
+        world.run(5);
+    }
+    world.hand_over(2, Fate::Paused(300));
+    world.submit(2, "captions", vec![step(200)]);
+    world.run(6_000);
+    assert_eq!(world.done.len(), 300);
+}
+
 /// Plays owners that are elected one after the other, and returns how often a new one was.
 fn play(seed: u64) -> u64 {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -116,7 +160,7 @@
     let base = durations.random_range(200..1_500);
     world.script = Box::new(move |task, _| {
         let spread = u64::from(task.index * 37 + task.step * 101) % 400;
-        (base + spread, mimosastep::batch::How::Done)
+        (base + spread, How::Done)
     });
     let mut jobs = 0;
     let mut tasks = 0;
