Give a host no work while an earlier owner's order for it may come

Found by reading, as the class of the faults before: an owner that is paused for less than 0.7 s between the record of a move and its order gives the order after it woke; the next owner had read the record, ordered nothing for the host itself, but started tasks there, and these were lost with the host.

An executor whose host has such a record gets no new work until the order can't be given any more, or until a life of it is listed that began after the record. Executors of the tests' world tell when they began, as real ones do; all had told the same time.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -205,7 +205,7 @@
                 self.waves.ask(now.at, &directives.waves);
                 self.directives = directives;
                 self.note_missing(now);
-                self.mark_usable();
+                self.mark_usable(now);
                 self.dirty = true;
             }
             Event::Executors(list) => self.list(now, list),
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -15,6 +15,7 @@
 use crate::batch::Now;
 use crate::batch::Step;
 use crate::batch::StepId;
+use crate::batch::dispatcher::upkeeping::is_settling;
 use crate::batch::rank::Rank;
 use crate::batch::room::Room;
 use crate::batch::room::Rooms;
@@ -141,18 +142,30 @@
 
     /// Marks the executors whose hosts are not about to leave. To be called whenever what follows
     /// for hosts may have changed.
-    pub(super) fn mark_usable(&mut self) {
+    pub(super) fn mark_usable(&mut self, now: Now) {
         let mut seats = std::mem::take(&mut self.seats);
         for seat in seats.values_mut() {
-            seat.usable = seat.info.as_ref().is_some_and(|info| self.is_usable(info));
+            let info = seat.info.as_ref();
+            seat.usable = info.is_some_and(|info| self.is_usable(now, info));
         }
         self.seats = seats;
     }
 
-    fn is_usable(&self, info: &Executor) -> bool {
+    fn is_usable(&self, now: Now, info: &Executor) -> bool {
         let host = info.host.as_ref();
         let evacuated = self.directives.closed.contains(&info.dc);
-        !evacuated && !self.pools.is_closed(host) && !self.waves.is_closed(host)
+        let leaves = self.pools.is_closed(host) || self.waves.is_closed(host);
+        !evacuated && !leaves && !self.is_ordered(now, info)
+    }
+
+    /// Whether an earlier owner's order for the host of an executor may yet be given. A life that
+    /// began after the order's record is what the order left behind.
+    fn is_ordered(&self, now: Now, info: &Executor) -> bool {
+        let ordered = info
+            .host
+            .as_ref()
+            .and_then(|host| self.book.ordered.get(host));
+        is_settling(ordered, now) && ordered.is_some_and(|&at| info.born <= at)
     }
 
     fn place_step(
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -47,7 +47,7 @@
             };
             self.announce(now, HostOrder::Transfer(order));
         }
-        self.mark_usable();
+        self.mark_usable(now);
     }
 
     /// Logs the pools' sizes and needs, once a while.
@@ -87,7 +87,7 @@
             Err(err) => warn!(self.log, "move not begun"; "host" => %host, "why" => %err),
         }
         self.pools.answered(now.at, host, result);
-        self.mark_usable();
+        self.mark_usable(now);
         self.dirty = true;
     }
 
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -46,7 +46,7 @@
         self.index_hosts();
         self.disengage_moved();
         self.note_missing(now);
-        self.mark_usable();
+        self.mark_usable(now);
         self.dirty = true;
     }
 
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -46,7 +46,7 @@
         let mut waves = std::mem::take(&mut self.waves);
         let wishes = waves.plan(now.at, |host| self.host_state(now, host));
         self.waves = waves;
-        self.mark_usable();
+        self.mark_usable(now);
         for (wave, host, wish) in wishes {
             match wish {
                 upkeep::Wish::TakeDown => self.take_down(now, wave, host),
@@ -141,7 +141,7 @@
             let (wave, host) = (*wave, host.clone());
             self.append(vec![Record::Kept { wave, host }]);
         }
-        self.mark_usable();
+        self.mark_usable(now);
         self.dirty = true;
     }
 
--- a/tests/batch/fake.rs
+++ b/tests/batch/fake.rs
@@ -8,6 +8,7 @@
 use mimosastep::batch::End;
 use mimosastep::batch::Hold;
 use mimosastep::batch::How;
+use mimosastep::batch::Now;
 use mimosastep::batch::OrderError;
 use mimosastep::batch::Report;
 use mimosastep::batch::Running;
@@ -52,6 +53,8 @@
 pub struct Fake {
     pub capacity: Demand,
     pub begun: Instant,
+    /// The same in Unix milliseconds.
+    pub born: u64,
     pub fence: u64,
     pub lease: Option<Instant>,
     pub works: BTreeMap<TaskId, Work>,
@@ -65,10 +68,11 @@
 }
 
 impl Fake {
-    pub fn new(capacity: Demand, begun: Instant) -> Self {
+    pub fn new(capacity: Demand, now: Now) -> Self {
         Self {
             capacity,
-            begun,
+            begun: now.at,
+            born: now.unix,
             fence: 0,
             lease: None,
             works: BTreeMap::new(),
--- a/tests/batch/world/machines.rs
+++ b/tests/batch/world/machines.rs
@@ -43,7 +43,7 @@
         for host in births {
             self.lives += 1;
             let id = ExecutorId::new(&format!("{host}.{}", self.lives)).expect("a name");
-            let mut fake = Fake::new(CAPACITY, self.now.at);
+            let mut fake = Fake::new(CAPACITY, self.now);
             fake.tail = (self.tail)(100);
             self.fakes.insert(id.clone(), fake);
             if let Some(machine) = self.machines.get_mut(&host) {
@@ -77,11 +77,11 @@
             }
             executors.push(Executor {
                 draining: self.leaving.contains(id),
-                ..executor_entry(id, name, &machine.pool)
+                ..executor_entry(id, name, &machine.pool, self.fakes[id].born)
             });
         }
         for (id, host, service) in &self.stale {
-            let entry = executor_entry(id, host, service);
+            let entry = executor_entry(id, host, service, self.fakes[id].born);
             executors.push(entry);
         }
         self.later(0, Event::Executors(executors));
@@ -132,7 +132,7 @@
 }
 
 /// What the platform lists of an executor that is the life of a host.
-fn executor_entry(id: &ExecutorId, host: &HostName, service: &ServiceName) -> Executor {
+fn executor_entry(id: &ExecutorId, host: &HostName, service: &ServiceName, born: u64) -> Executor {
     Executor {
         id: id.clone(),
         host: Some(host.clone()),
@@ -142,7 +142,7 @@
         draining: false,
         capacity: CAPACITY,
         labels: vec![Arc::from("a"), Arc::from("r1")],
-        born: 1,
+        born,
     }
 }
 
