Empty hosts for the pool whose turn it is; work that is far too late keeps none from it

Now a pool that lacks hosts has others' hosts emptied: those that their pools can do without get no new work, those with the least to do first, none with a task that lasts. Work that is too late counts apart, and gets hosts once no pool lacks any, so that it is done within seconds and not on the two hosts that are left.

--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -155,7 +155,9 @@
     fn is_usable(&self, now: Now, info: &Executor) -> bool {
         let host = info.host.as_ref();
         let evacuated = self.directives.closed.contains(&info.dc);
-        let leaves = self.pools.is_closed(host) || self.waves.is_closed(host);
+        let leaves = self.pools.is_closed(host)
+            || self.pools.is_emptying(host)
+            || self.waves.is_closed(host);
         !evacuated && !leaves && !self.is_ordered(now, info)
     }
 
--- a/src/batch/dispatcher/pooling.rs
+++ b/src/batch/dispatcher/pooling.rs
@@ -26,6 +26,8 @@
 const LOOK_MS: u64 = 150;
 /// Time between two lines on the pools, in milliseconds.
 const TELL_MS: u64 = 1_000;
+/// Time in which work is to be done that is too late to be of use, in milliseconds.
+const LATE_MS: u64 = 4_000;
 /// Fewest hosts of a pool that has work to do at times.
 const FLOOR: usize = 2;
 
@@ -64,7 +66,7 @@
             let held = self.held.iter().filter_map(|id| self.book.jobs.get(id));
             let held = held.filter(|entry| entry.job.service == view.service);
             info!(self.log, "pool"; "service" => %view.service, "hosts" => view.hosts.len(),
-                "idle" => idle, "need" => view.need, "forecast" => view.forecast, "floor" => view.floor,
+                "idle" => idle, "need" => view.need, "late" => view.late, "forecast" => view.forecast, "floor" => view.floor,
                 "lacking" => view.lacking,
                 "unheard" => unheard.count(), "held" => held.count());
         }
@@ -112,6 +114,7 @@
                 service: service.clone(),
                 spare: pool.spare,
                 need: running.need(&fleet).max(forecast),
+                late: running.late / LATE_MS,
                 forecast,
                 lacking: self.lacking.get(service).copied().unwrap_or(0),
                 floor: if used { FLOOR.max(running.spread) } else { 0 },
@@ -139,17 +142,19 @@
             || self.waves.is_away(now.at, &host.name)
             || is_settling(self.book.ordered.get(&host.name), now);
         let closed = self.directives.closed.contains(&host.dc);
+        let load = self.load(&host.name);
         Member {
             host: host.name.clone(),
             cpu: host.capacity.cpu,
-            idle: self.load(&host.name) == Load::default(),
+            used: seat.map_or(0, |seat| seat.used.cpu),
+            idle: load == Load::default(),
+            lasting: load.lasting > 0,
             open: host.phase == HostPhase::Up && (spare || here) && !closed && !due,
         }
     }
 
-    /// What runs or could run now, by service. Tasks that may not start yet, and those of jobs
-    /// that are too late to be of use, take hosts that are there, but none are fetched or kept for
-    /// them.
+    /// What runs or could run now, by service. Tasks that may not start yet take hosts that are
+    /// there, but none are fetched or kept for them.
     fn running(&self, now: Now) -> BTreeMap<ServiceName, Running> {
         let mut services: BTreeMap<ServiceName, Running> = BTreeMap::new();
         let unclear = self.unclear();
@@ -159,7 +164,7 @@
             let useless = Rank::of(entry, queue, now.unix).is_useless();
             let cells = unclear.get(&entry.job.service);
             let cells = cells.copied().unwrap_or_default();
-            let waits = useless || entry.may_run_unseen(cells);
+            let held = entry.may_run_unseen(cells);
             let service = services.entry(entry.job.service.clone()).or_default();
             for stages in entry.occurrences.values() {
                 for (stage, step) in stages.iter().zip(&entry.job.steps) {
@@ -167,11 +172,15 @@
                     if !open {
                         continue;
                     }
-                    let left = if waits {
+                    let left = if held {
                         stage.placed().count()
                     } else {
                         stage.tasks.len() - stage.done as usize
                     };
+                    if useless {
+                        service.late += left as u64 * step.estimate * step.reserved().cpu;
+                        continue;
+                    }
                     service.demand.add(&step.reserved().times(left as u64));
                     if let Some(spread) = step.spread {
                         let hosts = (stage.tasks.len() as u64).div_ceil(u64::from(spread));
@@ -189,6 +198,9 @@
 struct Running {
     /// What its tasks take.
     demand: Demand,
+    /// Work of jobs that are too late to be of use to their clients, in thousandths of a
+    /// core-millisecond.
+    late: u64,
     /// Hosts that a step must be spread over.
     spread: usize,
 }
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -1,6 +1,7 @@
 //! Which hosts move between pools: hosts follow the demand, and idle ones go to the spare pool.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,8 +27,12 @@
     pub host: HostName,
     /// Its processor, in thousandths of a core.
     pub cpu: u64,
+    /// Processor that its tasks take, in thousandths of a core.
+    pub used: u64,
     /// Nothing runs there.
     pub idle: bool,
+    /// A task runs there that doesn't end by itself.
+    pub lasting: bool,
     /// It takes new work, or may be moved: up, not leaving, and not due for anything else.
     pub open: bool,
 }
@@ -41,7 +46,10 @@
     pub spare: bool,
     /// Processor that its work takes now and soon, in thousandths of a core.
     pub need: u64,
-    /// The part of it that is foreseen from what comes in, in thousandths of a core.
+    /// Processor that it may have besides, once no other pool needs that, for work that is too late
+    /// to be of use, in thousandths of a core.
+    pub late: u64,
+    /// The part of the need that is foreseen from what comes in, in thousandths of a core.
     pub forecast: u64,
     /// Fewest hosts that it must have.
     pub floor: usize,
@@ -74,6 +82,8 @@
 #[derive(Debug, Default)]
 pub struct Pools {
     going: BTreeMap<HostName, Going>,
+    // Hosts that get no new work, so that other pools can have them soon.
+    emptying: BTreeSet<HostName>,
     idle: BTreeMap<HostName, Instant>,
     unfit: BTreeMap<(HostName, ServiceName), Instant>,
 }
@@ -86,6 +96,12 @@
         going.is_some_and(|going| going.until.is_none())
     }
 
+    /// Whether a host is being emptied for another pool, so that it gets no new work.
+    #[must_use]
+    pub fn is_emptying(&self, host: Option<&HostName>) -> bool {
+        host.is_some_and(|host| self.emptying.contains(host))
+    }
+
     /// Moves to order now.
     pub fn plan(&mut self, now: Instant, pools: &[PoolView]) -> Vec<Move> {
         self.going
@@ -93,34 +109,50 @@
         self.unfit.retain(|_, until| now < *until);
         self.note_idle(now, pools);
         let mut moves = self.repeat(now);
+        let lack = self.fetch(pools, &mut moves, Self::wanted);
+        if lack == 0 {
+            self.fetch(pools, &mut moves, Self::welcome);
+        }
+        self.emptying = self.to_empty(pools, lack);
+        moves.extend(self.rest(now, pools));
+        moves
+    }
+
+    /// Orders idle hosts of pools that have more than `aim` to those that have less, in the order
+    /// of what they lack; returns what they lack then.
+    fn fetch(
+        &mut self,
+        pools: &[PoolView],
+        moves: &mut Vec<Move>,
+        aim: fn(&PoolView) -> u64,
+    ) -> u64 {
+        let mut donors = self.donors(pools, aim);
         let mut wanting: Vec<(u64, &PoolView)> = pools
             .iter()
             .filter(|pool| !pool.spare)
-            .map(|pool| (self.shortage(pool), pool))
+            .map(|pool| (self.shortage(pool, aim(pool)), pool))
             .filter(|(shortage, _)| *shortage > 0)
             .collect();
         wanting.sort_by_key(|(shortage, _)| std::cmp::Reverse(*shortage));
-        let mut donors = self.donors(pools);
+        let mut lack = 0;
         for (mut shortage, pool) in wanting {
             while shortage > 0 {
                 let fit = |member: &Member| {
-                    !self
-                        .unfit
-                        .contains_key(&(member.host.clone(), pool.service.clone()))
+                    let key = (member.host.clone(), pool.service.clone());
+                    !self.unfit.contains_key(&key)
                 };
-                let Some(at) = donors
-                    .iter()
-                    .position(|(from, member)| *from != pool.service && fit(member))
-                else {
+                let mut found = donors.iter();
+                let found = found.position(|(from, member)| *from != pool.service && fit(member));
+                let Some(at) = found else {
                     break;
                 };
                 let (_, member) = donors.remove(at);
                 shortage = shortage.saturating_sub(member.cpu);
                 moves.push(self.order(&member, &pool.service));
             }
+            lack += shortage;
         }
-        moves.extend(self.rest(now, pools));
-        moves
+        lack
     }
 
     /// An order was answered, or not; returns whether the host moves.
@@ -228,8 +260,13 @@
         pool.need + pool.need * MARGIN / 100
     }
 
-    fn shortage(&self, pool: &PoolView) -> u64 {
-        let shortage = Self::wanted(pool).saturating_sub(self.supply(pool));
+    /// Processor that a pool may have while no other needs it, in thousandths of a core.
+    fn welcome(pool: &PoolView) -> u64 {
+        Self::wanted(pool) + pool.late
+    }
+
+    fn shortage(&self, pool: &PoolView, aim: u64) -> u64 {
+        let shortage = aim.saturating_sub(self.supply(pool));
         let few = self.count(pool) < pool.floor || self.coming(pool) < pool.lacking;
         if shortage == 0 && few {
             return 1;
@@ -238,22 +275,22 @@
     }
 
     /// Idle hosts that their pools can do without, those of the spare pool in front.
-    fn donors(&self, pools: &[PoolView]) -> Vec<(ServiceName, Member)> {
+    fn donors(&self, pools: &[PoolView], aim: fn(&PoolView) -> u64) -> Vec<(ServiceName, Member)> {
         let mut donors = Vec::new();
         let mut order: Vec<&PoolView> = pools.iter().collect();
         order.sort_by_key(|pool| !pool.spare);
         for pool in order {
-            for member in self.surplus(pool) {
+            for member in self.surplus(pool, aim) {
                 donors.push((pool.service.clone(), member));
             }
         }
         donors
     }
 
-    fn surplus(&self, pool: &PoolView) -> Vec<Member> {
+    fn surplus(&self, pool: &PoolView, aim: fn(&PoolView) -> u64) -> Vec<Member> {
         let mut supply = self.supply(pool);
         let mut count = self.count(pool);
-        let wanted = if pool.spare { 0 } else { Self::wanted(pool) };
+        let wanted = if pool.spare { 0 } else { aim(pool) };
         let floor = if pool.spare { 0 } else { pool.floor };
         let mut found = Vec::new();
         for member in &pool.hosts {
@@ -267,6 +304,30 @@
         found
     }
 
+    /// Hosts that their pools can do without but on which tasks run, up to what other pools lack;
+    /// those with the least to do in front.
+    fn to_empty(&self, pools: &[PoolView], mut lack: u64) -> BTreeSet<HostName> {
+        let mut found = BTreeSet::new();
+        for pool in pools.iter().filter(|pool| !pool.spare) {
+            let mut supply = self.supply(pool);
+            let mut count = self.count(pool);
+            let mut busy: Vec<&Member> = self.staying(pool).collect();
+            busy.retain(|member| !member.idle && !member.lasting);
+            busy.sort_by_key(|member| member.used);
+            for member in busy {
+                let kept = supply.saturating_sub(member.cpu);
+                if lack == 0 || count <= pool.floor || kept < Self::wanted(pool) {
+                    break;
+                }
+                supply = kept;
+                count -= 1;
+                lack = lack.saturating_sub(member.cpu);
+                found.insert(member.host.clone());
+            }
+        }
+        found
+    }
+
     /// Hosts that have been idle for long enough go to the spare pool.
     fn rest(&mut self, now: Instant, pools: &[PoolView]) -> Vec<Move> {
         let Some(spare) = pools.iter().find(|pool| pool.spare) else {
@@ -274,7 +335,7 @@
         };
         let mut moves = Vec::new();
         for pool in pools.iter().filter(|pool| !pool.spare) {
-            for member in self.surplus(pool) {
+            for member in self.surplus(pool, Self::welcome) {
                 let since = self.idle.get(&member.host);
                 let rested =
                     since.is_some_and(|&since| now >= since + Duration::from_millis(IDLE_MS));
