Let an owner's leases end six seconds after the election last confirmed it

Found by a harsher random play, as the class of TWICE: an owner that was cut off from the store went on without bound and renewed its leases on an executor that the next owner didn't reach; that one took the leases for over after 4.8 s and started the tasks elsewhere. docs/PLATFORM.md had listed it as not done. A suspended machine did the same, as its steady clock stands still.

No lease ends later than 6 s after the last confirmation now, and nothing starts with less than 0.5 s left; the next owner waits until 6.3 s after its election for executors that it doesn't reach. After a suspension only an answer of the election counts.

Tests: tasks_that_an_earlier_owner_keeps_running_are_not_started_elsewhere failed before. The test of a wait over three owners allowed 4.8 s and two steps; it allows 6.3 s and two steps now, still far less than a wait that begins anew. The tests' world lets a task run again whose end nobody noted before the leases there ran out, as RULES does; the play's jobs must all be completed.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -43,7 +43,9 @@
 use crate::batch::in_flight::InFlight;
 use crate::batch::pools::Pools;
 use crate::batch::room::Rooms;
+use crate::batch::seat::LEASE_MS;
 use crate::batch::seat::Seat;
+use crate::batch::seat::TERM_MS;
 use crate::batch::upkeep::Waves;
 use crate::batch::widening::Widening;
 use crate::name::ExecutorId;
@@ -59,6 +61,8 @@
 const PROBE_PACE: Duration = Duration::from_millis(3);
 /// Time between two readings of the meters.
 const METER_PACE: Duration = Duration::from_millis(250);
+/// Shortest lease that is worth giving, in milliseconds.
+const SHORTEST_LEASE_MS: u64 = 500;
 /// How long a job that is over can be asked for, in milliseconds.
 const RETENTION_MS: u64 = 150_000;
 
@@ -106,6 +110,8 @@
     announced: BTreeMap<u64, Announced>,
     receipts: u64,
     retention: u64,
+    // When the election was last asked and confirmed this owner.
+    confirmed: Instant,
     settled: Instant,
     carried: Instant,
     rewritten: u64,
@@ -171,6 +177,7 @@
             announced: BTreeMap::new(),
             receipts: 0,
             retention: u64::MAX,
+            confirmed: now.at,
             settled: now.at,
             carried: now.at,
             rewritten: now.unix,
@@ -202,6 +209,19 @@
         self.settled = now.at + Duration::from_millis(stop);
     }
 
+    /// The election, asked at `asked`, has confirmed that this is the owner.
+    pub fn confirm(&mut self, asked: Instant) {
+        self.confirmed = asked;
+    }
+
+    /// Time for which leases may be given now, in milliseconds; `None` if it's too short.
+    fn lease(&self, now: Instant) -> Option<u64> {
+        let term = self.confirmed + Duration::from_millis(TERM_MS);
+        let left = term.saturating_duration_since(now).as_millis();
+        let lease = LEASE_MS.min(left as u64);
+        (lease >= SHORTEST_LEASE_MS).then_some(lease)
+    }
+
     /// Learns something. What follows from it is told by [`Self::poll`].
     pub fn handle(&mut self, now: Now, event: Event) {
         match event {
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -21,7 +21,6 @@
 use crate::batch::TaskId;
 use crate::batch::dispatcher::Noting;
 use crate::batch::seat::Engagement;
-use crate::batch::seat::LEASE_MS;
 use crate::batch::seat::Probe;
 use crate::batch::slot::Phase;
 use crate::batch::slot::Slot;
@@ -47,6 +46,7 @@
 impl Dispatcher {
     /// Asks the executors whose turn it is.
     pub(super) fn probe(&mut self, now: Now) {
+        let lease = self.lease(now.at);
         for (id, seat) in &mut self.seats {
             let Probe::At(due) = seat.probe else {
                 continue;
@@ -54,12 +54,11 @@
             if due > now.at || !seat.wants_probe() {
                 continue;
             }
-            let deadline = if seat.silent || !seat.resolved {
-                None
-            } else {
+            let renewed = lease.filter(|_| seat.resolved && !seat.silent);
+            let deadline = renewed.and_then(|lease| {
                 seat.renew(now.at);
-                seat.deadline(now.at, LEASE_MS)
-            };
+                seat.deadline(now.at, lease)
+            });
             seat.probe = Probe::Sent(now.at);
             self.actions.push(Action::Hold(Hold {
                 target: Target {
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -58,6 +58,11 @@
             // The records that end this make it dirty again.
             return;
         }
+        if self.lease(now.at).is_none() {
+            // The election has not confirmed this owner for too long.
+            self.dirty = true;
+            return;
+        }
         self.share_out();
         let ranked = self.ranked(now);
         let unclear = self.unclear();
--- a/src/batch/dispatcher/starting.rs
+++ b/src/batch/dispatcher/starting.rs
@@ -15,7 +15,6 @@
 use crate::batch::Target;
 use crate::batch::TaskId;
 use crate::batch::record::RUNS_PER_FENCE;
-use crate::batch::seat::LEASE_MS;
 use crate::batch::seat::Probe;
 use crate::batch::slot::Phase;
 use crate::batch::slot::Slot;
@@ -29,13 +28,16 @@
 impl Dispatcher {
     /// Starts a task on an executor that has room for it.
     pub(super) fn start(&mut self, now: Now, id: &ExecutorId, task: TaskId, run: u64) {
+        let Some(lease) = self.lease(now.at) else {
+            return;
+        };
         let Some(entry) = self.book.jobs.get_mut(&task.job) else {
             return;
         };
         let Some(seat) = self.seats.get_mut(id) else {
             return;
         };
-        let Some(deadline) = seat.deadline(now.at, LEASE_MS) else {
+        let Some(deadline) = seat.deadline(now.at, lease) else {
             return;
         };
         let job = entry.job.clone();
--- a/src/batch/election.rs
+++ b/src/batch/election.rs
@@ -18,6 +18,7 @@
 use crate::batch::Meters;
 use crate::batch::Platform;
 use crate::batch::Strength;
+use crate::batch::contact::Contact;
 use crate::batch::owner::Owner;
 use crate::batch::view::View;
 use crate::name::NodeName;
@@ -34,7 +35,7 @@
     meters: Meters,
     strength: Strength,
     owner: RefCell<Option<Owner>>,
-    asked: Rc<Cell<Instant>>,
+    contact: Rc<Contact>,
     stopping: Cell<bool>,
 }
 
@@ -56,7 +57,7 @@
             meters,
             strength,
             owner: RefCell::new(None),
-            asked: Rc::new(Cell::new(Instant::now())),
+            contact: Rc::new(Contact::new(Instant::now())),
             stopping: Cell::new(false),
         });
         compio::runtime::spawn(election.clone().run()).detach();
@@ -117,6 +118,9 @@
                     }
                     reached = true;
                     generation = membership.generation;
+                    if membership.leads {
+                        self.contact.confirm(asked);
+                    }
                     self.follow(membership.leads, generation);
                 }
                 Err(err) => {
@@ -126,8 +130,9 @@
                     reached = false;
                 }
             }
-            // Without an answer a reign goes on under its fence, as in an outage of the store.
-            self.asked.set(asked);
+            // Without an answer a reign goes on under its fence until its leases end, as in an
+            // outage of the store.
+            self.contact.ask(asked);
             if self.is_over() {
                 // The election's own view lags behind the executors' or the log's.
                 self.withdraw().await;
@@ -153,7 +158,7 @@
                     self.node.clone(),
                     self.log.clone(),
                     self.meters.clone(),
-                    self.asked.clone(),
+                    self.contact.clone(),
                 ));
             }
             (false, Some(old)) => {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -9,6 +9,7 @@
 mod candidacy;
 mod carried;
 mod cells;
+mod contact;
 mod demand;
 mod demand_meter;
 mod desk;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -16,6 +16,7 @@
 use crate::batch::Fence;
 use crate::batch::Meters;
 use crate::batch::Platform;
+use crate::batch::contact::Contact;
 use crate::batch::reign::Reign;
 use crate::batch::view::View;
 use crate::name::NodeName;
@@ -38,16 +39,15 @@
 }
 
 impl Owner {
-    /// Starts a reign: reads the log, takes the executors over and decides from then on. `asked`
-    /// is when the election was last asked for the owner.
-    pub fn spawn<P: Platform>(
+    /// Starts a reign: reads the log, takes the executors over and decides from then on.
+    pub(super) fn spawn<P: Platform>(
         platform: Rc<P>,
         view: Rc<View>,
         fence: Fence,
         node: NodeName,
         log: Logger,
         meters: Meters,
-        asked: Rc<Cell<Instant>>,
+        contact: Rc<Contact>,
     ) -> Self {
         let (inbox, received) = unbounded();
         let reign = Reign {
@@ -59,7 +59,7 @@
             meters,
             inbox: inbox.clone(),
             read: Rc::new(Cell::new(Instant::now())),
-            asked,
+            contact,
         };
         let task = compio::runtime::spawn(reign.run(received));
         Self { fence, inbox, task }
--- a/src/batch/pause.rs
+++ b/src/batch/pause.rs
@@ -1,6 +1,5 @@
 //! Whether an owner was paused for so long that another may have been elected.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::batch::Now;
@@ -15,6 +14,8 @@
 pub struct Pause {
     last: Now,
     woken: Option<Instant>,
+    // When the machine was last suspended: leases may have ended that seem to run.
+    suspended: Option<Instant>,
 }
 
 impl Pause {
@@ -24,6 +25,7 @@
         Self {
             last: now,
             woken: None,
+            suspended: None,
         }
     }
 
@@ -31,19 +33,25 @@
     /// stands still while the machine is suspended, so either clock counts.
     pub fn note(&mut self, now: Now) -> bool {
         let steady = now.at.saturating_duration_since(self.last.at);
-        let paused =
-            steady > Duration::from_millis(LIMIT_MS) || now.unix > self.last.unix + LIMIT_MS;
+        let steady = u64::try_from(steady.as_millis()).unwrap_or(u64::MAX);
+        let unix = now.unix.saturating_sub(self.last.unix);
         self.last = now;
+        let paused = steady.max(unix) > LIMIT_MS;
         if paused {
             self.woken = Some(now.at);
         }
+        if unix > steady.saturating_add(LIMIT_MS) {
+            self.suspended = Some(now.at);
+        }
         paused
     }
 
     /// Whether orders may be given, if the election was last asked at `asked` and has not ended
-    /// the reign.
+    /// the reign, and was last asked at `confirmed` when it confirmed it.
     #[must_use]
-    pub fn allows(&self, asked: Instant) -> bool {
-        self.woken.is_none_or(|woken| asked >= woken)
+    pub fn allows(&self, asked: Instant, confirmed: Instant) -> bool {
+        let asked = self.woken.is_none_or(|woken| asked >= woken);
+        let confirmed = self.suspended.is_none_or(|woken| confirmed >= woken);
+        asked && confirmed
     }
 }
--- a/src/batch/reign.rs
+++ b/src/batch/reign.rs
@@ -27,6 +27,7 @@
 use crate::batch::Record;
 use crate::batch::Stream;
 use crate::batch::appender::Appender;
+use crate::batch::contact::Contact;
 use crate::batch::followers;
 use crate::batch::owner::Message;
 use crate::batch::takeover::Takeover;
@@ -52,8 +53,8 @@
     pub meters: Meters,
     pub inbox: UnboundedSender<Message>,
     pub read: Rc<Cell<Instant>>,
-    /// When the election was last asked who the owner is; it ends the reign if it's another.
-    pub asked: Rc<Cell<Instant>>,
+    /// The election's last answers; it ends the reign if it names another process.
+    pub contact: Rc<Contact>,
 }
 
 impl<P: Platform> Reign<P> {
@@ -144,9 +145,11 @@
             if pause.note(now()) {
                 warn!(self.log, "paused"; "fence" => self.fence);
             }
-            if !pause.allows(self.asked.get()) {
+            let confirmed = self.contact.confirmed();
+            if !pause.allows(self.contact.asked(), confirmed) {
                 continue;
             }
+            dispatcher.confirm(confirmed);
             dispatcher.measure(now(), &self.meters);
             for action in dispatcher.poll(now()) {
                 if !self.act(action, appender) {
--- a/src/batch/seat.rs
+++ b/src/batch/seat.rs
@@ -19,6 +19,12 @@
 pub const LEASE_MS: u64 = 4_500;
 /// Longest time until such a lease is over, on an executor whose clock is 2% slow, in milliseconds.
 pub const EXPIRY_MS: u64 = 4_800;
+/// Time after the election has last confirmed an owner at which all its leases end, in
+/// milliseconds. An owner that is cut off from the election goes on until then.
+pub const TERM_MS: u64 = 6_000;
+/// Longest time until all leases of earlier owners are over, counted from the election of the next
+/// one, on executors whose clocks are 2% slow, in milliseconds.
+pub const SUCCESSION_MS: u64 = 6_300;
 
 /// Whether the log says that the executor may have work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,7 +133,7 @@
             asked: None,
             shunned: None,
             clock: None,
-            expires: now + Duration::from_millis(EXPIRY_MS),
+            expires: now + Duration::from_millis(SUCCESSION_MS),
             probe: Probe::At(now),
             seen: 0,
             acked: 0,
@@ -185,7 +191,7 @@
     /// Goes on with the wait of an earlier owner, which the log gives, in milliseconds.
     pub fn resume_wait(&mut self, waited: u64) {
         self.unheard = true;
-        self.expires -= Duration::from_millis(waited.min(EXPIRY_MS));
+        self.expires -= Duration::from_millis(waited.min(SUCCESSION_MS));
     }
 
     /// Whether there is anything to ask it for.
@@ -213,7 +219,7 @@
     #[must_use]
     pub fn waited(&self, now: Instant) -> u64 {
         let left = self.expires.saturating_duration_since(now).as_millis();
-        EXPIRY_MS.saturating_sub(left as u64)
+        SUCCESSION_MS.saturating_sub(left as u64)
     }
 
     /// Nothing runs there any more, and the log is told so: it is engaged anew before it's given
--- a/tests/batch/fake.rs
+++ b/tests/batch/fake.rs
@@ -152,6 +152,13 @@
         Ok(self.report(now))
     }
 
+    /// Whether a task ended `done` there, and the leases ran out before anybody took note of it:
+    /// such an end doesn't count, and the task may run again.
+    pub fn has_lost_end(&self, now: Instant, task: &TaskId) -> bool {
+        let done = |end: &End| end.task == *task && end.how == How::Done;
+        self.ends.iter().any(done) && self.lease.is_some_and(|lease| lease <= now)
+    }
+
     /// What it tells of its runs.
     pub fn report(&self, now: Instant) -> Report {
         let running = self.works.iter().map(|(task, work)| Running {
--- a/tests/batch/world.rs
+++ b/tests/batch/world.rs
@@ -388,6 +388,7 @@
         if !leader.is_awake(self.now.at) {
             return;
         }
+        leader.renew(self.now.at);
         for event in leader.due(self.now.at) {
             leader.dispatcher.handle(self.now, event);
         }
--- a/tests/batch/world/carrying_out.rs
+++ b/tests/batch/world/carrying_out.rs
@@ -123,6 +123,10 @@
             .and_then(|fake| fake.start(now, &order, step.reserved(), ends));
         if result.is_ok() {
             self.starts.push((now, order.task, order.run, id));
+            let lost = |fake: &Fake| fake.has_lost_end(now, &order.task);
+            if self.fakes.values().any(lost) {
+                self.done.remove(&order.task);
+            }
             assert!(
                 !self.done.contains(&order.task),
                 "{} began after its end",
--- a/tests/batch/world/leader.rs
+++ b/tests/batch/world/leader.rs
@@ -91,6 +91,13 @@
         !self.abdicated && self.paused.is_none_or(|until| until <= now)
     }
 
+    /// The election confirms it, if it reaches the election and nobody else was elected.
+    pub fn renew(&mut self, now: Instant) {
+        if !self.dark && !self.superseded {
+            self.dispatcher.confirm(now);
+        }
+    }
+
     pub fn later(&mut self, now: Instant, ms: u64, event: Event) {
         self.events.push((now + Duration::from_millis(ms), event));
     }
