Start nothing a second time while another owner may know better

An owner that the election hasn't confirmed for 0.9 s starts no task that was started before, and it gives an executor up only if the election confirmed it after the last lease there had ended. In an outage of the whole store failed and lost tasks wait for it.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -61,6 +61,9 @@
 const PROBE_PACE: Duration = Duration::from_millis(3);
 /// Time between two readings of the meters.
 const METER_PACE: Duration = Duration::from_millis(250);
+/// Time after the election was asked in which it names no other owner, unless this one leaves, in
+/// milliseconds.
+const SOLE_MS: u64 = 900;
 /// Shortest lease that is worth giving, in milliseconds.
 const SHORTEST_LEASE_MS: u64 = 500;
 /// How long a job that is over can be asked for, in milliseconds.
@@ -214,6 +217,12 @@
         self.confirmed = asked;
     }
 
+    /// Whether no other owner can have been elected. Then what this one doesn't know of can't have
+    /// been started, or have ended, elsewhere.
+    fn is_sole(&self, now: Instant) -> bool {
+        now < self.confirmed + Duration::from_millis(SOLE_MS)
+    }
+
     /// Time for which leases may be given now, in milliseconds; `None` if it's too short.
     fn lease(&self, now: Instant) -> Option<u64> {
         let term = self.confirmed + Duration::from_millis(TERM_MS);
--- a/src/batch/dispatcher/holding.rs
+++ b/src/batch/dispatcher/holding.rs
@@ -350,9 +350,13 @@
         }
     }
 
-    /// Gives up on executors whose leases are surely over.
+    /// Gives up on executors whose leases are surely over: nobody else has renewed them if the
+    /// election still confirmed this owner afterwards.
     pub(super) fn expire(&mut self, now: Now) {
-        let over = self.seats.iter().filter(|(_, seat)| seat.is_lapsed(now.at));
+        let over = self
+            .seats
+            .iter()
+            .filter(|(_, seat)| seat.is_lapsed(now.at) && self.confirmed >= seat.expires);
         let ids: Vec<ExecutorId> = over.map(|(id, _)| id.clone()).collect();
         for id in ids {
             warn!(self.log, "leases are over"; "executor" => %id);
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -210,7 +210,9 @@
         let mut wish = Wish::new(step, good, rooms.of(&job.service), stage.placed());
         wish.within = entry.cells;
         let idle = stage.tasks.iter().enumerate();
-        let idle = idle.filter(|(_, task)| task.is_idle());
+        let sole = self.is_sole(now.at);
+        // Another owner may have seen the end of a run that this one takes for lost.
+        let idle = idle.filter(|(_, task)| task.is_idle() && (sole || task.run == 0));
         let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
         let allowed = self.allowed(job.team.as_ref(), hidden, &step.demand);
         let most = allowed.min(unanswered);
