--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -31,7 +31,7 @@
     pub ordered: BTreeMap<HostName, u64>,
     /// Hosts that have had their upkeep, by wave.
     pub kept: BTreeMap<u64, BTreeSet<HostName>>,
-    /// Number of the reign that began last.
+    /// Number of the term that began last.
     pub fence: Fence,
     // Cancelled before they were seen to be accepted, as the streams of the log have no common order.
     revoked: VecDeque<JobId>,
--- a/src/batch/desk.rs
+++ b/src/batch/desk.rs
@@ -99,7 +99,7 @@
         let deadline = deadline.min(latest);
         if let Some(answer) = self.election.ask(ask.clone()) {
             let answer = compio::time::timeout_at(deadline, answer).await;
-            // An owner whose reign ends may leave an append on its way.
+            // An owner whose term ends may leave an append on its way.
             let answer = answer.ok().and_then(Result::ok);
             return answer.map_or(Stored::Unsure, stored);
         }
@@ -217,7 +217,7 @@
         let Some(answer) = self.election.ask(ask) else {
             return text_reply(StatusCode::SERVICE_UNAVAILABLE, "not the owner\n");
         };
-        // An owner whose reign ends may leave an append on its way.
+        // An owner whose term ends may leave an append on its way.
         let answer = answer.await.unwrap_or(Answer::Unsure);
         match postcard::to_allocvec(&answer) {
             Ok(body) => Reply::new(Full::new(Bytes::from(body))),
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -138,7 +138,7 @@
 }
 
 impl Dispatcher {
-    /// An owner that begins its reign with what the log holds.
+    /// An owner that begins its term with what the log holds.
     #[must_use]
     pub fn new(now: Now, fence: Fence, node: NodeName, book: Book, log: Logger) -> Self {
         let active = book.jobs.iter().filter(|(_, entry)| entry.is_active());
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -82,8 +82,8 @@
                 held.push(id);
                 continue;
             }
-            let agenda = entry.agenda();
-            for &(occurrence, step) in &agenda.ready {
+            let remaining = entry.remaining();
+            for &(occurrence, step) in &remaining.ready {
                 self.place_step(now, &mut rooms, &hidden, id, occurrence, step);
             }
         }
@@ -124,7 +124,7 @@
     fn ranked(&self, now: Now) -> Vec<JobId> {
         let policy = self.directives.policy.as_ref();
         let jobs = self.active.iter().filter_map(|id| self.book.jobs.get(id));
-        let jobs = jobs.filter(|entry| !entry.agenda().ready.is_empty());
+        let jobs = jobs.filter(|entry| !entry.remaining().ready.is_empty());
         let ranked = jobs.map(|entry| {
             let queue = policy.and_then(|policy| policy.named(&entry.job.queue));
             (Rank::of(entry, queue, now.unix), entry.job.id)
--- a/src/batch/dispatcher/seating.rs
+++ b/src/batch/dispatcher/seating.rs
@@ -18,7 +18,7 @@
 use crate::name::HostName;
 
 impl Dispatcher {
-    /// Begins the reign: every executor that may have work of an earlier owner is asked for it.
+    /// Begins the term: every executor that may have work of an earlier owner is asked for it.
     pub fn begin(&mut self, now: Now) {
         for (id, (service, addr)) in &self.book.engaged {
             let mut seat = Seat::inherited(service.clone(), *addr, Cells::of(id), now.at);
--- a/src/batch/election.rs
+++ b/src/batch/election.rs
@@ -70,7 +70,7 @@
         owner.as_ref().map(|owner| owner.ask(ask))
     }
 
-    /// Ends this process's reign, if it has one, and lets another process begin.
+    /// Ends this process's term, if it has one, and lets another process begin.
     pub async fn stop(&self) {
         self.stopping.set(true);
         self.withdraw().await;
@@ -130,7 +130,7 @@
                     reached = false;
                 }
             }
-            // Without an answer a reign goes on under its fence until its leases end, as in an
+            // Without an answer a term goes on under its fence until its leases end, as in an
             // outage of the store.
             self.contact.ask(asked);
             if self.is_over() {
--- a/src/batch/entry.rs
+++ b/src/batch/entry.rs
@@ -14,7 +14,7 @@
 use crate::batch::JOB_TASK_LIMIT;
 use crate::batch::Job;
 use crate::batch::TaskId;
-use crate::batch::agenda::Agenda;
+use crate::batch::remaining::Remaining;
 use crate::batch::stage::Stage;
 use crate::batch::task::Task;
 
@@ -68,7 +68,7 @@
     /// Why it is over before its tasks are done, if it is.
     pub verdict: Option<Verdict>,
     /// What is left to do, if that was asked for since it last changed.
-    pub(super) agenda: RefCell<Option<Rc<Agenda>>>,
+    pub(super) remaining: RefCell<Option<Rc<Remaining>>>,
 }
 
 impl Entry {
@@ -87,20 +87,20 @@
             excess: None,
             closed: None,
             verdict: None,
-            agenda: RefCell::default(),
+            remaining: RefCell::default(),
         }
     }
 
     /// What is left to do of it.
     #[must_use]
-    pub fn agenda(&self) -> Rc<Agenda> {
-        let mut agenda = self.agenda.borrow_mut();
-        let agenda = agenda.get_or_insert_with(|| Rc::new(Agenda::of(self)));
-        agenda.clone()
+    pub fn remaining(&self) -> Rc<Remaining> {
+        let mut remaining = self.remaining.borrow_mut();
+        let remaining = remaining.get_or_insert_with(|| Rc::new(Remaining::of(self)));
+        remaining.clone()
     }
 
     fn note_change(&mut self) {
-        *self.agenda.get_mut() = None;
+        *self.remaining.get_mut() = None;
     }
 
     /// Number of its occurrences.
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -147,7 +147,7 @@
         /// How far it is.
         state: WaveState,
     },
-    /// Give up the reign: another owner has begun.
+    /// Give up the term: another owner has begun.
     Abdicate,
 }
 
--- a/src/batch/meters.rs
+++ b/src/batch/meters.rs
@@ -38,7 +38,7 @@
     pub executors: AtomicU64,
     /// Runs that ended, by how.
     pub ends: [AtomicU64; How::ALL.len()],
-    /// Number of the reign; 0 if another process is the owner.
+    /// Number of the term; 0 if another process is the owner.
     pub fence: AtomicU64,
 }
 
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -1,7 +1,6 @@
 //! Jobs of steps and tasks that run on executors under leases.
 
 mod advisor;
-mod agenda;
 mod answer_time;
 mod appender;
 mod book;
@@ -34,7 +33,7 @@
 mod pools;
 mod rank;
 mod record;
-mod reign;
+mod remaining;
 mod room;
 mod seat;
 mod shares;
@@ -44,6 +43,7 @@
 mod takeover;
 mod task;
 mod task_id;
+mod term;
 mod upkeep;
 mod view;
 mod widening;
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -23,7 +23,7 @@
     pub executor: ExecutorId,
     /// Its address.
     pub addr: SocketAddr,
-    /// Number of the owner's reign.
+    /// Number of the owner's term.
     pub fence: Fence,
 }
 
@@ -112,7 +112,7 @@
     pub wave: u64,
     /// Process that gives the order.
     pub holder: NodeName,
-    /// Number of the owner's reign.
+    /// Number of the owner's term.
     pub fence: Fence,
 }
 
@@ -125,7 +125,7 @@
     pub pool: ServiceName,
     /// Process that gives the order.
     pub holder: NodeName,
-    /// Number of the owner's reign.
+    /// Number of the owner's term.
     pub fence: Fence,
 }
 
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -17,7 +17,7 @@
 use crate::batch::Meters;
 use crate::batch::Platform;
 use crate::batch::contact::Contact;
-use crate::batch::reign::Reign;
+use crate::batch::term::Term;
 use crate::batch::view::View;
 use crate::name::NodeName;
 
@@ -31,7 +31,7 @@
     Superseded,
 }
 
-/// The running owner of all jobs; dropping it ends its reign.
+/// The running owner of all jobs; dropping it ends its term.
 pub struct Owner {
     fence: Fence,
     inbox: UnboundedSender<Message>,
@@ -39,7 +39,7 @@
 }
 
 impl Owner {
-    /// Starts a reign: reads the log, takes the executors over and decides from then on.
+    /// Starts a term: reads the log, takes the executors over and decides from then on.
     pub(super) fn spawn<P: Platform>(
         platform: Rc<P>,
         view: Rc<View>,
@@ -50,7 +50,7 @@
         contact: Rc<Contact>,
     ) -> Self {
         let (inbox, received) = unbounded();
-        let reign = Reign {
+        let term = Term {
             platform,
             view,
             fence,
@@ -61,11 +61,11 @@
             read: Rc::new(Cell::new(Instant::now())),
             contact,
         };
-        let task = compio::runtime::spawn(reign.run(received));
+        let task = compio::runtime::spawn(term.run(received));
         Self { fence, inbox, task }
     }
 
-    /// Number of its reign.
+    /// Number of its term.
     #[must_use]
     pub const fn fence(&self) -> Fence {
         self.fence
--- a/src/batch/pause.rs
+++ b/src/batch/pause.rs
@@ -47,7 +47,7 @@
     }
 
     /// Whether orders may be given, if the election was last asked at `asked` and has not ended
-    /// the reign, and was last asked at `confirmed` when it confirmed it.
+    /// the term, and was last asked at `confirmed` when it confirmed it.
     #[must_use]
     pub fn allows(&self, asked: Instant, confirmed: Instant) -> bool {
         let asked = self.woken.is_none_or(|woken| asked >= woken);
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -46,7 +46,7 @@
 /// The writer of records; the log refuses those of earlier writers of the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Writer {
-    /// Number of the writer, as of an owner's reign.
+    /// Number of the writer, as of an owner's term.
     pub fence: Fence,
     /// Number of the append, from 0 on; a repeat has the same.
     pub sequence: u64,
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -32,8 +32,8 @@
         let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
         let latency = queue.map_or(DEFAULT_LATENCY_MS, |queue| queue.latency);
         let objective = scaled(job.chain(), stretch) + latency;
-        let agenda = entry.agenda();
-        let expected = unix.saturating_sub(job.accepted) + agenda.chain;
+        let remaining = entry.remaining();
+        let expected = unix.saturating_sub(job.accepted) + remaining.chain;
         let lateness = match expected {
             _ if job.lasts() || job.schedule.is_some() => 0,
             time if time <= objective => 0,
@@ -44,7 +44,7 @@
             excess: entry.excess == Some(true),
             priority: queue.map_or(0, |queue| queue.priority),
             lateness,
-            remaining: agenda.work,
+            remaining: remaining.work,
             accepted: job.accepted,
         }
     }
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -16,7 +16,7 @@
 use crate::name::NodeName;
 use crate::name::ServiceName;
 
-/// Number of an owner's reign; each owner's is higher than all before.
+/// Number of an owner's term; each owner's is higher than all before.
 pub type Fence = u64;
 
 /// Runs of an owner are numbered from its fence times this on, so that they rise over all owners.
@@ -84,7 +84,7 @@
         /// When, in Unix milliseconds.
         at: u64,
     },
-    /// An owner began its reign.
+    /// An owner began its term.
     Took {
         /// Its number.
         fence: Fence,
--- a/src/batch/agenda.rs
+++ b/src/batch/remaining.rs
@@ -5,7 +5,7 @@
 
 /// What is left to do of a job, as long as nothing of it changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Agenda {
+pub struct Remaining {
     /// The steps, by occurrence, that wait for none and have tasks to start.
     pub ready: Vec<(u32, u32)>,
     /// Time that the longest chain of steps that are left takes, in milliseconds.
@@ -14,7 +14,7 @@
     pub work: u64,
 }
 
-impl Agenda {
+impl Remaining {
     /// What is left of a job.
     #[must_use]
     pub fn of(entry: &Entry) -> Self {
--- a/src/batch/takeover.rs
+++ b/src/batch/takeover.rs
@@ -19,10 +19,10 @@
 
 /// Time between two attempts to reach the store, in milliseconds.
 const RETRY_MS: u64 = 150;
-/// Time that the first append of a reign may take, in milliseconds.
+/// Time that the first append of a term may take, in milliseconds.
 const APPEND_MS: u64 = 1_500;
 
-/// Begins a reign: what lies in the log is read, and earlier owners are shut out.
+/// Begins a term: what lies in the log is read, and earlier owners are shut out.
 pub(super) struct Takeover<P> {
     pub platform: Rc<P>,
     pub fence: Fence,
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Appends this reign's first record; returns whether it is in the log.
+    /// Appends this term's first record; returns whether it is in the log.
     async fn begin(&self) -> bool {
         let record = Record::Took {
             fence: self.fence,
@@ -91,7 +91,7 @@
             match result {
                 Ok(_) => return true,
                 Err(AppendError::Fenced) => return false,
-                Err(err) => warn!(self.log, "reign not begun yet"; "why" => %err),
+                Err(err) => warn!(self.log, "term not begun yet"; "why" => %err),
             }
             compio::time::sleep(Duration::from_millis(RETRY_MS)).await;
         }
--- a/src/batch/reign.rs
+++ b/src/batch/term.rs
@@ -1,4 +1,4 @@
-//! An owner's reign: decisions, and the tasks that carry them out.
+//! An owner's term: decisions, and the tasks that carry them out.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,7 +44,7 @@
 const STALE_MS: u64 = 2_000;
 
 /// What the owner's tasks share.
-pub(super) struct Reign<P> {
+pub(super) struct Term<P> {
     pub platform: Rc<P>,
     pub view: Rc<View>,
     pub fence: Fence,
@@ -53,12 +53,12 @@
     pub meters: Meters,
     pub inbox: UnboundedSender<Message>,
     pub read: Rc<Cell<Instant>>,
-    /// The election's last answers; it ends the reign if it names another process.
+    /// The election's last answers; it ends the term if it names another process.
     pub contact: Rc<Contact>,
 }
 
-impl<P: Platform> Reign<P> {
-    /// Takes over and decides until the reign is over.
+impl<P: Platform> Term<P> {
+    /// Takes over and decides until the term is over.
     pub async fn run(self, inbox: UnboundedReceiver<Message>) {
         let begun = Instant::now();
         let pause = Pause::new(now());
@@ -78,7 +78,7 @@
         dispatcher.retain(self.platform.retention());
         dispatcher.settle(now(), self.platform.stop_time());
         dispatcher.begin(now());
-        // The reign's first record had the number 0.
+        // The term's first record had the number 0.
         let appender = Appender::spawn(
             self.platform.clone(),
             Stream::Owner,
@@ -209,13 +209,13 @@
             let message = result.map_or(Message::Superseded, |()| {
                 Message::Event(Event::Appended(receipt))
             });
-            // An owner whose reign is over needs no outcome.
+            // An owner whose term is over needs no outcome.
             let _ = inbox.unbounded_send(message);
         };
         appender.append(records, None, Box::new(told));
     }
 
-    /// Carries an action out; returns whether the reign goes on.
+    /// Carries an action out; returns whether the term goes on.
     fn act(&self, action: Action, appender: &Appender) -> bool {
         let site = self.platform.clone();
         let sent = Instant::now();
@@ -303,7 +303,7 @@
         let inbox = self.inbox.clone();
         compio::runtime::spawn(async move {
             let event = task.await;
-            // An owner whose reign is over needs no outcome.
+            // An owner whose term is over needs no outcome.
             let _ = inbox.unbounded_send(Message::Event(event));
         })
         .detach();
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -113,7 +113,7 @@
     assert_eq!(stopped.filter(|work| work.ends.is_some()).count(), 0);
 }
 
-/// The pattern: an owner that is cut off from the store, or about to lose its reign, takes hosts
+/// The pattern: an owner that is cut off from the store, or about to lose its term, takes hosts
 /// down that the next owner knows nothing of, and at most so many may be down at once.
 #[test]
 fn no_host_is_taken_down_before_the_log_says_so() {
