Look for tasks to start as soon as the election confirms an owner again

Found by reading the change that lets an owner wait with what was started before until the election confirms it: nothing made it look again then, so a failed task waited for the next event. The test was red before: one start, two wanted within 60 ms.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -214,6 +214,8 @@
 
     /// The election, asked at `asked`, has confirmed that this is the owner.
     pub fn confirm(&mut self, asked: Instant) {
+        // Tasks may have waited for this.
+        self.dirty |= !self.is_sole(asked);
         self.confirmed = asked;
     }
 
--- a/src/batch/dispatcher/placing.rs
+++ b/src/batch/dispatcher/placing.rs
@@ -59,8 +59,7 @@
             return;
         }
         if self.lease(now.at).is_none() {
-            // The election has not confirmed this owner for too long.
-            self.dirty = true;
+            // Once the election confirms this owner again, it's dirty again.
             return;
         }
         self.share_out();
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -152,3 +152,26 @@
     assert_eq!(world.state("captions", job), JobState::Running);
     assert_eq!(world.starts.len(), 3, "nothing ran twice");
 }
+
+/// The pattern: a task fails while the store is away. Another owner may have been elected that
+/// knows more of it, so it waits until this one is confirmed, and no longer.
+#[test]
+fn a_failed_task_runs_again_as_soon_as_its_owner_is_confirmed() {
+    let mut world = World::new(&[("captions", 2)]);
+    world.script = Box::new(|_, run| {
+        let how = if run % 1_000_000 == 1 {
+            How::Failed
+        } else {
+            How::Done
+        };
+        (1_500, how)
+    });
+    world.submit(1, "captions", vec![step(1)]);
+    world.run(200);
+    world.leader().dark = true;
+    world.run(3_000);
+    assert_eq!(world.starts.len(), 1);
+    world.light();
+    world.run(60);
+    assert_eq!(world.starts.len(), 2);
+}
