--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -175,3 +175,39 @@
     world.run(60);
     assert_eq!(world.starts.len(), 2);
 }
+
+/// The pattern: the store is away for as long as it usually is. What runs goes on, and so does what
+/// was accepted before.
+#[test]
+fn an_outage_of_five_seconds_ends_no_run() {
+    let mut world = World::new(&[("captions", 4)]);
+    world.script = Box::new(|_, _| (3_000, How::Done));
+    world.submit(1, "captions", vec![step(64), step(60)]);
+    world.submit(2, "captions", vec![lasting(2)]);
+    world.run(200);
+    world.leader().dark = true;
+    world.run(5_000);
+    world.light();
+    world.run(6_000);
+    assert_eq!(world.done.len(), 124);
+    assert_eq!(world.starts.len(), 126, "each task once");
+}
+
+/// The pattern: an owner is cut off for longer than its term. It holds nothing then that the next
+/// owner could start elsewhere, and goes on if there is none.
+#[test]
+fn an_owner_that_is_not_confirmed_for_longer_than_its_term_holds_nothing() {
+    let mut world = World::new(&[("captions", 4)]);
+    world.script = Box::new(|_, _| (20_000, How::Done));
+    let job = world.submit(1, "captions", vec![step(40)]);
+    world.run(200);
+    world.leader().dark = true;
+    world.run(6_200);
+    let running: usize = world.fakes.values().map(|fake| fake.works.len()).sum();
+    assert_eq!(running, 0);
+    world.run(2_000);
+    assert_eq!(world.starts.len(), 40, "nothing is started again");
+    world.light();
+    world.run(24_000);
+    assert_eq!(world.state("captions", job), JobState::Completed);
+}
