--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -1,6 +1,8 @@
 //! Waves of upkeep.
 
+use mimosastep::batch::How;
 use mimosastep::batch::WaveState;
+use test_case::test_case;
 
 use crate::world::World;
 use crate::world::lasting;
@@ -188,3 +190,21 @@
     world.run(8_000);
     assert_eq!(world.told[&1], WaveState::Completed);
 }
+
+/// The fault: the time that operators give for a wave begins anew with each owner, so hosts that
+/// are never empty are taken down late.
+#[test_case(false; "one owner")]
+#[test_case(true; "two owners")]
+fn a_wave_is_done_in_time_though_hosts_are_never_empty(change: bool) {
+    let mut world = World::new(&[("captions", 2), ("spare", 1)]);
+    world.script = Box::new(|_, _| (60_000, How::Done));
+    world.submit(1, "captions", vec![step(32)]);
+    world.run(500);
+    world.ask_wave(&["captions-0"], 12_000, 1);
+    world.run(6_000);
+    if change {
+        world.take_over(2);
+    }
+    world.run(6_000);
+    assert_eq!(world.downs.len(), 1);
+}
