--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -31,6 +31,8 @@
     pub ordered: BTreeMap<HostName, u64>,
     /// Hosts that have had their upkeep, by wave.
     pub kept: BTreeMap<u64, BTreeSet<HostName>>,
+    /// When waves were first seen to be asked for, in Unix milliseconds.
+    pub asked: BTreeMap<u64, u64>,
     /// Number of the term that began last.
     pub fence: Fence,
     // Cancelled before they were seen to be accepted, as the streams of the log have no common order.
@@ -103,6 +105,9 @@
                 }
             }
             Record::Unheard(waits) => self.unheard.extend(waits),
+            Record::Asked { wave, at } => {
+                self.asked.entry(wave).or_insert(at);
+            }
         }
         None
     }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -237,7 +237,7 @@
     pub fn handle(&mut self, now: Now, event: Event) {
         match event {
             Event::Directives(directives) => {
-                self.waves.ask(now.at, &directives.waves);
+                self.note_waves(now, &directives.waves);
                 self.directives = directives;
                 self.note_missing(now);
                 self.mark_usable(now);
--- a/src/batch/dispatcher/carrying.rs
+++ b/src/batch/dispatcher/carrying.rs
@@ -69,6 +69,11 @@
         for (wave, host) in self.waves.kept() {
             records.push(Record::Kept { wave, host });
         }
+        for (&wave, &at) in &self.book.asked {
+            if self.directives.waves.contains_key(&wave) {
+                records.push(Record::Asked { wave, at });
+            }
+        }
         self.append(records);
     }
 }
--- a/src/batch/dispatcher/upkeeping.rs
+++ b/src/batch/dispatcher/upkeeping.rs
@@ -1,5 +1,6 @@
 //! Takes hosts down for their upkeep, emptied first.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::batch::OrderError;
 use crate::batch::Record;
 use crate::batch::TaskId;
+use crate::batch::Wave;
 use crate::batch::dispatcher::announcing::FRESH_MS;
 use crate::batch::dispatcher::announcing::HostOrder;
 use crate::batch::room::Rooms;
@@ -60,6 +62,20 @@
         }
     }
 
+    /// Takes the waves that operators ask for. The log says since when, so that their time doesn't
+    /// begin anew with the next owner.
+    pub(super) fn note_waves(&mut self, now: Now, waves: &BTreeMap<u64, Wave>) {
+        for &wave in waves.keys() {
+            if self.book.asked.contains_key(&wave) {
+                continue;
+            }
+            let at = now.unix;
+            self.book.asked.insert(wave, at);
+            self.append(vec![Record::Asked { wave, at }]);
+        }
+        self.waves.ask(now, waves, &self.book.asked);
+    }
+
     /// Notes since when hosts that are up have no executor that the platform lists.
     pub(super) fn note_missing(&mut self, now: Now) {
         let policy = self.directives.policy.as_ref();
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -116,6 +116,13 @@
     /// The owner has not heard from these executors and gives them nothing before they are engaged
     /// anew; beside each, for how long no owner has given it anything, in milliseconds.
     Unheard(Vec<(ExecutorId, u64)>),
+    /// Operators have asked for a wave of upkeep.
+    Asked {
+        /// Number of the wave.
+        wave: u64,
+        /// When an owner first saw that, in Unix milliseconds.
+        at: u64,
+    },
 }
 
 impl Record {
--- a/src/batch/upkeep.rs
+++ b/src/batch/upkeep.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Wave;
 use crate::batch::WaveState;
@@ -84,14 +85,18 @@
         }
     }
 
-    /// Takes what operators ask for.
-    pub fn ask(&mut self, now: Instant, waves: &BTreeMap<u64, Wave>) {
+    /// Takes what operators ask for; `asked` tells since when, in Unix milliseconds.
+    pub fn ask(&mut self, now: Now, waves: &BTreeMap<u64, Wave>, asked: &BTreeMap<u64, u64>) {
         self.runs.retain(|number, _| waves.contains_key(number));
         for (&number, wave) in waves {
             let kept = self.kept.get(&number).cloned().unwrap_or_default();
+            let spent = asked
+                .get(&number)
+                .map_or(0, |&at| now.unix.saturating_sub(at));
+            let left = Duration::from_millis(wave.period.saturating_sub(spent));
             self.runs.entry(number).or_insert_with(|| Run {
                 wave: wave.clone(),
-                deadline: now + Duration::from_millis(wave.period),
+                deadline: now.at + left,
                 kept,
                 ordered: BTreeSet::new(),
                 doubtful: BTreeSet::new(),
