--- a/tests/batch/peaks.rs
+++ b/tests/batch/peaks.rs
@@ -1,9 +1,16 @@
 //! Demand that rises five-fold by turns.
 
+use std::collections::BTreeMap;
+
+use mimosastep::batch::JobId;
+use mimosastep::batch::JobState;
+
 use crate::world::HOST_CPU;
 use crate::world::World;
 use crate::world::step;
 
+/// Objective of a job of one step: twice the second that it takes, and 600 ms.
+const OBJECTIVE_MS: u64 = 2_600;
 const QUEUES: [&str; 4] = ["captions", "plaques", "tags", "panels"];
 
 /// Plays queues that peak one after the other; returns tasks done within the time and
@@ -94,3 +101,40 @@
     let needed = jobs * 10 * 1_000 * 1_000 / HOST_CPU;
     assert!(paid < needed * 2, "{paid} host-milliseconds for {needed}");
 }
+
+/// Plays a turn that asks nearly twice what the hosts have; returns in thousandths how many of the
+/// large jobs, and of all, were done within their objective.
+fn served_in_a_turn_short_of_hosts() -> (usize, usize) {
+    let mut world = World::new(&[("captions", 6)]);
+    let mut waiting: BTreeMap<JobId, (bool, u64)> = BTreeMap::new();
+    let mut asked = [0, 0];
+    let mut served = [0, 0];
+    for tick in 0..120_u64 {
+        for number in 0..3 {
+            // One job in eleven is six times as large as the others.
+            let large = (tick * 3 + number).is_multiple_of(11);
+            if tick < 80 {
+                let tasks = if large { 24 } else { 4 };
+                let id = world.submit(tick * 3 + number, "captions", vec![step(tasks)]);
+                waiting.insert(id, (large, world.now.unix + OBJECTIVE_MS));
+                asked[usize::from(large)] += 1;
+            }
+        }
+        world.run(100);
+        waiting.retain(|&id, &mut (large, until)| {
+            let done = world.state("captions", id) == JobState::Completed;
+            served[usize::from(large)] += usize::from(done && world.now.unix <= until);
+            !done && world.now.unix < until
+        });
+    }
+    let share = |served: usize, asked: usize| served * 1_000 / asked;
+    let all = share(served[0] + served[1], asked[0] + asked[1]);
+    (share(served[1], asked[1]), all)
+}
+
+/// The fault: the least work comes first, so that the largest jobs of a class go without.
+#[test]
+fn large_jobs_are_served_half_as_often_as_all_when_hosts_are_short() {
+    let (large, all) = served_in_a_turn_short_of_hosts();
+    assert!(large * 2 >= all, "{large} of the large, {all} of all");
+}
