--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -3,6 +3,7 @@
 mod executors;
 mod heartbeats;
 mod host_orders;
+mod jobs;
 mod maintenance;
 mod pacing;
 mod partition_grants;
@@ -26,7 +27,6 @@
 use crate::batch::Fence;
 use crate::batch::Host;
 use crate::batch::JobId;
-use crate::batch::JobState;
 use crate::batch::Now;
 use crate::batch::OwnerRequest;
 use crate::batch::OwnerResponse;
@@ -51,12 +51,9 @@
 use crate::name::ExecutorId;
 use crate::name::HostName;
 use crate::name::NodeName;
-use crate::name::QueueName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
 
-/// Time between two checks for occurrences of jobs that have become due.
-const OPEN_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two checks for executors whose heartbeat is due.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(3);
 /// Time between two updates of the metrics.
@@ -66,10 +63,6 @@
 const EXCLUSIVE_MS: u64 = 900;
 /// Shortest lease that is granted, in milliseconds.
 const MIN_LEASE_MS: u64 = 500;
-/// Time for which the state of a job that has ended can be queried, in milliseconds; longer while
-/// ends of its runs are not in the log yet.
-const CLOSED_RETENTION_MS: u64 = 150_000;
-
 /// Ends of runs on an executor whose append to the log is pending.
 struct PendingEnds {
     executor: ExecutorId,
@@ -350,17 +343,6 @@
         metrics.count_ends(&std::mem::take(&mut self.ends));
     }
 
-    fn job_state(&self, queue: &QueueName, id: JobId) -> Option<JobState> {
-        let entry = self.state.jobs.get(&id)?;
-        (entry.job.queue == *queue).then(|| entry.state())
-    }
-
-    fn waiting_jobs(&self, queue: &QueueName) -> u64 {
-        let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
-        let waiting = jobs.filter(|entry| entry.job.queue == *queue && !entry.started);
-        waiting.count() as u64
-    }
-
     fn apply_records(&mut self, now: Now, records: Vec<Record>) {
         for record in records {
             if let Record::TermStarted { fence, .. } = &record
@@ -393,58 +375,6 @@
         }
     }
 
-    fn on_job_changed(&mut self, now: Now, id: JobId) {
-        let Some(entry) = self.state.jobs.get(&id) else {
-            return;
-        };
-        info!(self.log, "job accepted or cancelled"; "job" => %id, "queue" => %entry.job.queue,
-            "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted));
-        if entry.is_active() {
-            self.meter.note(now.at, &entry.job);
-            self.active.insert(id);
-            if entry.partitions.is_empty() {
-                self.ungranted.push(id);
-            }
-            self.unchecked.push(id);
-        } else {
-            self.close(now, id);
-        }
-        self.dirty = true;
-    }
-
-    /// Notes that a job has ended and stops its runs.
-    fn close(&mut self, now: Now, id: JobId) {
-        self.active.remove(&id);
-        let Some(entry) = self.state.jobs.get_mut(&id) else {
-            return;
-        };
-        if entry.ended_at.is_some() {
-            return;
-        }
-        entry.ended_at = Some(now.unix);
-        info!(self.log, "job ended; stopping its runs"; "job" => %id, "done" => entry.is_done(),
-            "age_ms" => now.unix.saturating_sub(entry.job.accepted));
-        self.stop_job(id);
-    }
-
-    /// Opens the occurrences that are due, and drops jobs that ended long ago.
-    fn open_due(&mut self, now: Now) {
-        if now.at < self.last_opening + OPEN_INTERVAL {
-            return;
-        }
-        self.last_opening = now.at;
-        for id in &self.active {
-            if let Some(entry) = self.state.jobs.get_mut(id)
-                && entry.open_due(now.unix)
-            {
-                self.dirty = true;
-            }
-        }
-        let old = |ended_at: u64| ended_at + CLOSED_RETENTION_MS < now.unix;
-        let jobs = &mut self.state.jobs;
-        jobs.retain(|_, entry| !entry.ended_at.is_some_and(old) || entry.unlogged > 0);
-    }
-
     fn append(&mut self, records: Vec<Record>) -> u64 {
         self.last_append += 1;
         let append_id = self.last_append;
