--- a/src/batch/batch_metrics.rs
+++ b/src/batch/batch_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of jobs and orders.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -9,6 +10,7 @@
 use futures_util::FutureExt;
 use hyper::StatusCode;
 use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
@@ -18,9 +20,11 @@
 use prometheus::TextEncoder;
 
 use crate::batch::CallOutcome;
+use crate::batch::Lateness;
 use crate::batch::OrderError;
 use crate::batch::Refusal;
 use crate::batch::RunOutcome;
+use crate::batch::SizeClass;
 use crate::http::Handler;
 use crate::http::text_reply;
 
@@ -50,6 +54,7 @@
     _provider: SdkMeterProvider,
     calls: Histogram<f64>,
     orders: Histogram<f64>,
+    completed: Counter<u64>,
     gauges: Arc<Gauges>,
 }
 
@@ -72,6 +77,10 @@
         Ok(Self {
             calls: histogram(&meter, "mimosa.batch.calls"),
             orders: histogram(&meter, "mimosa.batch.orders"),
+            completed: meter
+                .u64_counter("mimosa.batch.jobs_completed")
+                .with_unit("{job}")
+                .build(),
             registry,
             _provider: provider,
             gauges,
@@ -122,6 +131,17 @@
         }
     }
 
+    /// Adds completed jobs, counted by size class and lateness.
+    pub fn count_completed(&self, completed: &BTreeMap<(SizeClass, Lateness), u64>) {
+        for (&(size, lateness), &count) in completed {
+            let labels = [
+                KeyValue::new("mimosa.size", size.label()),
+                KeyValue::new("mimosa.end", lateness.label()),
+            ];
+            self.completed.add(count, &labels);
+        }
+    }
+
     /// Handler that serves the metrics in the Prometheus text format.
     #[must_use]
     pub fn handler(&self) -> Handler {
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -27,6 +27,7 @@
 use crate::batch::Fence;
 use crate::batch::Host;
 use crate::batch::JobId;
+use crate::batch::Lateness;
 use crate::batch::Now;
 use crate::batch::OwnerRequest;
 use crate::batch::OwnerResponse;
@@ -35,6 +36,7 @@
 use crate::batch::Resources;
 use crate::batch::RunOutcome;
 use crate::batch::Shares;
+use crate::batch::SizeClass;
 use crate::batch::TaskId;
 use crate::batch::advisor::Advisor;
 use crate::batch::batch_state::BatchState;
@@ -142,6 +144,8 @@
     dirty: bool,
     // Ends since the last update of the metrics, by outcome.
     ends: [u64; RunOutcome::ALL.len()],
+    // Jobs completed since the last update of the metrics.
+    completed: BTreeMap<(SizeClass, Lateness), u64>,
     actions: Vec<Action>,
 }
 
@@ -207,6 +211,7 @@
             throttled: false,
             dirty: true,
             ends: [0; RunOutcome::ALL.len()],
+            completed: BTreeMap::new(),
             actions: Vec::new(),
         }
     }
@@ -341,6 +346,7 @@
             .sum();
         metrics.set_gauges(self.active.len(), running, self.executors.len(), self.fence);
         metrics.count_ends(&std::mem::take(&mut self.ends));
+        metrics.count_completed(&std::mem::take(&mut self.completed));
     }
 
     fn apply_records(&mut self, now: Now, records: Vec<Record>) {
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -8,6 +8,8 @@
 use crate::batch::JobId;
 use crate::batch::JobState;
 use crate::batch::Now;
+use crate::batch::Objective;
+use crate::batch::SizeClass;
 use crate::name::QueueName;
 
 /// Time between two checks for occurrences of jobs that have become due.
@@ -33,7 +35,8 @@
             return;
         };
         info!(self.log, "job accepted or cancelled"; "job" => %id, "queue" => %entry.job.queue,
-            "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted));
+            "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted),
+            "work" => entry.job.work(), "tasks" => entry.job.tasks());
         if entry.is_active() {
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
@@ -57,8 +60,21 @@
             return;
         }
         entry.ended_at = Some(now.unix);
+        let policy = self.directives.policy.as_ref();
+        let queue = policy.and_then(|policy| policy.queue_named(&entry.job.queue));
+        let objective = Objective::of(&entry.job, queue);
+        let lateness = objective.lateness(now.unix);
+        let accepted = entry.job.accepted;
+        let age = |at: u64| at.saturating_sub(accepted);
         info!(self.log, "job ended; stopping its runs"; "job" => %id, "done" => entry.is_done(),
-            "age_ms" => now.unix.saturating_sub(entry.job.accepted));
+            "age_ms" => age(now.unix), "lateness" => lateness.label(), "work" => entry.job.work(),
+            "objective_ms" => objective.deadline().map(age),
+            "first_start_ms" => entry.first_start.map(age),
+            "last_start_ms" => entry.last_start.map(age));
+        if entry.is_done() {
+            let class = SizeClass::of(entry.job.work());
+            *self.completed.entry((class, lateness)).or_default() += 1;
+        }
         self.stop_job(id);
     }
 
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -47,6 +47,8 @@
         progress.run = run;
         progress.placed = Some(id.clone());
         let saved = progress.saved.clone();
+        entry.first_start.get_or_insert(now.unix);
+        entry.last_start = Some(now.unix);
         executor.renew(now.at);
         executor.unanswered_since.get_or_insert(now.at);
         let target = Target {
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -131,6 +131,13 @@
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
+    /// Work of one occurrence by the estimates, in core-milliseconds.
+    #[must_use]
+    pub fn work(&self) -> u64 {
+        let works = self.steps.iter().map(|step| step.work(step.count));
+        works.fold(0, u64::saturating_add)
+    }
+
     /// Whether any of its tasks runs until the job is cancelled.
     #[must_use]
     pub fn is_long_running(&self) -> bool {
--- a/src/batch/job_progress.rs
+++ b/src/batch/job_progress.rs
@@ -53,6 +53,10 @@
     pub opened: u32,
     /// Whether any task has started.
     pub started: bool,
+    /// When its first task was started by this owner, in Unix milliseconds.
+    pub first_start: Option<u64>,
+    /// When its latest task was started by this owner, in Unix milliseconds.
+    pub last_start: Option<u64>,
     /// Number of run ends that are applied here but not yet in the log.
     pub unlogged: u32,
     /// Partitions in which its tasks may be started, according to the log.
@@ -81,6 +85,8 @@
             occurrences: BTreeMap::new(),
             opened: 0,
             started: false,
+            first_start: None,
+            last_start: None,
             unlogged: 0,
             partitions: Partitions::NONE,
             inherited: Partitions::NONE,
--- a/src/batch/remaining_work.rs
+++ b/src/batch/remaining_work.rs
@@ -46,17 +46,17 @@
 
 /// Duration of the critical path, in milliseconds, and the work, in core-milliseconds.
 fn estimate(job_progress: &JobProgress) -> (u64, u64) {
-    let mut critical_path = 0;
-    let mut work = 0;
+    let mut critical_path = 0_u64;
+    let mut work = 0_u64;
     for progress in job_progress.occurrences.values() {
-        let mut ends = Vec::with_capacity(progress.len());
+        let mut ends: Vec<u64> = Vec::with_capacity(progress.len());
         for (step_progress, step) in progress.iter().zip(&job_progress.job.steps) {
             let before = step.after.iter().filter_map(|&n| ends.get(n as usize));
             let start = before.max().copied().unwrap_or(0);
-            let count = step_progress.tasks.len() as u64 - u64::from(step_progress.done);
+            let count = step_progress.tasks.len() as u32 - step_progress.done;
             let own = if count == 0 { 0 } else { step.estimate };
-            ends.push(start + own);
-            work += count * step.estimate * step.demand.cpu.max(1) / 1_000;
+            ends.push(start.saturating_add(own));
+            work = work.saturating_add(step.work(count));
         }
         critical_path = critical_path.max(ends.into_iter().max().unwrap_or(0));
     }
--- a/src/batch/step.rs
+++ b/src/batch/step.rs
@@ -57,6 +57,18 @@
         !self.gang && self.label.is_none() && self.spread.is_none()
     }
 
+    /// Work of `count` of its tasks by their estimate, in core-milliseconds.
+    #[must_use]
+    pub const fn work(&self, count: u32) -> u64 {
+        let time = self.estimate.saturating_mul(count as u64);
+        let cpu = if self.demand.cpu == 0 {
+            1
+        } else {
+            self.demand.cpu
+        };
+        time.saturating_mul(cpu) / 1_000
+    }
+
     /// Resources that a task reserves on its executor.
     #[must_use]
     pub const fn reserved(&self) -> Resources {
