--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -15,6 +15,7 @@
 mod rules;
 mod simulation;
 mod sizes;
+mod starvation;
 mod takeover;
 mod teams;
 mod upkeep;
