--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -48,6 +48,7 @@
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
 use crate::batch::in_flight::InFlight;
 use crate::batch::pool_balancer::PoolBalancer;
+use crate::batch::rank::Turns;
 use crate::batch::waves::Waves;
 use crate::batch::widening::Widening;
 use crate::name::ExecutorId;
@@ -91,6 +92,7 @@
     shares: Shares,
     // Jobs not yet checked against their team's share.
     unchecked: Vec<JobId>,
+    turns: Turns,
     executors: BTreeMap<ExecutorId, ExecutorState>,
     // Executors by the host that they report to run on.
     by_host: BTreeMap<HostName, Vec<ExecutorId>>,
@@ -177,6 +179,7 @@
             shares: Shares::default(),
             unchecked: state.jobs.keys().copied().collect(),
             state,
+            turns: Turns::default(),
             executors: BTreeMap::new(),
             by_host: BTreeMap::new(),
             locations: BTreeMap::new(),
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -19,8 +19,10 @@
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
-use crate::batch::rank::Rank;
+use crate::batch::rank::Candidate;
+use crate::batch::rank::Position;
 use crate::name::ExecutorId;
+use crate::name::ServiceName;
 use crate::name::TeamName;
 
 /// Time for which the reader of the log may lag before starts are suspended, in milliseconds.
@@ -129,13 +131,21 @@
         let policy = self.directives.policy.as_ref();
         let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
         let jobs = jobs.filter(|entry| !entry.remaining().ready.is_empty());
-        let ranked = jobs.map(|entry| {
+        let mut services: BTreeMap<&ServiceName, Vec<Candidate>> = BTreeMap::new();
+        for entry in jobs {
             let queue = policy.and_then(|policy| policy.queue_named(&entry.job.queue));
-            (Rank::of(entry, queue, now.unix), entry.job.id)
-        });
-        let mut ranked: Vec<(Rank, JobId)> = ranked.collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, id)| id).collect()
+            let candidate = Candidate::of(entry, queue, now.unix);
+            services
+                .entry(&entry.job.service)
+                .or_default()
+                .push(candidate);
+        }
+        let positions = services
+            .into_iter()
+            .flat_map(|(service, jobs)| self.turns.positions(service, jobs));
+        let mut positions: Vec<Position> = positions.collect();
+        positions.sort_unstable();
+        positions.into_iter().map(|position| position.id).collect()
     }
 
     /// Returns the free capacity of the executors that can take new work.
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -47,7 +47,10 @@
         progress.run = run;
         progress.placed = Some(id.clone());
         let saved = progress.saved.clone();
-        entry.first_start.get_or_insert(now.unix);
+        if entry.first_start.is_none() {
+            entry.first_start = Some(now.unix);
+            self.turns.advance(&job.service);
+        }
         entry.last_start = Some(now.unix);
         executor.renew(now.at);
         executor.unanswered_since.get_or_insert(now.at);
--- a/src/batch/job_id.rs
+++ b/src/batch/job_id.rs
@@ -6,6 +6,7 @@
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of hexadecimal digits of a job id.
 const DIGITS: usize = 16;
@@ -25,6 +26,15 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(u64);
 
+impl JobId {
+    /// Number by which the job takes part in a draw, the lowest first. It is the same in each draw,
+    /// so that a job which has been drawn stays ahead until all its tasks have started.
+    #[must_use]
+    pub fn draw(self) -> u64 {
+        xxh3_64(&self.0.to_be_bytes())
+    }
+}
+
 impl FromStr for JobId {
     type Err = JobIdError;
 
