--- a/src/batch/job_progress.rs
+++ b/src/batch/job_progress.rs
@@ -117,6 +117,12 @@
             .map_or(1, |schedule| schedule.count.max(1))
     }
 
+    /// Whether a start of any of its tasks has been ordered.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        self.started || self.first_start.is_some()
+    }
+
     /// Opens the occurrences that are due at `unix` (in milliseconds), as far as the limit on
     /// tasks allows; returns whether it opened any.
     pub fn open_due(&mut self, unix: u64) -> bool {
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -15,12 +15,15 @@
     over_share: bool,
     priority: u32,
     lateness: Lateness,
+    waiting: bool,
 }
 
 impl Rank {
     /// Returns the rank of a job at `unix` (in milliseconds). Jobs within their team's share come
     /// first, then those of a queue with a lower priority number, then those that can still meet
-    /// their objective.
+    /// their objective, then those that have begun: a job that stops halfway holds capacity and is
+    /// late all the same. Jobs without an objective have no such precedence, as nothing would end
+    /// it.
     #[must_use]
     pub fn of(job_progress: &JobProgress, queue: Option<&Queue>, unix: u64) -> Self {
         let job = &job_progress.job;
@@ -31,6 +34,7 @@
             over_share: job_progress.over_share == Some(true),
             priority: queue.map_or(0, |queue| queue.priority),
             lateness: objective.lateness(end),
+            waiting: objective.deadline().is_none() || !job_progress.has_begun(),
         }
     }
 
