--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -9,21 +9,43 @@
 use crate::batch::Queue;
 use crate::name::ServiceName;
 
+/// How far a job is. One that has begun comes before those that wait: a job that stops halfway
+/// holds capacity and is late all the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Its tasks are long-running: they have no end to wait for, and maintenance waits for them.
+    LongRunning,
+    /// It has begun, and is to end by its objective.
+    Begun,
+    /// It has not begun, or has no objective that would limit its precedence.
+    Waiting,
+}
+
+impl Stage {
+    fn of(job_progress: &JobProgress, objective: &Objective) -> Self {
+        if job_progress.job.is_long_running() {
+            return Self::LongRunning;
+        }
+        if job_progress.has_begun() && objective.deadline().is_some() {
+            return Self::Begun;
+        }
+        Self::Waiting
+    }
+}
+
 /// Precedence of a job; the lowest is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     over_share: bool,
     priority: u32,
     lateness: Lateness,
-    waiting: bool,
+    stage: Stage,
 }
 
 impl Rank {
     /// Returns the rank of a job at `unix` (in milliseconds). Jobs within their team's share come
     /// first, then those of a queue with a lower priority number, then those that can still meet
-    /// their objective, then those that have begun: a job that stops halfway holds capacity and is
-    /// late all the same. Jobs without an objective have no such precedence, as nothing would end
-    /// it.
+    /// their objective, then those that have begun.
     #[must_use]
     pub fn of(job_progress: &JobProgress, queue: Option<&Queue>, unix: u64) -> Self {
         let job = &job_progress.job;
@@ -34,7 +56,7 @@
             over_share: job_progress.over_share == Some(true),
             priority: queue.map_or(0, |queue| queue.priority),
             lateness: objective.lateness(end),
-            waiting: objective.deadline().is_none() || !job_progress.has_begun(),
+            stage: Stage::of(job_progress, &objective),
         }
     }
 
