--- a/tests/batch/starvation.rs
+++ b/tests/batch/starvation.rs
@@ -5,9 +5,12 @@
 
 use mimosastep::batch::JobId;
 use mimosastep::batch::JobState;
+use mimosastep::batch::TaskId;
 
 use crate::simulation::HOST_CPU;
 use crate::simulation::Simulation;
+use crate::simulation::job_id;
+use crate::simulation::long_running;
 use crate::simulation::step;
 
 /// Numbers of tasks of twenty jobs: the largest tenth, the fifth below it, and the rest. A task
@@ -138,3 +141,26 @@
     load.run(OBJECTIVE_MS * LATE_FACTOR, 0.0);
     check_sizes(&load, OBJECTIVE_MS * LATE_FACTOR);
 }
+
+/// Guards against long-running tasks that wait behind jobs that have begun: maintenance waits for
+/// these tasks, so hosts came late to their waves. A run takes a second, so each host has capacity
+/// within that time.
+#[test]
+fn long_running_tasks_start_at_once_under_overload() {
+    let mut load = Load::new();
+    load.run(4_000, 2.0);
+    let number = 1_000_000;
+    load.sim
+        .submit(number, "captions", vec![long_running(HOSTS as u32)]);
+    load.run(1_100, 2.0);
+    let running = (0..HOSTS as u32).filter(|&index| {
+        let task = TaskId {
+            job: job_id(number),
+            occurrence: 0,
+            step: 0,
+            index,
+        };
+        !load.sim.executors_running(&task).is_empty()
+    });
+    assert_eq!(running.count(), HOSTS, "tasks that run");
+}
