Batch: hosts go to the pool that lacks the largest part of its need, one by one

The same cause as the starved jobs, in another place: the pool that lacked most CPU got all hosts there were before the next one got any.

--- a/src/batch/pool_balancer.rs
+++ b/src/batch/pool_balancer.rs
@@ -123,8 +123,8 @@
     }
 
     /// Moves idle hosts from pools that have more CPU than `target_cpu` to those that have less,
-    /// the pools that lack most first. Returns the CPU that is still lacking, in thousandths of a
-    /// core.
+    /// one by one to the pool that lacks the largest part of it. Returns the CPU that is still
+    /// lacking, in thousandths of a core.
     fn fill_shortages(
         &mut self,
         pools: &[PoolView],
@@ -132,34 +132,37 @@
         target_cpu: fn(&PoolView) -> u64,
     ) -> u64 {
         let mut donors = self.donors(pools, target_cpu);
-        let mut short: Vec<(u64, &PoolView)> = pools
+        let mut shortages: Vec<Shortage> = pools
             .iter()
             .filter(|pool| !pool.spare)
-            .map(|pool| (self.shortage(pool, target_cpu(pool)), pool))
-            .filter(|(shortage, _)| *shortage > 0)
+            .map(|pool| Shortage {
+                pool: &pool.service,
+                lacking: self.shortage(pool, target_cpu(pool)),
+                target: target_cpu(pool),
+            })
             .collect();
-        short.sort_by_key(|(shortage, _)| std::cmp::Reverse(*shortage));
         let mut unmet = 0;
-        for (mut shortage, pool) in short {
-            while shortage > 0 {
-                let fit = |member: &PoolHost| {
-                    let key = (member.host.clone(), pool.service.clone());
-                    !self.unfit.contains_key(&key)
-                };
-                let mut found = donors.iter();
-                let found = found.position(|(from, member)| *from != pool.service && fit(member));
-                let Some(at) = found else {
-                    break;
-                };
-                let (_, member) = donors.remove(at);
-                shortage = shortage.saturating_sub(member.cpu);
-                moves.push(self.order_move(&member, &pool.service));
-            }
-            unmet += shortage;
+        while let Some(at) = worst(&shortages) {
+            let shortage = &mut shortages[at];
+            let found = donors.iter().position(|(from, member)| {
+                from != shortage.pool && self.is_fit(&member.host, shortage.pool)
+            });
+            let Some(found) = found else {
+                unmet += std::mem::take(&mut shortage.lacking);
+                continue;
+            };
+            let (_, member) = donors.remove(found);
+            shortage.lacking = shortage.lacking.saturating_sub(member.cpu);
+            moves.push(self.order_move(&member, shortage.pool));
         }
         unmet
     }
 
+    /// Whether a host has not refused to move to a pool lately.
+    fn is_fit(&self, host: &HostName, pool: &ServiceName) -> bool {
+        !self.unfit.contains_key(&(host.clone(), pool.clone()))
+    }
+
     /// Applies the result of an order; returns whether the host is moving.
     pub fn on_answer(
         &mut self,
@@ -353,10 +356,7 @@
                 let since = self.idle.get(&member.host);
                 let idle_enough =
                     since.is_some_and(|&since| now >= since + Duration::from_millis(IDLE_MS));
-                let unfit = self
-                    .unfit
-                    .contains_key(&(member.host.clone(), spare.service.clone()));
-                if idle_enough && !unfit {
+                if idle_enough && self.is_fit(&member.host, &spare.service) {
                     moves.push(self.order_move(&member, &spare.service));
                 }
             }
@@ -364,3 +364,27 @@
         moves
     }
 }
+
+/// CPU that a pool lacks, in thousandths of a core.
+struct Shortage<'a> {
+    pool: &'a ServiceName,
+    lacking: u64,
+    /// CPU that it should have.
+    target: u64,
+}
+
+impl Shortage<'_> {
+    /// Returns the part of its CPU that the pool lacks. A pool that lacks only a host counts as
+    /// lacking all.
+    fn part(&self) -> f64 {
+        self.lacking as f64 / self.target.max(1) as f64
+    }
+}
+
+/// Returns the index of the pool that lacks the largest part of its CPU, if any lacks some.
+fn worst(shortages: &[Shortage<'_>]) -> Option<usize> {
+    let lacking = shortages.iter().enumerate();
+    let lacking = lacking.filter(|(_, shortage)| shortage.lacking > 0);
+    let worst = lacking.max_by(|(_, one), (_, other)| one.part().total_cmp(&other.part()));
+    worst.map(|(at, _)| at)
+}
--- a/tests/batch/starvation.rs
+++ b/tests/batch/starvation.rs
@@ -164,3 +164,44 @@
     });
     assert_eq!(running.count(), HOSTS, "tasks that run");
 }
+
+/// Jobs of a queue, and how many of them were completed in time.
+#[derive(Default)]
+struct Count {
+    waiting: Vec<(JobId, u64)>,
+    asked: usize,
+    served: usize,
+}
+
+/// Guards against starvation of a pool: the pool that lacked most CPU got all hosts there were.
+#[test]
+fn a_pool_that_lacks_less_gets_hosts_while_another_lacks_more() {
+    let mut sim = Simulation::new(&[("captions", 2), ("tags", 2), ("spare", 20)]);
+    let mut counts = [Count::default(), Count::default()];
+    let mut number = 0;
+    for tick in 0..400_u64 {
+        sim.run(25);
+        // Sixty hosts' worth of work for the one queue, twenty for the other.
+        let queues = [("captions", 3), ("tags", 1)];
+        for ((queue, jobs), count) in queues.into_iter().zip(&mut counts) {
+            count.waiting.retain(|&(id, until)| {
+                let done = sim.job_state(queue, id) == JobState::Completed;
+                count.served += usize::from(done && sim.now.unix <= until);
+                !done
+            });
+            for _ in 0..if tick % 2 == 0 { jobs * 2 } else { 0 } {
+                number += 1;
+                let id = sim.submit(number, queue, vec![step(8)]);
+                count.waiting.push((id, sim.now.unix + OBJECTIVE_MS));
+                count.asked += 1;
+            }
+        }
+    }
+    let shares = counts.map(|count| count.served * 1_000 / count.asked);
+    assert!(
+        shares[1] * 2 >= shares[0] && shares[0] * 2 >= shares[1],
+        "of 1000 jobs in time: {} of the one queue, {} of the other",
+        shares[0],
+        shares[1]
+    );
+}
