--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -5,10 +5,12 @@
 mod host_orders;
 mod jobs;
 mod maintenance;
+mod measurement;
 mod pacing;
 mod partition_grants;
 mod placement;
 mod rebalancing;
+mod reconciliation;
 mod rewriting;
 mod runs;
 
@@ -21,7 +23,6 @@
 use slog::info;
 
 use crate::batch::Action;
-use crate::batch::BatchMetrics;
 use crate::batch::Directives;
 use crate::batch::Event;
 use crate::batch::Fence;
@@ -48,7 +49,7 @@
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
 use crate::batch::in_flight::InFlight;
 use crate::batch::pool_balancer::PoolBalancer;
-use crate::batch::rank::Turns;
+use crate::batch::turns::Turns;
 use crate::batch::waves::Waves;
 use crate::batch::widening::Widening;
 use crate::name::ExecutorId;
@@ -59,8 +60,6 @@
 
 /// Time between two checks for executors whose heartbeat is due.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(3);
-/// Time between two updates of the metrics.
-const METRICS_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after a request to the election that named this process in which no other process can be
 /// elected, unless this one leaves, in milliseconds.
 const EXCLUSIVE_MS: u64 = 900;
@@ -336,22 +335,6 @@
         }
     }
 
-    /// Updates the metrics, at most once per `METRICS_INTERVAL`.
-    pub fn measure(&mut self, now: Now, metrics: &BatchMetrics) {
-        if now.at < self.last_metrics + METRICS_INTERVAL {
-            return;
-        }
-        self.last_metrics = now.at;
-        let running = self
-            .executors
-            .values()
-            .map(|executor| executor.runs.len())
-            .sum();
-        metrics.set_gauges(self.active.len(), running, self.executors.len(), self.fence);
-        metrics.count_ends(&std::mem::take(&mut self.ends));
-        metrics.count_completed(&std::mem::take(&mut self.completed));
-    }
-
     fn apply_records(&mut self, now: Now, records: Vec<Record>) {
         for record in records {
             if let Record::TermStarted { fence, .. } = &record
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -16,14 +16,10 @@
 use crate::batch::Report;
 use crate::batch::RunEnd;
 use crate::batch::RunOutcome;
-use crate::batch::Running;
 use crate::batch::Target;
-use crate::batch::TaskId;
 use crate::batch::dispatcher::PendingEnds;
 use crate::batch::executor_state::Assignment;
 use crate::batch::executor_state::HeartbeatState;
-use crate::batch::run_state::Phase;
-use crate::batch::run_state::RunState;
 use crate::name::ExecutorId;
 
 /// Longest time that an executor delays its answer until a run ends, in milliseconds.
@@ -38,8 +34,6 @@
 const MAX_KNOWN_RETRY_MS: u64 = 2_000;
 /// Time between two records of the waits for executors with unknown runs, in milliseconds.
 const WAITS_INTERVAL_MS: u64 = 500;
-/// Time for which an executor gets no new work after a run on it stalled, in milliseconds.
-const STALLED_BACKOFF_MS: u64 = 3_000;
 /// Shortest time between two heartbeats to an executor that reports no new ends, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 150;
 
@@ -263,117 +257,6 @@
         }
     }
 
-    /// Compares the runs that an executor reports with those that it should have.
-    fn reconcile(&mut self, now: Now, id: &ExecutorId, sent: Instant, running: &[Running]) {
-        for run in running {
-            self.update_run(now, id, run);
-        }
-        let Some(executor) = self.executors.get(id) else {
-            return;
-        };
-        let present = |task: &TaskId, number: u64| {
-            running
-                .iter()
-                .any(|run| run.task == *task && run.run == number)
-        };
-        let absent = executor
-            .runs
-            .iter()
-            .filter(|((task, run), _)| !present(task, *run));
-        let absent: Vec<(TaskId, u64, Phase)> = absent
-            .map(|((task, run), run_state)| (*task, *run, run_state.phase))
-            .collect();
-        for (task, run, phase) in absent {
-            match phase {
-                Phase::Running(at) if at < sent => {
-                    warn!(self.log, "run missing from the report; its task may start again";
-                        "task" => %task, "run" => run, "executor" => %id);
-                    self.remove_run(id, task, run);
-                }
-                Phase::Stopped(at) if at < sent => {
-                    self.remove_run(id, task, run);
-                }
-                // An order to start it may still arrive.
-                Phase::Unconfirmed(at) if at < sent => self.stop(id, task, run),
-                _ => {}
-            }
-        }
-    }
-
-    /// Stops runs that make no progress, so that their tasks can start elsewhere.
-    fn stop_stalled(&mut self, now: Now, id: &ExecutorId) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        let stalled = executor
-            .runs
-            .iter()
-            .filter(|(_, run_state)| run_state.is_stalled(now.at));
-        let stalled: Vec<(TaskId, u64)> = stalled.map(|(&key, _)| key).collect();
-        if stalled.is_empty() {
-            return;
-        }
-        executor.backoff_until = Some(now.at + Duration::from_millis(STALLED_BACKOFF_MS));
-        for (task, run) in stalled {
-            warn!(self.log, "run stalled; stopping it";
-                "task" => %task, "run" => run, "executor" => %id);
-            self.stop(id, task, run);
-        }
-    }
-
-    /// Applies the report of one run.
-    fn update_run(&mut self, now: Now, id: &ExecutorId, run: &Running) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        if let Some(run_state) = executor.runs.get_mut(&(run.task, run.run)) {
-            if matches!(run_state.phase, Phase::Unconfirmed(_)) {
-                run_state.phase = Phase::Running(now.at);
-            }
-            run_state.update(now.at, run);
-            return self.save_progress(run);
-        }
-        self.adopt(now, id, run);
-    }
-
-    fn save_progress(&mut self, run: &Running) {
-        let Some(saved) = &run.saved else {
-            return;
-        };
-        if let Some(entry) = self.state.jobs.get_mut(&run.task.job) {
-            entry.save(&run.task, saved);
-        }
-    }
-
-    /// Adopts a run that an earlier owner started if its task still needs it, and stops it
-    /// otherwise.
-    fn adopt(&mut self, now: Now, id: &ExecutorId, run: &Running) {
-        let Some(entry) = self.state.jobs.get_mut(&run.task.job) else {
-            self.add_run(id, run.task, run.run, RunState::of_unknown_job(now.at));
-            return self.stop(id, run.task, run.run);
-        };
-        entry.started = true;
-        entry.open_due(now.unix);
-        let run_state = RunState::of(&entry.job, &run.task, Phase::Running(now.at), now.at);
-        let wanted = entry.is_active();
-        let wanted = entry.task_mut(&run.task).is_some_and(|task| {
-            task.run = task.run.max(run.run);
-            let wanted = wanted && task.is_idle() && run.run > task.ended;
-            if wanted {
-                task.placed = Some(id.clone());
-            }
-            wanted
-        });
-        info!(self.log, "run found"; "task" => %run.task, "run" => run.run, "executor" => %id,
-            "kept" => wanted);
-        self.add_run(id, run.task, run.run, run_state);
-        if wanted {
-            self.save_progress(run);
-        } else {
-            self.stop(id, run.task, run.run);
-        }
-    }
-
     /// Unassigns executors whose leases have expired, once the election has confirmed this owner
     /// after the expiry: then no other owner has renewed the leases.
     pub(super) fn expire_leases(&mut self, now: Now) {
--- a/src/record/apply.rs
+++ b/src/record/apply.rs
@@ -1,5 +1,7 @@
 //! Application of records to the state.
 
+mod upkeep;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -22,10 +24,6 @@
 use crate::record::State;
 use crate::record::Team;
 use crate::record::TeamRow;
-use crate::record::Upkeep;
-use crate::record::UpkeepEnd;
-use crate::record::UpkeepGoal;
-use crate::record::UpkeepPhase;
 
 /// Maximum size of the snapshot after a configuration change, in bytes. It leaves room for what
 /// processes add later, so that a snapshot still fits into a record and into a message.
@@ -266,33 +264,6 @@
         Ok(())
     }
 
-    fn drain(&mut self, name: &HostName) -> Result<(), Rejection> {
-        let host = self.host(name)?;
-        if host.draining {
-            return Err(Rejection::Draining(name.clone()));
-        }
-        let budget = self.known_pool(&host.pool)?.budget;
-        let out = self.unusable_hosts(&host.pool) + usize::from(self.is_usable(host));
-        if out > budget as usize {
-            return Err(Rejection::BudgetExceeded(host.pool.clone(), budget));
-        }
-        self.host_mut(name)?.draining = true;
-        Ok(())
-    }
-
-    fn undrain(&mut self, name: &HostName, maintained: Option<u64>) -> Result<(), Rejection> {
-        let host = self.draining_host_mut(name)?;
-        let rebooting =
-            host.upkeep.as_ref().map(|upkeep| upkeep.phase) == Some(UpkeepPhase::Rebooting);
-        if rebooting && maintained.is_none() {
-            return Err(Rejection::Rebooting(name.clone()));
-        }
-        host.draining = false;
-        host.upkeep = None;
-        host.maintained = host.maintained.max(maintained.unwrap_or(0));
-        Ok(())
-    }
-
     fn update_listing(
         &mut self,
         name: &HostName,
@@ -308,81 +279,6 @@
         Ok(())
     }
 
-    fn plan(&mut self, name: &HostName, goal: UpkeepGoal, at: u64) -> Result<(), Rejection> {
-        let host = self.host(name)?;
-        if let UpkeepGoal::Move(to) = &goal {
-            self.known_pool(to)?;
-            if host.pool == *to {
-                return Err(Rejection::WrongPool(name.clone(), to.clone()));
-            }
-        }
-        self.check_availability(&host.pool, usize::from(self.is_usable(host)))?;
-        self.drain(name)?;
-        let plan = self.offset;
-        self.host_mut(name)?.upkeep = Some(Upkeep {
-            plan,
-            goal,
-            phase: UpkeepPhase::Emptying,
-            since: at,
-        });
-        Ok(())
-    }
-
-    // Hosts that were moved to another pool do not use up the budget of their home pool, so this
-    // also checks how many hosts remain usable.
-    fn check_availability(&self, pool: &PoolName, removed: usize) -> Result<(), Rejection> {
-        let budget = self.known_pool(pool)?.budget;
-        if self.home_hosts(pool) + removed > self.usable_hosts(pool) + budget as usize {
-            return Err(Rejection::BudgetExceeded(pool.clone(), budget));
-        }
-        Ok(())
-    }
-
-    fn reboot(&mut self, name: &HostName, plan: u64, at: u64) -> Result<(), Rejection> {
-        let upkeep = self.upkeep_mut(name, plan)?;
-        if upkeep.goal != UpkeepGoal::Maintain || upkeep.phase != UpkeepPhase::Emptying {
-            return Err(Rejection::WrongPhase(name.clone()));
-        }
-        upkeep.phase = UpkeepPhase::Rebooting;
-        upkeep.since = at;
-        Ok(())
-    }
-
-    fn finish(&mut self, name: &HostName, plan: u64, end: UpkeepEnd) -> Result<(), Rejection> {
-        let upkeep = self.upkeep_mut(name, plan)?.clone();
-        let host = self.host_mut(name)?;
-        match (end, upkeep.phase, upkeep.goal) {
-            (UpkeepEnd::Maintained(at), UpkeepPhase::Rebooting, _) => {
-                host.maintained = at.max(host.maintained)
-            }
-            (UpkeepEnd::Moved, UpkeepPhase::Emptying, UpkeepGoal::Move(to)) => host.pool = to,
-            (UpkeepEnd::Abandoned, UpkeepPhase::Emptying, _) => {}
-            _ => return Err(Rejection::WrongPhase(name.clone())),
-        }
-        host.draining = false;
-        host.upkeep = None;
-        Ok(())
-    }
-
-    fn move_host(
-        &mut self,
-        name: &HostName,
-        from: &PoolName,
-        to: PoolName,
-    ) -> Result<(), Rejection> {
-        self.known_pool(&to)?;
-        let host = self.host(name)?;
-        if host.pool != *from {
-            return Err(Rejection::WrongPool(name.clone(), host.pool.clone()));
-        }
-        let host = self.draining_host_mut(name)?;
-        host.pool = to.clone();
-        host.home = to;
-        host.upkeep
-            .take_if(|upkeep| upkeep.goal != UpkeepGoal::Maintain);
-        Ok(())
-    }
-
     fn check_snapshot(&mut self, bytes: &[u8]) -> Result<(), Rejection> {
         let is_checkpoint = Checkpoint::of(self.checkpoint.offset, bytes) == self.checkpoint;
         if !is_checkpoint && self.snapshot() != bytes {
@@ -418,19 +314,4 @@
         let known = self.hosts.get_mut(name);
         known.ok_or_else(|| Rejection::UnknownHost(name.clone()))
     }
-
-    fn upkeep_mut(&mut self, name: &HostName, plan: u64) -> Result<&mut Upkeep, Rejection> {
-        let upkeep = self.host_mut(name)?.upkeep.as_mut();
-        upkeep
-            .filter(|upkeep| upkeep.plan == plan)
-            .ok_or_else(|| Rejection::OldPlan(name.clone()))
-    }
-
-    fn draining_host_mut(&mut self, name: &HostName) -> Result<&mut Host, Rejection> {
-        let host = self.host_mut(name)?;
-        if !host.draining {
-            return Err(Rejection::NotDraining(name.clone()));
-        }
-        Ok(host)
-    }
 }
