Batch: a task that failed isn't started on the same executor for a second

What callers saw: accepted jobs that ended as failed within 0.2 s. Cause: an executor that fails all that it starts is free again at once, so the failed task, which comes first, was placed there again until its attempts were used up. The test fails before (jobs fail), and holds after. An executor that fails the first runs of many tasks is still not told apart from tasks that fail everywhere.

--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -20,6 +20,7 @@
 use crate::batch::dispatcher::PendingEnds;
 use crate::batch::executor_state::Assignment;
 use crate::batch::executor_state::HeartbeatState;
+use crate::batch::task_progress::Avoided;
 use crate::name::ExecutorId;
 
 /// Longest time that an executor delays its answer until a run ends, in milliseconds.
@@ -34,6 +35,8 @@
 const MAX_KNOWN_RETRY_MS: u64 = 2_000;
 /// Time between two records of the waits for executors with unknown runs, in milliseconds.
 const WAITS_INTERVAL_MS: u64 = 500;
+/// Time for which a task is not started again on the executor where it failed, in milliseconds.
+const AVOID_MS: u64 = 1_000;
 /// Shortest time between two heartbeats to an executor that reports no new ends, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 150;
 
@@ -225,6 +228,14 @@
             return false;
         };
         let is_new = entry.apply_end(end);
+        if end.outcome == RunOutcome::Failed
+            && let Some(task) = entry.task_mut(&end.task)
+        {
+            task.avoided = Some(Avoided {
+                executor: id.clone(),
+                until: now.at + Duration::from_millis(AVOID_MS),
+            });
+        }
         entry.unlogged += 1;
         self.ends[end.outcome as usize] += 1;
         info!(self.log, "run ended"; "task" => %end.task, "run" => end.run, "how" => ?end.outcome,
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use slog::info;
 
@@ -20,6 +21,7 @@
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
+use crate::batch::task_progress::TaskProgress;
 use crate::batch::turns::Position;
 use crate::name::ExecutorId;
 use crate::name::ServiceName;
@@ -237,7 +239,9 @@
         // While another owner may have been elected, only tasks without a run may start: the other
         // owner may have recorded the end of a run that this one takes for lost.
         let idle = idle.filter(|(_, task)| task.is_idle() && (exclusive || task.run == 0));
-        let idle: Vec<(u32, u64)> = idle.map(|(index, task)| (index as u32, task.run)).collect();
+        let idle: Vec<IdleTask> = idle
+            .map(|(index, task)| IdleTask::new(now.at, index as u32, task))
+            .collect();
         let allowed = self.team_allowance(job.team.as_ref(), unknown_usage, &step.demand);
         let limit = allowed.min(unanswered);
         let wanted = idle.len().min(allowed);
@@ -253,7 +257,8 @@
                 && self
                     .widening
                     .widen(now.at, id, executors, &mut placement, left));
-        if !has_room && step.is_plain() && tickets.is_none() {
+        let restricted = idle.iter().any(|task| task.avoided.is_some());
+        if !has_room && step.is_plain() && tickets.is_none() && !restricted {
             capacity.note_full(&job.service, step.reserved());
         }
         self.throttled |= wanted > unanswered;
@@ -289,19 +294,21 @@
     }
 
     /// Selects executors for the tasks of a step, one by one, while capacity lasts.
-    fn place_each(
+    fn place_each<'a>(
         &self,
         executors: &mut [ExecutorCapacity],
-        placement: &mut StepPlacement,
-        idle: &[(u32, u64)],
+        placement: &mut StepPlacement<'a>,
+        idle: &[IdleTask<'a>],
         limit: usize,
     ) -> Vec<(u32, ExecutorId, u64)> {
         let mut starts = Vec::new();
-        for &(index, last) in idle.iter().take(limit) {
-            let Some(executor) = placement.place(executors) else {
-                break;
-            };
-            starts.push((index, executor, self.next_run(last)));
+        for task in idle.iter().take(limit) {
+            placement.avoided = task.avoided;
+            match placement.place(executors) {
+                Some(executor) => starts.push((task.index, executor, self.next_run(task.last))),
+                None if task.avoided.is_some() => {}
+                None => break,
+            }
         }
         starts
     }
@@ -311,7 +318,7 @@
         &self,
         executors: &mut [ExecutorCapacity],
         placement: &mut StepPlacement,
-        idle: &[(u32, u64)],
+        idle: &[IdleTask<'_>],
         limit: usize,
     ) -> Vec<(u32, ExecutorId, u64)> {
         let count = placement.step.count as usize;
@@ -319,14 +326,14 @@
             return Vec::new();
         }
         let mut planned = executors.to_vec();
-        let last = idle.iter().map(|&(_, last)| last).max().unwrap_or(0);
+        let last = idle.iter().map(|task| task.last).max().unwrap_or(0);
         let run = self.next_run(last);
         let mut starts = Vec::new();
-        for &(index, _) in idle {
+        for task in idle {
             let Some(executor) = placement.place(&mut planned) else {
                 return Vec::new();
             };
-            starts.push((index, executor, run));
+            starts.push((task.index, executor, run));
         }
         executors.clone_from_slice(&planned);
         starts
@@ -377,3 +384,22 @@
         usize::try_from(limits.limit.max_count(&used, demand)).unwrap_or(usize::MAX)
     }
 }
+
+/// A task that may be started.
+struct IdleTask<'a> {
+    index: u32,
+    /// Number of its latest run.
+    last: u64,
+    /// Executor on which it must not be started now.
+    avoided: Option<&'a ExecutorId>,
+}
+
+impl<'a> IdleTask<'a> {
+    fn new(now: Instant, index: u32, task: &'a TaskProgress) -> Self {
+        Self {
+            index,
+            last: task.run,
+            avoided: task.avoided_at(now),
+        }
+    }
+}
--- a/src/batch/executor_capacity.rs
+++ b/src/batch/executor_capacity.rs
@@ -131,6 +131,8 @@
     pub task_counts: Vec<u32>,
     /// Partitions in which its tasks may be started.
     pub partitions: Partitions,
+    /// Executor on which the next task must not be started.
+    pub avoided: Option<&'a ExecutorId>,
 }
 
 impl<'a> StepPlacement<'a> {
@@ -154,6 +156,7 @@
             tickets,
             task_counts,
             partitions: Partitions::ALL,
+            avoided: None,
         }
     }
 
@@ -183,6 +186,7 @@
             let spread = self.step.spread;
             spread.is_none_or(|most| self.task_counts[at] < most)
                 && self.partitions.intersects(executor.partition)
+                && self.avoided != Some(executor.id())
                 && executor.can_run(self.step)
                 && self
                     .tickets
--- a/src/batch/job_snapshot.rs
+++ b/src/batch/job_snapshot.rs
@@ -127,6 +127,7 @@
             ended: snapshot.ended,
             saved: snapshot.saved,
             placed: None,
+            avoided: None,
         }
     }
 }
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -5,6 +5,7 @@
 use mimosastep::batch::RunOutcome;
 
 use crate::simulation::Simulation;
+use crate::simulation::job_id;
 use crate::simulation::long_running;
 use crate::simulation::step;
 
@@ -223,3 +224,26 @@
     sim.run(24_000);
     assert_eq!(sim.job_state("captions", job), JobState::Completed);
 }
+
+/// Guards against a job that uses up its attempts on one executor: an executor that fails all that
+/// it starts is free again at once, and got the failed tasks back.
+#[test]
+fn a_task_that_failed_is_not_started_on_the_same_executor_while_others_have_capacity() {
+    let mut sim = Simulation::new(&[("captions", 4)]);
+    let failing = sim.fakes.keys().next().expect("no executors").clone();
+    sim.failing.insert(failing);
+    let jobs = 0..20;
+    for number in jobs.clone() {
+        sim.submit(number, "captions", vec![step(3)]);
+        sim.run(100);
+    }
+    sim.run(6_000);
+    for number in jobs {
+        let id = job_id(number);
+        assert_eq!(
+            sim.job_state("captions", id),
+            JobState::Completed,
+            "job {id}"
+        );
+    }
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -97,6 +97,8 @@
     pub maintained: Vec<HostName>,
     /// Pace orders in order: task and pace in percent.
     pub pace_orders: Vec<(TaskId, u64)>,
+    /// Executors on which every run fails after 20 ms.
+    pub failing: BTreeSet<ExecutorId>,
     /// Number of orders to move a host to another pool.
     pub moves: usize,
     /// Number of requests to the advice service, which approves every executor asked for except
@@ -206,6 +208,7 @@
             wave_states: BTreeMap::new(),
             maintained: Vec::new(),
             pace_orders: Vec::new(),
+            failing: BTreeSet::new(),
             moves: 0,
             consultations: 0,
             host_ms: 0,
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -8,6 +8,7 @@
 use mimosastep::batch::Event;
 use mimosastep::batch::OrderError;
 use mimosastep::batch::Record;
+use mimosastep::batch::RunOutcome;
 use mimosastep::batch::Start;
 use mimosastep::name::ExecutorId;
 
@@ -18,6 +19,8 @@
 
 /// Time after which an unanswered order fails, in milliseconds.
 pub const ORDER_TIMEOUT_MS: u64 = 800;
+/// Duration of a run on an executor that fails all runs, in milliseconds.
+const FAILURE_MS: u64 = 20;
 
 impl Simulation {
     pub(super) fn execute(&mut self, owner: &mut SimulatedOwner, action: Action) {
@@ -135,9 +138,13 @@
             _ => None,
         });
         let step = job.expect("job is not in the log").steps[order.task.step as usize].clone();
-        let (ms, outcome) = (self.script)(&order.task, order.run);
-        let planned_end = (!step.long_running).then(|| (now + Duration::from_millis(ms), outcome));
         let id = order.target.executor.clone();
+        let (ms, outcome) = if self.failing.contains(&id) {
+            (FAILURE_MS, RunOutcome::Failed)
+        } else {
+            (self.script)(&order.task, order.run)
+        };
+        let planned_end = (!step.long_running).then(|| (now + Duration::from_millis(ms), outcome));
         let result = self
             .reachable_executor(owner, &id)
             .and_then(|fake| fake.start(now, &order, step.reserved(), planned_end));
