--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -8,6 +8,7 @@
 mod large;
 mod line;
 mod needs;
+mod objective;
 mod operators;
 mod pacing;
 mod pause;
