--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -3,6 +3,7 @@
 mod executors;
 mod heartbeats;
 mod host_orders;
+mod idle_task;
 mod jobs;
 mod maintenance;
 mod measurement;
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
-use std::time::Instant;
 
 use slog::info;
 
@@ -17,11 +16,11 @@
 use crate::batch::Step;
 use crate::batch::StepId;
 use crate::batch::candidate::Candidate;
+use crate::batch::dispatcher::idle_task::IdleTask;
 use crate::batch::dispatcher::maintenance::is_order_recent;
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
-use crate::batch::task_progress::TaskProgress;
 use crate::batch::turns::Position;
 use crate::name::ExecutorId;
 use crate::name::ServiceName;
@@ -384,22 +383,3 @@
         usize::try_from(limits.limit.max_count(&used, demand)).unwrap_or(usize::MAX)
     }
 }
-
-/// A task that may be started.
-struct IdleTask<'a> {
-    index: u32,
-    /// Number of its latest run.
-    last: u64,
-    /// Executor on which it must not be started now.
-    avoided: Option<&'a ExecutorId>,
-}
-
-impl<'a> IdleTask<'a> {
-    fn new(now: Instant, index: u32, task: &'a TaskProgress) -> Self {
-        Self {
-            index,
-            last: task.run,
-            avoided: task.avoided_at(now),
-        }
-    }
-}
--- a/src/batch/pool_balancer.rs
+++ b/src/batch/pool_balancer.rs
@@ -276,7 +276,7 @@
     }
 
     /// Returns the CPU that a pool lacks, in thousandths of a core. If it lacks only hosts, that is
-    /// 1, so that one host is moved.
+    /// 1, so that one host is moved, after those for pools that lack CPU.
     fn shortage(&self, pool: &PoolView, target_cpu: u64) -> u64 {
         let shortage = target_cpu.saturating_sub(self.supply(pool));
         let few = self.count(pool) < pool.min_hosts || self.incoming(pool) < pool.extra_hosts;
@@ -374,8 +374,7 @@
 }
 
 impl Shortage<'_> {
-    /// Returns the part of its CPU that the pool lacks. A pool that lacks only a host counts as
-    /// lacking all.
+    /// Returns the part of its CPU that the pool lacks.
     fn part(&self) -> f64 {
         self.lacking as f64 / self.target.max(1) as f64
     }
