--- a/src/batch/turns.rs
+++ b/src/batch/turns.rs
@@ -30,8 +30,8 @@
 
     /// Returns the positions of the jobs of a service. Among jobs of the same rank, one with the
     /// least remaining work and one drawn by lot come in turn. The former alone would never serve
-    /// large jobs while more work arrives than the hosts can do; by lot, each job has the same
-    /// chance, whatever its size.
+    /// large jobs while more work arrives than the hosts can do. By lot, each job has the same
+    /// chance, so each size starts at least half as often as all.
     #[must_use]
     pub fn positions(&self, service: &ServiceName, mut jobs: Vec<Candidate>) -> Vec<Position> {
         jobs.sort_unstable();
