Owner: measure lag, time by task and work per second

A poll of the dispatcher now runs in named phases, which the term times with its own clock; messages are stamped when sent. The longest wait of a message, the time by task and the counts of looks, candidates, ranked jobs, starts and ends are metrics and one log line a second. No decision changes.

--- a/src/batch/batch_metrics.rs
+++ b/src/batch/batch_metrics.rs
@@ -21,10 +21,12 @@
 
 use crate::batch::CallOutcome;
 use crate::batch::Lateness;
+use crate::batch::LoadSummary;
 use crate::batch::OrderError;
 use crate::batch::Refusal;
 use crate::batch::RunOutcome;
 use crate::batch::SizeClass;
+use crate::batch::load_metrics::LoadMetrics;
 use crate::http::Handler;
 use crate::http::text_reply;
 
@@ -56,6 +58,7 @@
     orders: Histogram<f64>,
     completed: Counter<u64>,
     gauges: Arc<Gauges>,
+    load: LoadMetrics,
 }
 
 impl BatchMetrics {
@@ -81,6 +84,7 @@
                 .u64_counter("mimosa.batch.jobs_completed")
                 .with_unit("{job}")
                 .build(),
+            load: LoadMetrics::new(&meter),
             registry,
             _provider: provider,
             gauges,
@@ -142,12 +146,25 @@
         }
     }
 
+    /// Records an owner's load in an interval.
+    pub fn record_load(&self, summary: &LoadSummary) {
+        self.load.record(summary);
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    /// A [`prometheus::Error`] if they can't be encoded.
+    pub fn encode(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+
     /// Handler that serves the metrics in the Prometheus text format.
     #[must_use]
     pub fn handler(&self) -> Handler {
-        let registry = self.registry.clone();
+        let metrics = self.clone();
         Rc::new(move |_| {
-            let text = TextEncoder::new().encode_to_string(&registry.gather());
+            let text = metrics.encode();
             async move {
                 match text {
                     Ok(text) => text_reply(StatusCode::OK, text),
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -10,6 +10,7 @@
 mod pacing;
 mod partition_grants;
 mod placement;
+mod polling;
 mod rebalancing;
 mod reconciliation;
 mod rewriting;
@@ -25,6 +26,7 @@
 
 use crate::batch::Action;
 use crate::batch::Directives;
+use crate::batch::Effort;
 use crate::batch::Event;
 use crate::batch::Fence;
 use crate::batch::Host;
@@ -59,8 +61,6 @@
 use crate::name::ServiceName;
 use crate::name::TeamName;
 
-/// Time between two checks for executors whose heartbeat is due.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(3);
 /// Time after a request to the election that named this process in which no other process can be
 /// elected, unless this one leaves, in milliseconds.
 const EXCLUSIVE_MS: u64 = 900;
@@ -148,6 +148,7 @@
     ends: [u64; RunOutcome::ALL.len()],
     // Jobs completed since the last update of the metrics.
     completed: BTreeMap<(SizeClass, Lateness), u64>,
+    effort: Effort,
     actions: Vec<Action>,
 }
 
@@ -215,6 +216,7 @@
             dirty: true,
             ends: [0; RunOutcome::ALL.len()],
             completed: BTreeMap::new(),
+            effort: Effort::default(),
             actions: Vec::new(),
         }
     }
@@ -297,31 +299,6 @@
         }
     }
 
-    /// Returns the actions that have become due.
-    pub fn poll(&mut self, now: Now) -> Vec<Action> {
-        self.open_due(now);
-        self.plan_waves(now);
-        self.balance(now);
-        self.rewrite_old(now);
-        self.record_waits(now);
-        if !self.ungranted.is_empty() {
-            let ids = std::mem::take(&mut self.ungranted);
-            self.grant_new(&ids);
-        }
-        self.expire_starts(now);
-        if self.dirty && now.at >= self.last_placement + self.placement_interval() {
-            self.dirty = false;
-            self.last_placement = now.at;
-            self.place_tasks(now);
-        }
-        if now.at >= self.last_heartbeat + HEARTBEAT_INTERVAL {
-            self.last_heartbeat = now.at;
-            self.expire_leases(now);
-            self.send_heartbeats(now);
-        }
-        std::mem::take(&mut self.actions)
-    }
-
     /// Answers a request of a gate from memory; `Unknown` if the request needs an append to the
     /// log.
     #[must_use]
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -238,6 +238,7 @@
         }
         entry.unlogged += 1;
         self.ends[end.outcome as usize] += 1;
+        self.effort.ends += 1;
         info!(self.log, "run ended"; "task" => %end.task, "run" => end.run, "how" => ?end.outcome,
             "executor" => %id, "end" => end.number, "new" => is_new, "ran_ms" => ran);
         let over = !entry.is_active();
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -84,6 +84,7 @@
             return;
         }
         self.last_opening = now.at;
+        self.effort.ranked += self.active.len() as u64;
         for id in &self.active {
             if let Some(entry) = self.state.jobs.get_mut(id)
                 && entry.open_due(now.unix)
--- a/src/batch/dispatcher/measurement.rs
+++ b/src/batch/dispatcher/measurement.rs
@@ -25,4 +25,10 @@
         metrics.count_ends(&std::mem::take(&mut self.ends));
         metrics.count_completed(&std::mem::take(&mut self.completed));
     }
+
+    /// Number of jobs that have not ended.
+    #[must_use]
+    pub fn active_jobs(&self) -> usize {
+        self.active.len()
+    }
 }
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -67,7 +67,9 @@
             // The next confirmation by the election sets `dirty` again.
             return;
         }
+        self.effort.looks += 1;
         self.mark_excess();
+        self.effort.ranked += self.active.len() as u64;
         let ranked = self.ranked_jobs(now);
         let unknown_partitions = self.unknown_partitions();
         let unknown_usage = self.unknown_usage();
@@ -89,6 +91,7 @@
                 blocked.push(id);
                 continue;
             }
+            self.effort.candidates += 1;
             let remaining = entry.remaining();
             for &(occurrence, step) in &remaining.ready {
                 self.place_step(now, &mut capacity, &unknown_usage, id, occurrence, step);
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -101,6 +101,7 @@
         let Some(policy) = self.directives.policy.clone() else {
             return Vec::new();
         };
+        self.effort.ranked += self.active.len() as u64;
         let mut loads = self.service_loads(now);
         let total = self.total_capacity();
         let mut views = Vec::new();
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -69,6 +69,7 @@
         );
         let ticket = self.advisor.ticket(now.at, &task.of_step(), id);
         self.starts.push(now.at);
+        self.effort.starts += 1;
         self.actions.push(Action::Start(Start {
             target,
             task,
--- /dev/null
+++ b/src/batch/effort.rs
@@ -0,0 +1,45 @@
+//! Work that the dispatcher has done.
+
+/// Counts of the dispatcher's work since the beginning of its term.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Effort {
+    /// Placements.
+    pub looks: u64,
+    /// Jobs for which a placement tried to start tasks.
+    pub candidates: u64,
+    /// Jobs visited by placements, by the balance of pools and by the check for due occurrences.
+    pub ranked: u64,
+    /// Runs started.
+    pub starts: u64,
+    /// Runs that ended.
+    pub ends: u64,
+}
+
+impl Effort {
+    /// Names of the counts in metrics, in the order of [`Self::counts`].
+    pub const LABELS: [&'static str; 5] = ["looks", "candidates", "ranked", "starts", "ends"];
+
+    /// The counts, in the order of [`Self::LABELS`].
+    #[must_use]
+    pub const fn counts(&self) -> [u64; Self::LABELS.len()] {
+        [
+            self.looks,
+            self.candidates,
+            self.ranked,
+            self.starts,
+            self.ends,
+        ]
+    }
+
+    /// Work done since `earlier`.
+    #[must_use]
+    pub const fn since(&self, earlier: &Self) -> Self {
+        Self {
+            looks: self.looks - earlier.looks,
+            candidates: self.candidates - earlier.candidates,
+            ranked: self.ranked - earlier.ranked,
+            starts: self.starts - earlier.starts,
+            ends: self.ends - earlier.ends,
+        }
+    }
+}
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -5,37 +5,25 @@
 use std::time::Instant;
 
 use compio::runtime::JoinHandle;
-use futures_channel::mpsc::UnboundedSender;
-use futures_channel::mpsc::unbounded;
 use futures_channel::oneshot;
 use slog::Logger;
 
 use crate::batch::BatchMetrics;
-use crate::batch::Event;
 use crate::batch::Fence;
 use crate::batch::OwnerRequest;
 use crate::batch::OwnerResponse;
 use crate::batch::Platform;
 use crate::batch::contact::Contact;
 use crate::batch::directives_cache::DirectivesCache;
+use crate::batch::inbox::Inbox;
+use crate::batch::inbox::Message;
 use crate::batch::term::Term;
 use crate::name::NodeName;
 
-/// Message to the owner's task.
-pub(super) enum Message {
-    /// Input for the dispatcher.
-    Event(Event),
-    /// Request of a gate, and where to send the response.
-    Request(OwnerRequest, oneshot::Sender<OwnerResponse>),
-    /// The owner's records can no longer be appended, usually because another owner has begun its
-    /// term.
-    Superseded,
-}
-
 /// The running owner of all jobs. Dropping it ends its term.
 pub struct Owner {
     fence: Fence,
-    inbox: UnboundedSender<Message>,
+    inbox: Inbox,
     task: JoinHandle<()>,
 }
 
@@ -50,7 +38,7 @@
         metrics: BatchMetrics,
         contact: Rc<Contact>,
     ) -> Self {
-        let (inbox, received) = unbounded();
+        let (inbox, received) = Inbox::open();
         let term = Term {
             platform,
             directives,
@@ -82,7 +70,7 @@
     pub fn ask(&self, request: OwnerRequest) -> oneshot::Receiver<OwnerResponse> {
         let (sender, receiver) = oneshot::channel();
         // If the term has ended, the sender is dropped, which cancels the receiver.
-        let _ = self.inbox.unbounded_send(Message::Request(request, sender));
+        self.inbox.send(Message::Request(request, sender));
         receiver
     }
 }
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use futures_channel::mpsc::UnboundedReceiver;
-use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use slog::Logger;
@@ -20,16 +19,21 @@
 use crate::batch::Fence;
 use crate::batch::Now;
 use crate::batch::OrderError;
+use crate::batch::OwnerLoad;
 use crate::batch::OwnerRequest;
 use crate::batch::OwnerResponse;
+use crate::batch::OwnerTask;
 use crate::batch::PauseDetector;
 use crate::batch::Platform;
+use crate::batch::PollPhase;
 use crate::batch::Record;
 use crate::batch::Stream;
 use crate::batch::appender::Appender;
 use crate::batch::contact::Contact;
 use crate::batch::directives_cache::DirectivesCache;
-use crate::batch::owner::Message;
+use crate::batch::inbox::Envelope;
+use crate::batch::inbox::Inbox;
+use crate::batch::inbox::Message;
 use crate::batch::takeover::Takeover;
 use crate::batch::watchers;
 use crate::log::AppendError;
@@ -52,7 +56,7 @@
     pub node: NodeName,
     pub log: Logger,
     pub metrics: BatchMetrics,
-    pub inbox: UnboundedSender<Message>,
+    pub inbox: Inbox,
     /// When the gates' stream was last read to its end.
     pub last_read: Rc<Cell<Instant>>,
     /// Times of the last exchanges with the election, which ends the term if it names another
@@ -62,7 +66,7 @@
 
 impl<P: Platform> Term<P> {
     /// Takes over from earlier owners and runs the dispatcher until the term ends.
-    pub async fn run(self, inbox: UnboundedReceiver<Message>) {
+    pub async fn run(self, inbox: UnboundedReceiver<Envelope>) {
         let started = Instant::now();
         let pause_detector = PauseDetector::new(now());
         let takeover = Takeover {
@@ -122,11 +126,12 @@
     async fn run_dispatcher(
         &self,
         mut dispatcher: Dispatcher,
-        mut inbox: UnboundedReceiver<Message>,
+        mut inbox: UnboundedReceiver<Envelope>,
         appender: &Appender,
         mut pause_detector: PauseDetector,
     ) {
         let mut changes = 0;
+        let mut load = OwnerLoad::new(Instant::now());
         loop {
             let tick = if dispatcher.is_dirty() {
                 DIRTY_TICK_MS
@@ -134,24 +139,23 @@
                 TICK_MS
             };
             let tick = Duration::from_millis(tick);
-            let mut message = match compio::time::timeout(tick, inbox.next()).await {
+            let message = match compio::time::timeout(tick, inbox.next()).await {
                 Ok(Some(message)) => Some(message),
                 Ok(None) => return,
                 Err(_) => None,
             };
+            let began = Instant::now();
             if self.directives.changes() > changes {
                 changes = self.directives.changes();
                 dispatcher.handle(now(), Event::Directives(self.directives.directives()));
             }
-            while let Some(received) = message {
-                match received {
-                    Message::Event(event) => dispatcher.handle(now(), event),
-                    Message::Request(request, reply) => {
-                        self.answer(&mut dispatcher, appender, request, reply)
-                    }
-                    Message::Superseded => return,
-                }
-                message = inbox.try_recv().ok();
+            if !self.handle_messages(&mut dispatcher, appender, message, &mut inbox, &mut load) {
+                return;
+            }
+            load.note_spent(OwnerTask::Messages, began.elapsed());
+            if let Some(summary) = load.summarize(Instant::now(), dispatcher.effort()) {
+                self.metrics.record_load(&summary);
+                summary.log(&self.log, dispatcher.active_jobs());
             }
             if pause_detector.observe(now()) {
                 warn!(self.log, "process paused; no orders until the election is asked again";
@@ -163,12 +167,53 @@
             }
             dispatcher.confirm(confirmed);
             dispatcher.measure(now(), &self.metrics);
-            for action in dispatcher.poll(now()) {
-                if !self.carry_out(action, appender) {
-                    return;
+            if !self.poll(&mut dispatcher, appender, &mut load) {
+                return;
+            }
+        }
+    }
+
+    /// Handles a message and those that follow it in the inbox; returns whether the term continues.
+    fn handle_messages(
+        &self,
+        dispatcher: &mut Dispatcher,
+        appender: &Appender,
+        first: Option<Envelope>,
+        inbox: &mut UnboundedReceiver<Envelope>,
+        load: &mut OwnerLoad,
+    ) -> bool {
+        let mut next = first;
+        let mut count = 0;
+        let mut lag = Duration::ZERO;
+        while let Some(Envelope { sent, message }) = next {
+            count += 1;
+            lag = lag.max(sent.elapsed());
+            match message {
+                Message::Event(event) => dispatcher.handle(now(), event),
+                Message::Request(request, reply) => {
+                    self.answer(dispatcher, appender, request, reply);
                 }
+                Message::Superseded => return false,
             }
+            next = inbox.try_recv().ok();
+        }
+        load.note_round(count, lag);
+        true
+    }
+
+    /// Polls the dispatcher and carries out its actions; returns whether the term continues.
+    fn poll(&self, dispatcher: &mut Dispatcher, appender: &Appender, load: &mut OwnerLoad) -> bool {
+        let now = now();
+        for phase in PollPhase::ALL {
+            let began = Instant::now();
+            dispatcher.run_phase(now, phase);
+            load.note_spent(OwnerTask::Poll(phase), began.elapsed());
         }
+        let began = Instant::now();
+        let mut actions = dispatcher.take_actions().into_iter();
+        let continues = actions.all(|action| self.carry_out(action, appender));
+        load.note_spent(OwnerTask::Actions, began.elapsed());
+        continues
     }
 
     /// Answers a gate: at once, or when the append that it asks for has ended.
@@ -206,7 +251,7 @@
             let answer = match result {
                 Ok(()) => {
                     // The dispatcher has to know of the records before the client does.
-                    let _ = inbox.unbounded_send(Message::Event(Event::Stored(stored)));
+                    inbox.send(Message::Event(Event::Stored(stored)));
                     OwnerResponse::Stored
                 }
                 Err(AppendError::NotAppended(_)) => OwnerResponse::NotAppended,
@@ -227,8 +272,7 @@
             let message = result.map_or(Message::Superseded, |()| {
                 Message::Event(Event::Appended(append_id))
             });
-            // The receiver is gone if the term has ended.
-            let _ = inbox.unbounded_send(message);
+            inbox.send(message);
         };
         appender.append(records, None, Box::new(on_result));
     }
@@ -323,8 +367,7 @@
         let inbox = self.inbox.clone();
         compio::runtime::spawn(async move {
             let event = task.await;
-            // The receiver is gone if the term has ended.
-            let _ = inbox.unbounded_send(Message::Event(event));
+            inbox.send(Message::Event(event));
         })
         .detach();
     }
--- a/src/batch/watchers.rs
+++ b/src/batch/watchers.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_channel::mpsc::UnboundedSender;
 use slog::Logger;
 use slog::warn;
 
@@ -13,7 +12,8 @@
 use crate::batch::Platform;
 use crate::batch::Stream;
 use crate::batch::Watch;
-use crate::batch::owner::Message;
+use crate::batch::inbox::Inbox;
+use crate::batch::inbox::Message;
 use crate::batch::takeover::decode;
 use crate::log::ReadError;
 
@@ -33,7 +33,7 @@
 pub(super) async fn tail_log<P: Platform>(
     platform: Rc<P>,
     mut next: u64,
-    inbox: UnboundedSender<Message>,
+    inbox: Inbox,
     last_read: Rc<Cell<Instant>>,
     log: Logger,
 ) {
@@ -46,7 +46,7 @@
                 let records = decode(&batch.records, &log);
                 if !batch.records.is_empty() {
                     let event = Event::Records { records, more };
-                    let _ = inbox.unbounded_send(Message::Event(event));
+                    inbox.send(Message::Event(event));
                 }
                 if !more {
                     last_read.set(asked);
@@ -67,17 +67,13 @@
 }
 
 /// Passes changes of the list of executors to the owner.
-pub(super) async fn watch_executors<P: Platform>(
-    platform: Rc<P>,
-    inbox: UnboundedSender<Message>,
-    log: Logger,
-) {
+pub(super) async fn watch_executors<P: Platform>(platform: Rc<P>, inbox: Inbox, log: Logger) {
     let mut watch = platform.executors();
     loop {
         match watch.next().await {
             Ok(Some(list)) => {
                 let event = Event::Executors(list);
-                let _ = inbox.unbounded_send(Message::Event(event));
+                inbox.send(Message::Event(event));
             }
             Ok(None) => {}
             Err(err) => warn!(log, "list of executors unreachable; retrying"; "why" => %err),
@@ -87,15 +83,11 @@
 }
 
 /// Passes the list of hosts to the owner.
-pub(super) async fn watch_hosts<P: Platform>(
-    platform: Rc<P>,
-    inbox: UnboundedSender<Message>,
-    log: Logger,
-) {
+pub(super) async fn watch_hosts<P: Platform>(platform: Rc<P>, inbox: Inbox, log: Logger) {
     loop {
         match platform.hosts().await {
             Ok(list) => {
-                let _ = inbox.unbounded_send(Message::Event(Event::Hosts(list)));
+                inbox.send(Message::Event(Event::Hosts(list)));
             }
             Err(err) => warn!(log, "list of hosts unreachable; retrying"; "why" => %err),
         }
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod large;
 mod line;
+mod load;
 mod needs;
 mod objective;
 mod operators;
