--- a/src/batch/batch_state.rs
+++ b/src/batch/batch_state.rs
@@ -8,6 +8,7 @@
 use crate::batch::Fence;
 use crate::batch::JobId;
 use crate::batch::JobProgress;
+use crate::batch::JobTable;
 use crate::batch::Partitions;
 use crate::batch::Record;
 use crate::name::ExecutorId;
@@ -21,7 +22,7 @@
 #[derive(Debug, Default)]
 pub struct BatchState {
     /// Jobs by id; includes jobs that have ended, until they are dropped.
-    pub jobs: BTreeMap<JobId, JobProgress>,
+    pub jobs: JobTable,
     /// Executors that may have been assigned work, with their service and address.
     pub assigned: BTreeMap<ExecutorId, (ServiceName, SocketAddr)>,
     /// Assigned executors that have not reported since a takeover, with the time for which no owner
@@ -47,19 +48,19 @@
         match record {
             Record::Accepted(job) => {
                 let id = job.id;
-                if self.jobs.contains_key(&id) {
+                if self.jobs.contains(&id) {
                     return None;
                 }
                 let mut entry = JobProgress::new(job);
                 if self.cancelled_early.contains(&id) {
                     entry.cancel();
                 }
-                self.jobs.insert(id, entry);
+                self.jobs.insert(entry);
                 return Some(id);
             }
             Record::JobSnapshot(snapshot) => {
                 let entry = JobProgress::from(*snapshot);
-                self.jobs.entry(entry.job.id).or_insert(entry);
+                self.jobs.insert(entry);
             }
             Record::Cancelled(id) => {
                 let Some(entry) = self.jobs.get_mut(&id) else {
--- a/src/batch/candidate.rs
+++ b/src/batch/candidate.rs
@@ -2,7 +2,6 @@
 
 use crate::batch::JobId;
 use crate::batch::JobProgress;
-use crate::batch::Queue;
 use crate::batch::rank::Rank;
 
 /// A job that has tasks to start, and what decides its position among those of its service.
@@ -17,11 +16,11 @@
 }
 
 impl Candidate {
-    /// Returns the candidate for a job of `queue` at `unix` (in milliseconds).
+    /// Returns the candidate for a job of this rank.
     #[must_use]
-    pub fn of(job_progress: &JobProgress, queue: Option<&Queue>, unix: u64) -> Self {
+    pub fn of(job_progress: &JobProgress, rank: Rank) -> Self {
         Self {
-            rank: Rank::of(job_progress, queue, unix),
+            rank,
             remaining: job_progress.remaining().work,
             accepted: job_progress.job.accepted,
             id: job_progress.job.id,
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -11,6 +11,7 @@
 mod partition_grants;
 mod placement;
 mod polling;
+mod ranking;
 mod rebalancing;
 mod reconciliation;
 mod rewriting;
@@ -18,6 +19,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -43,7 +45,9 @@
 use crate::batch::SizeClass;
 use crate::batch::TaskId;
 use crate::batch::advisor::Advisor;
+use crate::batch::backlog::Backlog;
 use crate::batch::batch_state::BatchState;
+use crate::batch::candidate::Candidate;
 use crate::batch::demand_meter::DemandMeter;
 use crate::batch::dispatcher::host_orders::PendingOrder;
 use crate::batch::executor_capacity::SiteCapacity;
@@ -109,10 +113,20 @@
     pending_assignments: BTreeMap<u64, ExecutorId>,
     pending_grants: BTreeMap<u64, Vec<(JobId, Partitions)>>,
     widening: Widening,
-    // Jobs that wait for executors with unknown runs.
-    blocked: BTreeSet<JobId>,
-    // Hosts that the last placement lacked to start long-running tasks.
-    extra_hosts: BTreeMap<ServiceName, usize>,
+    // Jobs that have work left.
+    backlog: Backlog,
+    // Up to which candidate of each service those behind the front have been examined.
+    cursors: BTreeMap<ServiceName, Candidate>,
+    // Partitions of executors with unknown runs, as of the last update of the backlog.
+    unknown: BTreeMap<ServiceName, Partitions>,
+    // Whether the configuration has changed since the last update of the backlog.
+    policy_changed: bool,
+    // When occurrences of jobs have to be opened, in Unix milliseconds.
+    openings: BTreeSet<(u64, JobId)>,
+    // Jobs that have ended and when, in Unix milliseconds, oldest first.
+    closed: VecDeque<(u64, JobId)>,
+    // Hosts that long-running tasks of a job lacked when they were last examined.
+    extra_hosts: BTreeMap<JobId, (ServiceName, usize)>,
     // Capacity that the last placement left over.
     free_capacity: SiteCapacity,
     pending_orders: BTreeMap<u64, PendingOrder>,
@@ -142,6 +156,8 @@
     starts: InFlight,
     // Whether the last placement left tasks out because of the limit on unanswered starts.
     throttled: bool,
+    // Whether the last placement left out jobs because too many others found no capacity.
+    unfinished: bool,
     // Whether something has changed that may allow more tasks to start.
     dirty: bool,
     // Ends since the last update of the metrics, by outcome.
@@ -156,12 +172,13 @@
     /// Creates the state for a term that begins with the jobs and executors of `state`.
     #[must_use]
     pub fn new(now: Now, fence: Fence, node: NodeName, state: BatchState, log: Logger) -> Self {
-        let active = state.jobs.iter().filter(|(_, entry)| entry.is_active());
-        let active: BTreeSet<JobId> = active.map(|(&id, _)| id).collect();
+        let active = state.jobs.values().filter(|entry| entry.is_active());
+        let active: BTreeSet<JobId> = active.map(|entry| entry.job.id).collect();
         let ungranted = active
             .iter()
             .filter(|id| state.jobs[*id].partitions.is_empty());
         let ungranted = ungranted.copied().collect();
+        let openings = active.iter().map(|&id| (0, id)).collect();
         let meter = if state.jobs.is_empty() {
             DemandMeter::default()
         } else {
@@ -178,7 +195,7 @@
             unlisted: BTreeMap::new(),
             meter,
             shares: Shares::default(),
-            unchecked: state.jobs.keys().copied().collect(),
+            unchecked: state.jobs.values().map(|entry| entry.job.id).collect(),
             state,
             turns: Turns::default(),
             executors: BTreeMap::new(),
@@ -192,7 +209,12 @@
             pending_assignments: BTreeMap::new(),
             pending_grants: BTreeMap::new(),
             widening: Widening::default(),
-            blocked: BTreeSet::new(),
+            backlog: Backlog::default(),
+            cursors: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            policy_changed: false,
+            openings,
+            closed: VecDeque::new(),
             extra_hosts: BTreeMap::new(),
             free_capacity: SiteCapacity::default(),
             pending_orders: BTreeMap::new(),
@@ -213,6 +235,7 @@
             last_summary: now.at,
             starts: InFlight::default(),
             throttled: false,
+            unfinished: false,
             dirty: true,
             ends: [0; RunOutcome::ALL.len()],
             completed: BTreeMap::new(),
@@ -259,6 +282,7 @@
             Event::Directives(directives) => {
                 self.note_waves(now, &directives.waves);
                 self.directives = directives;
+                self.policy_changed = true;
                 self.note_unlisted(now);
                 self.mark_usable(now);
                 self.dirty = true;
@@ -306,7 +330,7 @@
         match request {
             OwnerRequest::State(queue, id) => OwnerResponse::State(self.job_state(queue, *id)),
             OwnerRequest::Waiting(queue) => OwnerResponse::Waiting(self.waiting_jobs(queue)),
-            OwnerRequest::Accept(job, _) if self.state.jobs.contains_key(&job.id) => {
+            OwnerRequest::Accept(job, _) if self.state.jobs.contains(&job.id) => {
                 OwnerResponse::Stored
             }
             OwnerRequest::Accept(..) | OwnerRequest::Cancel(..) => OwnerResponse::Unknown,
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -263,9 +263,7 @@
             }
         }
         for id in ends.jobs {
-            if let Some(entry) = self.state.jobs.get_mut(&id) {
-                entry.unlogged = entry.unlogged.saturating_sub(1);
-            }
+            self.state.jobs.note_logged(&id);
         }
     }
 
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -12,8 +12,8 @@
 use crate::batch::SizeClass;
 use crate::name::QueueName;
 
-/// Time between two checks for occurrences of jobs that have become due.
-const OPEN_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two checks for occurrences of jobs that have become due, in milliseconds.
+const OPEN_INTERVAL_MS: u64 = 20;
 /// Time for which the state of a job that has ended can be queried, in milliseconds; longer while
 /// ends of its runs are not in the log yet.
 const CLOSED_RETENTION_MS: u64 = 150_000;
@@ -25,9 +25,7 @@
     }
 
     pub(super) fn waiting_jobs(&self, queue: &QueueName) -> u64 {
-        let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
-        let waiting = jobs.filter(|entry| entry.job.queue == *queue && !entry.started);
-        waiting.count() as u64
+        self.backlog.waiting(queue)
     }
 
     pub(super) fn on_job_changed(&mut self, now: Now, id: JobId) {
@@ -40,6 +38,7 @@
         if entry.is_active() {
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
+            self.openings.insert((now.unix, id));
             if entry.partitions.is_empty() {
                 self.ungranted.push(id);
             }
@@ -60,6 +59,7 @@
             return;
         }
         entry.ended_at = Some(now.unix);
+        self.closed.push_back((now.unix, id));
         let policy = self.directives.policy.as_ref();
         let queue = policy.and_then(|policy| policy.queue_named(&entry.job.queue));
         let objective = Objective::of(&entry.job, queue);
@@ -80,20 +80,45 @@
 
     /// Opens the occurrences that are due, and drops jobs that ended long ago.
     pub(super) fn open_due(&mut self, now: Now) {
-        if now.at < self.last_opening + OPEN_INTERVAL {
+        if now.at < self.last_opening + Duration::from_millis(OPEN_INTERVAL_MS) {
             return;
         }
         self.last_opening = now.at;
-        self.effort.ranked += self.active.len() as u64;
-        for id in &self.active {
-            if let Some(entry) = self.state.jobs.get_mut(id)
-                && entry.open_due(now.unix)
-            {
-                self.dirty = true;
+        let due = self.openings.iter().take_while(|(at, _)| *at <= now.unix);
+        let due: Vec<(u64, JobId)> = due.copied().collect();
+        self.effort.ranked += due.len() as u64;
+        for opening in due {
+            self.openings.remove(&opening);
+            self.open_job(now, opening.1);
+        }
+        self.drop_closed(now);
+    }
+
+    fn open_job(&mut self, now: Now, id: JobId) {
+        let Some(entry) = self.state.jobs.get_mut(&id) else {
+            return;
+        };
+        self.dirty |= entry.open_due(now.unix);
+        if let Some(due) = entry.next_due() {
+            // One that is due already waits until another occurrence has ended.
+            let soon = now.unix.saturating_add(OPEN_INTERVAL_MS);
+            self.openings.insert((due.max(soon), id));
+        }
+    }
+
+    /// Drops the jobs that ended long ago.
+    fn drop_closed(&mut self, now: Now) {
+        while let Some(&(ended_at, id)) = self.closed.front() {
+            if ended_at + CLOSED_RETENTION_MS >= now.unix {
+                return;
+            }
+            self.closed.pop_front();
+            let entry = self.state.jobs.get(&id);
+            if entry.is_some_and(|entry| entry.unlogged > 0) {
+                self.closed.push_back((now.unix, id));
+                return;
             }
+            self.state.jobs.remove(&id);
         }
-        let old = |ended_at: u64| ended_at + CLOSED_RETENTION_MS < now.unix;
-        let jobs = &mut self.state.jobs;
-        jobs.retain(|_, entry| !entry.ended_at.is_some_and(old) || entry.unlogged > 0);
     }
 }
--- a/src/batch/dispatcher/partition_grants.rs
+++ b/src/batch/dispatcher/partition_grants.rs
@@ -8,7 +8,6 @@
 use crate::batch::Dispatcher;
 use crate::batch::Job;
 use crate::batch::JobId;
-use crate::batch::JobProgress;
 use crate::batch::Partitions;
 use crate::batch::Record;
 use crate::batch::Resources;
@@ -91,12 +90,9 @@
         unknown_partitions
     }
 
-    /// Notes the jobs that wait for executors with unknown runs, and logs these once per job.
-    pub(super) fn note_blocked(&mut self, blocked: Vec<JobId>) {
-        for id in &blocked {
-            if self.blocked.contains(id) {
-                continue;
-            }
+    /// Logs which executors with unknown runs these jobs wait for.
+    pub(super) fn log_blocked(&self, blocked: &[JobId]) {
+        for id in blocked {
             let Some(entry) = self.state.jobs.get(id) else {
                 continue;
             };
@@ -110,31 +106,16 @@
             info!(self.log, "job blocked by unknown runs"; "job" => %id, "service" => %service,
                 "executors" => waited_for.join(" "));
         }
-        self.blocked = blocked.into_iter().collect();
     }
 
     /// Returns the resources that each team may be using on executors with unknown runs: at most
     /// what its tasks take that may be there, and at most the capacity of these executors, if that
     /// is known.
     pub(super) fn unknown_usage(&self) -> BTreeMap<TeamName, Resources> {
-        let unknown_partitions = self.unknown_partitions();
-        let mut unknown_usage: BTreeMap<TeamName, Resources> = BTreeMap::new();
-        if unknown_partitions.is_empty() {
+        let mut unknown_usage = self.backlog.unseen().clone();
+        if self.unknown.is_empty() {
             return unknown_usage;
         }
-        for entry in self.state.jobs.values() {
-            let Some(team) = &entry.job.team else {
-                continue;
-            };
-            let partitions = unknown_partitions.get(&entry.job.service);
-            let partitions = partitions.copied().unwrap_or_default();
-            if entry.inherited.intersects(partitions) {
-                unknown_usage
-                    .entry(team.clone())
-                    .or_default()
-                    .add(&unplaced(entry));
-            }
-        }
         let mut capacity = Resources::default();
         for executor in self
             .executors
@@ -152,16 +133,3 @@
         unknown_usage
     }
 }
-
-/// Returns the resources of a job's tasks that are neither done nor known to run.
-fn unplaced(entry: &JobProgress) -> Resources {
-    let mut demand = Resources::default();
-    for steps in entry.occurrences.values() {
-        for (progress, step) in steps.iter().zip(&entry.job.steps) {
-            for _ in progress.tasks.iter().filter(|task| task.is_idle()) {
-                demand.add(&step.demand);
-            }
-        }
-    }
-    demand
-}
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use slog::info;
-
 use crate::batch::Action;
 use crate::batch::Dispatcher;
 use crate::batch::Executor;
@@ -15,15 +13,14 @@
 use crate::batch::Resources;
 use crate::batch::Step;
 use crate::batch::StepId;
-use crate::batch::candidate::Candidate;
 use crate::batch::dispatcher::idle_task::IdleTask;
 use crate::batch::dispatcher::maintenance::is_order_recent;
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
-use crate::batch::turns::Position;
+use crate::batch::service_order::Position;
+use crate::batch::service_order::ServiceOrder;
 use crate::name::ExecutorId;
-use crate::name::ServiceName;
 use crate::name::TeamName;
 
 /// Time for which the reader of the log may lag before starts are suspended, in milliseconds.
@@ -32,21 +29,22 @@
 const START_LIMIT: usize = 100;
 /// Shortest time between two placements, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 4;
-/// Number of active jobs that lengthen the time between two placements by a millisecond.
-const JOBS_PER_MS: u64 = 100;
+/// Shortest time between two placements of which the later one only goes on with jobs that the
+/// earlier one left out, in milliseconds.
+const CONTINUE_MS: u64 = 10;
 
 impl Dispatcher {
-    /// Returns the time between two placements. It grows with the number of jobs, as the processor
-    /// time of a placement does.
-    pub(super) fn placement_interval(&self) -> Duration {
-        let interval = self.active.len() as u64 / JOBS_PER_MS;
-        Duration::from_millis(interval.max(MIN_INTERVAL_MS))
+    /// Whether it is time for another placement.
+    pub(super) fn is_placement_due(&self, now: Now) -> bool {
+        let since = now.at.saturating_duration_since(self.last_placement);
+        let after = |ms: u64| since >= Duration::from_millis(ms);
+        (self.dirty && after(MIN_INTERVAL_MS)) || (self.unfinished && after(CONTINUE_MS))
     }
 
     /// Whether there may be tasks that can be started.
     #[must_use]
     pub const fn is_dirty(&self) -> bool {
-        self.dirty
+        self.dirty || self.unfinished
     }
 
     /// Whether the reader of the log lags too far: jobs that look due may have been cancelled.
@@ -68,88 +66,56 @@
             return;
         }
         self.effort.looks += 1;
-        self.mark_excess();
-        self.effort.ranked += self.active.len() as u64;
-        let ranked = self.ranked_jobs(now);
-        let unknown_partitions = self.unknown_partitions();
         let unknown_usage = self.unknown_usage();
-        let mut blocked = Vec::new();
-        self.extra_hosts.clear();
         let mut capacity = self.free_capacity(now);
-        for id in ranked {
-            let Some(entry) = self.state.jobs.get(&id) else {
-                continue;
-            };
-            if entry.partitions.is_empty() {
-                continue;
+        let backlog = std::mem::take(&mut self.backlog);
+        let mut orders = backlog.orders(&self.turns, &self.cursors);
+        while let Some((order, position)) = first(&mut orders) {
+            if self.starts.len() >= START_LIMIT {
+                self.throttled = true;
+                break;
             }
-            let partitions = unknown_partitions
-                .get(&entry.job.service)
-                .copied()
-                .unwrap_or_default();
-            if entry.may_run_unseen(partitions) {
-                blocked.push(id);
+            if capacity.is_full_for(order.service(), &order.smallest()) {
+                order.finish();
                 continue;
             }
             self.effort.candidates += 1;
-            let remaining = entry.remaining();
-            for &(occurrence, step) in &remaining.ready {
-                self.place_step(now, &mut capacity, &unknown_usage, id, occurrence, step);
-            }
+            let served = self.place_job(now, &mut capacity, &unknown_usage, position.id);
+            order.pass(served);
         }
+        self.unfinished = orders.iter().any(|order| !order.is_complete());
+        let cursors = orders
+            .iter()
+            .filter_map(|order| Some((order.service().clone(), order.cursor()?)));
+        let cursors = cursors.collect();
+        drop(orders);
+        self.cursors = cursors;
+        self.backlog = backlog;
         self.free_capacity = capacity;
         self.grant_further();
-        self.note_blocked(blocked);
     }
 
-    /// Marks the new jobs that exceed their team's share.
-    fn mark_excess(&mut self) {
-        let Some(policy) = self.directives.policy.clone() else {
-            return;
+    /// Starts the tasks of a job that are due, while capacity lasts; returns whether any started.
+    fn place_job(
+        &mut self,
+        now: Now,
+        capacity: &mut SiteCapacity,
+        unknown_usage: &BTreeMap<TeamName, Resources>,
+        id: JobId,
+    ) -> bool {
+        let Some(entry) = self.state.jobs.get(&id) else {
+            return false;
         };
-        let ids = std::mem::take(&mut self.unchecked);
-        let jobs = ids.iter().filter_map(|id| self.state.jobs.get(id));
-        let jobs = jobs.map(|entry| (entry.job.accepted, entry.job.id));
-        let mut jobs: Vec<(u64, JobId)> = jobs.collect();
-        jobs.sort_unstable();
-        for (accepted, id) in jobs {
-            let Some(entry) = self.state.jobs.get_mut(&id) else {
-                continue;
-            };
-            let team = entry.job.team.as_ref();
-            let weighed = team.and_then(|name| Some((name, policy.teams.get(name)?.weight)));
-            let within = weighed.is_none_or(|(name, weight)| {
-                weight == 0 || self.shares.admit(accepted, name, weight)
-            });
-            entry.over_share = Some(!within);
-            if !within {
-                info!(self.log, "job exceeds the team's share"; "job" => %id,
-                    "team" => entry.job.team.as_ref().map(TeamName::as_str),
-                    "weight" => weighed.map(|(_, weight)| weight));
-            }
+        let remaining = entry.remaining();
+        if !capacity.may_fit(&entry.job.service, &remaining.least) {
+            return false;
         }
-    }
-
-    /// Returns the active jobs with tasks to start, in the order in which to serve them.
-    fn ranked_jobs(&self, now: Now) -> Vec<JobId> {
-        let policy = self.directives.policy.as_ref();
-        let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
-        let jobs = jobs.filter(|entry| !entry.remaining().ready.is_empty());
-        let mut services: BTreeMap<&ServiceName, Vec<Candidate>> = BTreeMap::new();
-        for entry in jobs {
-            let queue = policy.and_then(|policy| policy.queue_named(&entry.job.queue));
-            let candidate = Candidate::of(entry, queue, now.unix);
-            services
-                .entry(&entry.job.service)
-                .or_default()
-                .push(candidate);
+        self.extra_hosts.remove(&id);
+        let before = self.starts.len();
+        for &(occurrence, step) in &remaining.ready {
+            self.place_step(now, capacity, unknown_usage, id, occurrence, step);
         }
-        let positions = services
-            .into_iter()
-            .flat_map(|(service, jobs)| self.turns.positions(service, jobs));
-        let mut positions: Vec<Position> = positions.collect();
-        positions.sort_unstable();
-        positions.into_iter().map(|position| position.id).collect()
+        self.starts.len() > before
     }
 
     /// Returns the free capacity of the executors that can take new work.
@@ -230,6 +196,11 @@
             return;
         }
         let unanswered = self.unanswered_limit(step);
+        let allowed = self.team_allowance(job.team.as_ref(), unknown_usage, &step.demand);
+        if allowed == 0 || unanswered == 0 {
+            self.throttled |= allowed > 0;
+            return;
+        }
         let entry = &self.state.jobs[&id];
         let progress = &entry.occurrences[&occurrence][number as usize];
         let tickets = self.advisor.tickets(&step_id);
@@ -244,7 +215,6 @@
         let idle: Vec<IdleTask> = idle
             .map(|(index, task)| IdleTask::new(now.at, index as u32, task))
             .collect();
-        let allowed = self.team_allowance(job.team.as_ref(), unknown_usage, &step.demand);
         let limit = allowed.min(unanswered);
         let wanted = idle.len().min(allowed);
         let executors = capacity.of_mut(&job.service);
@@ -279,7 +249,8 @@
             return;
         }
         let hosts = step.spread.map_or(1, |most| left.div_ceil(most as usize));
-        *self.extra_hosts.entry(job.service.clone()).or_default() += hosts;
+        let extra = self.extra_hosts.entry(job.id);
+        extra.or_insert_with(|| (job.service.clone(), 0)).1 += hosts;
     }
 
     /// Returns how many more tasks of a step may be started before earlier starts are answered.
@@ -386,3 +357,12 @@
         usize::try_from(limits.limit.max_count(&used, demand)).unwrap_or(usize::MAX)
     }
 }
+
+/// Returns the order whose next job comes first, and the position of that job.
+fn first<'a, 'b>(
+    orders: &'a mut [ServiceOrder<'b>],
+) -> Option<(&'a mut ServiceOrder<'b>, Position)> {
+    let heads = orders.iter_mut();
+    let heads = heads.filter_map(|order| order.head().map(|position| (order, position)));
+    heads.min_by_key(|(_, position)| *position)
+}
--- a/src/batch/dispatcher/polling.rs
+++ b/src/batch/dispatcher/polling.rs
@@ -54,9 +54,11 @@
 
     fn place_due(&mut self, now: Now) {
         self.expire_starts(now);
-        if self.dirty && now.at >= self.last_placement + self.placement_interval() {
+        if self.is_placement_due(now) {
             self.dirty = false;
+            self.unfinished = false;
             self.last_placement = now.at;
+            self.update_backlog(now);
             self.place_tasks(now);
         }
     }
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -1,6 +1,5 @@
 //! Moves hosts between pools as demand changes.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slog::info;
@@ -18,9 +17,9 @@
 use crate::batch::dispatcher::maintenance::is_order_recent;
 use crate::batch::pool_balancer::PoolHost;
 use crate::batch::pool_balancer::PoolView;
-use crate::batch::rank::Rank;
+use crate::batch::service_backlog::ServiceBacklog;
+use crate::batch::service_load::ServiceLoad;
 use crate::batch::waves::RunCounts;
-use crate::name::ServiceName;
 
 /// Time between two rounds of balancing, in milliseconds.
 const BALANCE_INTERVAL_MS: u64 = 150;
@@ -38,6 +37,7 @@
             return;
         }
         self.last_balance = now.at;
+        self.update_backlog(now);
         let views = self.pool_views(now);
         self.log_pools(now, &views);
         for planned in self.pools.plan(now.at, &views) {
@@ -64,12 +64,12 @@
             let executors = self.executors.values();
             let unknown = executors
                 .filter(|executor| executor.has_unknown_runs() && executor.service == view.service);
-            let blocked = self.blocked.iter().filter_map(|id| self.state.jobs.get(id));
-            let blocked = blocked.filter(|entry| entry.job.service == view.service);
+            let blocked = self.backlog.of(&view.service);
+            let blocked = blocked.map_or(0, ServiceBacklog::blocked);
             info!(self.log, "pool summary"; "service" => %view.service, "hosts" => view.hosts.len(),
                 "idle" => idle, "need" => view.need, "late" => view.late_cpu,
                 "forecast" => view.forecast, "floor" => view.min_hosts,
-                "lacking" => view.extra_hosts, "unheard" => unknown.count(), "held" => blocked.count());
+                "lacking" => view.extra_hosts, "unheard" => unknown.count(), "held" => blocked);
         }
     }
 
@@ -101,14 +101,16 @@
         let Some(policy) = self.directives.policy.clone() else {
             return Vec::new();
         };
-        self.effort.ranked += self.active.len() as u64;
-        let mut loads = self.service_loads(now);
+        let no_load = ServiceLoad::default();
         let total = self.total_capacity();
         let mut views = Vec::new();
         for (service, pool) in &policy.pools {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
             let forecast = self.meter.forecast(now.at, service);
-            let load = loads.remove(service).unwrap_or_default();
+            let backlog = self.backlog.of(service);
+            let load = backlog.map_or(&no_load, ServiceBacklog::load);
+            let extra_hosts = self.extra_hosts.values();
+            let extra_hosts = extra_hosts.filter(|(lacking, _)| lacking == service);
             let hosts = self.hosts.values().filter(|host| host.pool == *service);
             let hosts = hosts
                 .map(|host| self.pool_host(now, host, pool.spare))
@@ -117,11 +119,11 @@
                 service: service.clone(),
                 spare: pool.spare,
                 need: load.need(&total).max(forecast),
-                late_cpu: load.late_work / LATE_WORK_MS,
+                late_cpu: load.late_work() / LATE_WORK_MS,
                 forecast,
-                extra_hosts: self.extra_hosts.get(service).copied().unwrap_or(0),
+                extra_hosts: extra_hosts.map(|(_, hosts)| hosts).sum(),
                 min_hosts: if used {
-                    MIN_HOSTS.max(load.min_hosts)
+                    MIN_HOSTS.max(load.min_hosts())
                 } else {
                     0
                 },
@@ -163,65 +165,4 @@
             available: host.phase == HostPhase::Up && (spare || here) && !closed && !due,
         }
     }
-
-    /// Returns the load that runs or could run now, by service. Of jobs that are blocked by unknown
-    /// runs only the tasks that have been placed count: no hosts are moved or kept for the others.
-    fn service_loads(&self, now: Now) -> BTreeMap<ServiceName, ServiceLoad> {
-        let mut services: BTreeMap<ServiceName, ServiceLoad> = BTreeMap::new();
-        let unknown_partitions = self.unknown_partitions();
-        let policy = self.directives.policy.as_ref();
-        for entry in self.active.iter().filter_map(|id| self.state.jobs.get(id)) {
-            let queue = policy.and_then(|policy| policy.queue_named(&entry.job.queue));
-            let too_late = Rank::of(entry, queue, now.unix).is_too_late();
-            let partitions = unknown_partitions.get(&entry.job.service);
-            let partitions = partitions.copied().unwrap_or_default();
-            let blocked = entry.may_run_unseen(partitions);
-            let service = services.entry(entry.job.service.clone()).or_default();
-            for steps in entry.occurrences.values() {
-                for (progress, step) in steps.iter().zip(&entry.job.steps) {
-                    let open = step.after.iter().all(|&n| steps[n as usize].is_done());
-                    if !open {
-                        continue;
-                    }
-                    let left = if blocked {
-                        progress.placed().count()
-                    } else {
-                        progress.tasks.len() - progress.done as usize
-                    };
-                    if too_late {
-                        service.late_work += left as u64 * step.estimate * step.reserved().cpu;
-                        continue;
-                    }
-                    service.demand.add(&step.reserved().times(left as u64));
-                    if let Some(spread) = step.spread {
-                        let hosts = (progress.tasks.len() as u64).div_ceil(u64::from(spread));
-                        service.min_hosts = service.min_hosts.max(hosts as usize);
-                    }
-                }
-            }
-        }
-        services
-    }
-}
-
-/// Work that a service has to run.
-#[derive(Debug, Default)]
-struct ServiceLoad {
-    /// Resources that its tasks take.
-    demand: Resources,
-    /// Work of jobs that are too late to be of use to their clients, in thousandths of a
-    /// core-millisecond. It is not part of the demand.
-    late_work: u64,
-    /// Most hosts over which a single step must be spread.
-    min_hosts: usize,
-}
-
-impl ServiceLoad {
-    /// CPU of the hosts that the load takes, in thousandths of a core. Load that takes a larger
-    /// share of the hosts' memory than of their CPU counts by its memory.
-    fn need(&self, total: &Resources) -> u64 {
-        let memory = self.demand.memory * total.cpu;
-        let memory = memory.checked_div(total.memory).unwrap_or(0);
-        self.demand.cpu.max(memory)
-    }
 }
--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -101,9 +101,7 @@
         let Some(saved) = &run.saved else {
             return;
         };
-        if let Some(entry) = self.state.jobs.get_mut(&run.task.job) {
-            entry.save(&run.task, saved);
-        }
+        self.state.jobs.save(&run.task, saved);
     }
 
     /// Adopts a run that an earlier owner started if its task still needs it, and stops it
--- a/src/batch/effort.rs
+++ b/src/batch/effort.rs
@@ -7,7 +7,7 @@
     pub looks: u64,
     /// Jobs for which a placement tried to start tasks.
     pub candidates: u64,
-    /// Jobs visited by placements, by the balance of pools and by the check for due occurrences.
+    /// Jobs whose place in the backlog was computed again, and checks of one for due occurrences.
     pub ranked: u64,
     /// Runs started.
     pub starts: u64,
--- a/src/batch/executor_capacity.rs
+++ b/src/batch/executor_capacity.rs
@@ -69,6 +69,13 @@
         self.info.labels.iter().any(|own| **own == *label)
     }
 
+    /// Returns the resources that are not in use.
+    fn free(&self) -> Resources {
+        let mut free = self.info.capacity;
+        free.sub(&self.used);
+        free
+    }
+
     /// Returns the share of its CPU that is in use, in thousandths.
     fn load(&self) -> u64 {
         let load = (self.used.cpu * 1_000).checked_div(self.info.capacity.cpu);
@@ -80,6 +87,8 @@
 #[derive(Debug, Default)]
 pub struct SiteCapacity {
     services: BTreeMap<ServiceName, Vec<ExecutorCapacity>>,
+    // Most of each resource that is free on any executor of a service.
+    largest: BTreeMap<ServiceName, Resources>,
     // Latest demand of each service for which there was no capacity.
     full: BTreeMap<ServiceName, Resources>,
 }
@@ -87,6 +96,12 @@
 impl SiteCapacity {
     /// Adds an executor to its service.
     pub fn add(&mut self, executor: ExecutorCapacity) {
+        let free = executor.free();
+        if let Some(largest) = self.largest.get_mut(&executor.info.service) {
+            *largest = largest.max(&free);
+        } else {
+            self.largest.insert(executor.info.service.clone(), free);
+        }
         if let Some(executors) = self.services.get_mut(&executor.info.service) {
             return executors.push(executor);
         }
@@ -100,6 +115,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether an executor of a service may have had the capacity for a demand when it was added.
+    #[must_use]
+    pub fn may_fit(&self, service: &ServiceName, demand: &Resources) -> bool {
+        let largest = self.largest.get(service).copied().unwrap_or_default();
+        demand.is_within(&largest)
+    }
+
     /// Notes that a service has no capacity for a demand. The latest such demand is kept.
     pub fn note_full(&mut self, service: &ServiceName, demand: Resources) {
         self.full.insert(service.clone(), demand);
@@ -113,6 +135,13 @@
         full.is_some_and(|full| full.is_within(demand))
     }
 
+    /// Whether a service is known to have no capacity for a demand or for any that is as large in
+    /// each resource.
+    #[must_use]
+    pub fn is_full_for(&self, service: &ServiceName, demand: &Resources) -> bool {
+        !self.may_fit(service, demand) || self.is_known_full(service, demand)
+    }
+
     /// Returns the executors of a service, to reserve resources on.
     pub fn of_mut(&mut self, service: &ServiceName) -> &mut [ExecutorCapacity] {
         let executors = self.services.get_mut(service);
--- a/src/batch/job_progress.rs
+++ b/src/batch/job_progress.rs
@@ -13,6 +13,7 @@
 use crate::batch::Partitions;
 use crate::batch::RunEnd;
 use crate::batch::RunOutcome;
+use crate::batch::Schedule;
 use crate::batch::TaskId;
 use crate::batch::remaining_work::RemainingWork;
 use crate::batch::step_progress::StepProgress;
@@ -134,6 +135,15 @@
         self.opened > before
     }
 
+    /// Returns when the next occurrence that is not open yet is due, in Unix milliseconds; `None` if
+    /// there is none.
+    #[must_use]
+    pub fn next_due(&self) -> Option<u64> {
+        let left = self.abort.is_none() && self.opened < self.count();
+        let due = |schedule: Schedule| schedule.due(self.opened);
+        left.then(|| self.job.schedule.map_or(0, due))
+    }
+
     /// Whether another occurrence may be opened beside those that already are.
     fn has_room(&self) -> bool {
         let open = self.occurrences.len() as u64;
--- a/src/batch/objective.rs
+++ b/src/batch/objective.rs
@@ -80,6 +80,17 @@
             _ => Lateness::InTime,
         }
     }
+
+    /// Returns the last moment from `end` on that has the lateness of `end`, both in Unix
+    /// milliseconds; `None` if all have.
+    #[must_use]
+    pub fn bound_after(&self, end: u64) -> Option<u64> {
+        match self.lateness(end) {
+            Lateness::InTime => self.deadline,
+            Lateness::Late => Some(self.expiry),
+            Lateness::TooLate => None,
+        }
+    }
 }
 
 #[allow(
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -43,22 +43,39 @@
     /// first, then those of a queue with a lower priority number, then those that can still meet
     /// their objective, then those that have begun.
     #[must_use]
-    pub fn of(job_progress: &JobProgress, queue: Option<&Queue>, unix: u64) -> Self {
-        let job = &job_progress.job;
-        let objective = Objective::of(job, queue);
-        let critical_path = job_progress.remaining().critical_path;
-        let end = unix.max(job.accepted).saturating_add(critical_path);
+    pub fn of(
+        job_progress: &JobProgress,
+        queue: Option<&Queue>,
+        objective: &Objective,
+        unix: u64,
+    ) -> Self {
         Self {
             over_share: job_progress.over_share == Some(true),
             priority: queue.map_or(0, |queue| queue.priority),
-            lateness: objective.lateness(end),
-            stage: Stage::of(job_progress, &objective),
+            lateness: objective.lateness(earliest_end(job_progress, unix)),
+            stage: Stage::of(job_progress, objective),
         }
     }
 
+    /// Returns when the rank of a job at `unix` changes by the time alone; both in Unix
+    /// milliseconds. `None` if it doesn't.
+    #[must_use]
+    pub fn expiry(job_progress: &JobProgress, objective: &Objective, unix: u64) -> Option<u64> {
+        let bound = objective.bound_after(earliest_end(job_progress, unix))?;
+        let critical_path = job_progress.remaining().critical_path;
+        Some(bound.saturating_sub(critical_path).saturating_add(1))
+    }
+
     /// Whether the job is expected to end too late to be of use to its client.
     #[must_use]
     pub fn is_too_late(&self) -> bool {
         self.lateness == Lateness::TooLate
     }
 }
+
+/// Returns when a job ends if all its tasks start as early as they can; in Unix milliseconds.
+fn earliest_end(job_progress: &JobProgress, unix: u64) -> u64 {
+    let critical_path = job_progress.remaining().critical_path;
+    let from = unix.max(job_progress.job.accepted);
+    from.saturating_add(critical_path)
+}
--- a/src/batch/remaining_work.rs
+++ b/src/batch/remaining_work.rs
@@ -1,6 +1,7 @@
 //! Remaining work of a job.
 
 use crate::batch::JobProgress;
+use crate::batch::Resources;
 use crate::batch::step_progress::StepProgress;
 
 /// Remaining work of a job, valid until the job's state changes.
@@ -12,6 +13,9 @@
     pub critical_path: u64,
     /// Remaining work by the estimates, in core-milliseconds.
     pub work: u64,
+    /// Least of each resource that a task to start reserves. Nothing if a task is long-running: it
+    /// is examined even if no executor has room, as hosts are moved to its pool.
+    pub least: Resources,
 }
 
 impl RemainingWork {
@@ -19,14 +23,31 @@
     #[must_use]
     pub fn of(job_progress: &JobProgress) -> Self {
         let (critical_path, work) = estimate(job_progress);
+        let ready = ready_steps(job_progress);
         Self {
-            ready: ready_steps(job_progress),
+            least: least_demand(job_progress, &ready),
+            ready,
             critical_path,
             work,
         }
     }
 }
 
+fn least_demand(job_progress: &JobProgress, ready: &[(u32, u32)]) -> Resources {
+    let steps = ready
+        .iter()
+        .filter_map(|&(_, number)| job_progress.job.steps.get(number as usize));
+    let demands = steps.map(|step| {
+        if step.long_running {
+            Resources::default()
+        } else {
+            step.reserved()
+        }
+    });
+    let least = demands.reduce(|one, other| one.min(&other));
+    least.unwrap_or_default()
+}
+
 fn ready_steps(job_progress: &JobProgress) -> Vec<(u32, u32)> {
     let mut found = Vec::new();
     for (&occurrence, progress) in &job_progress.occurrences {
--- a/src/batch/resources.rs
+++ b/src/batch/resources.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Returns the maximum of the two in each resource.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Returns this amount multiplied by `count`.
     #[must_use]
     pub const fn times(&self, count: u64) -> Self {
--- /dev/null
+++ b/tests/batch/backlog.rs
@@ -0,0 +1,84 @@
+//! Tests that what a start costs doesn't depend on how many jobs wait, and that every job gets its
+//! turn all the same.
+
+use std::sync::Arc;
+
+use test_case::test_case;
+
+use mimosastep::batch::JobId;
+use mimosastep::batch::JobState;
+use mimosastep::batch::Resources;
+use mimosastep::batch::Step;
+
+use crate::simulation::HOST_CPU;
+use crate::simulation::Simulation;
+use crate::simulation::step;
+use crate::simulation::team;
+
+const HOSTS: usize = 20;
+
+/// Returns the number of jobs that the owner visits for each start while `jobs` jobs were handed in
+/// at once, of which its hosts can do 40 a second.
+fn visits_per_start(jobs: u64) -> f64 {
+    let mut sim = Simulation::new(&[("captions", HOSTS)]);
+    for number in 0..jobs {
+        sim.submit(number, "captions", vec![step(8)]);
+    }
+    sim.run(2_500);
+    let before = sim.owner().dispatcher.effort();
+    sim.run(3_000);
+    let effort = sim.owner().dispatcher.effort().since(&before);
+    assert!(effort.starts > 900, "only {} starts", effort.starts);
+    (effort.ranked + effort.candidates) as f64 / effort.starts as f64
+}
+
+// Guards against an owner that fell behind for good: each placement, each balance of pools and each
+// check for due occurrences visited all jobs that waited.
+#[test]
+fn a_start_costs_no_more_with_4000_jobs_waiting_than_with_250() {
+    let few = visits_per_start(250);
+    let many = visits_per_start(4_000);
+    assert!(
+        many <= few * 1.1,
+        "{few:.1} jobs visited a start with 250 jobs, {many:.1} with 4,000"
+    );
+}
+
+/// A task that needs more than any host has.
+fn huge() -> Step {
+    Step {
+        demand: Resources {
+            cpu: HOST_CPU + 1,
+            ..step(1).demand
+        },
+        ..step(1)
+    }
+}
+
+/// A task that needs a label that no host has.
+fn labelled() -> Step {
+    Step {
+        label: Some(Arc::from("no-such-kind")),
+        ..step(1)
+    }
+}
+
+// Guards against a bounded look that never comes to the jobs behind those that can't start.
+#[test_case(huge(), None ; "more than any host has")]
+#[test_case(labelled(), None ; "a label that no host has")]
+#[test_case(step(1), Some("stopped") ; "of a team at its limit")]
+fn a_job_behind_many_that_cant_start_is_served(stuck: Step, of_team: Option<&str>) {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    sim.set_team("stopped", 0, 1);
+    for number in 0..500 {
+        sim.submit_as(of_team.map(team), number, "captions", vec![stuck.clone()]);
+    }
+    // Of all jobs, it has the most work left.
+    let last = sim.submit(1_000, "captions", vec![step(4)]);
+    sim.run(3_000);
+    assert_eq!(state(&sim, last), JobState::Completed);
+}
+
+fn state(sim: &Simulation, job: JobId) -> JobState {
+    sim.job_state("captions", job)
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -360,6 +360,11 @@
         while self.now.at < until && !self.has_stepped_down() {
             self.advance();
         }
+        let now = self.now;
+        assert!(
+            self.owner().dispatcher.is_backlog_current(now),
+            "the backlog differs from the jobs' states"
+        );
     }
 
     fn schedule(&mut self, ms: u64, event: Event) {
