Dispatcher: look for tasks to start from time to time, not after events alone

Seen: in virtual time, a task stood still for good beside a free executor: its start had been refused, its last run had failed there, or the answer to a start came late, and nothing else happened on the site. Cause: a placement is only made after an event, but the end of a pause, the end of the time in which a failed task avoids its executor, and a host that becomes usable are no events. The list of executors hides it while it changes; an unchanged list is none. Change: while there are active jobs, a placement is made at least every 250 ms. That this is what the users saw isn't shown.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -309,7 +309,7 @@
             self.grant_new(&ids);
         }
         self.expire_starts(now);
-        if self.dirty && now.at >= self.last_placement + self.placement_interval() {
+        if self.is_placement_due(now) {
             self.dirty = false;
             self.last_placement = now.at;
             self.place_tasks(now);
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -32,6 +32,9 @@
 const START_LIMIT: usize = 100;
 /// Shortest time between two placements, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 4;
+/// Longest time between two placements while there are active jobs, in milliseconds. Some
+/// changes that let a task start come with time alone: no event tells that a pause is over.
+const MAX_INTERVAL_MS: u64 = 250;
 /// Number of active jobs that lengthen the time between two placements by a millisecond.
 const JOBS_PER_MS: u64 = 100;
 
@@ -43,6 +46,16 @@
         Duration::from_millis(interval.max(MIN_INTERVAL_MS))
     }
 
+    /// Whether to look for tasks to start: at once after a change that may allow it, and from time
+    /// to time while there are active jobs.
+    pub(super) fn is_placement_due(&self, now: Now) -> bool {
+        let since = now.at.saturating_duration_since(self.last_placement);
+        let interval = self.placement_interval();
+        let longest = interval.max(Duration::from_millis(MAX_INTERVAL_MS));
+        let changed = self.dirty && since >= interval;
+        changed || (!self.active.is_empty() && since >= longest)
+    }
+
     /// Whether there may be tasks that can be started.
     #[must_use]
     pub const fn is_dirty(&self) -> bool {
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -16,6 +16,7 @@
 mod rules;
 mod simulation;
 mod sizes;
+mod standstill;
 mod starvation;
 mod takeover;
 mod teams;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -82,6 +82,8 @@
     pub tail_latency: Box<dyn Fn(u64) -> u64>,
     /// The owner lags behind the log: each batch of records is followed by more.
     pub log_backlog: bool,
+    /// The platform's lists don't change, so that owners are sent none.
+    pub lists_paused: bool,
     /// Executors listed as draining.
     pub draining: BTreeSet<ExecutorId>,
     /// Number of further start orders whose answers are lost.
@@ -200,6 +202,7 @@
             script: Box::new(|_, _| (1_000, RunOutcome::Done)),
             tail_latency: Box::new(|_| 0),
             log_backlog: false,
+            lists_paused: false,
             draining: BTreeSet::new(),
             lost_starts: 0,
             lost_stops: 0,
@@ -384,7 +387,7 @@
             }
         }
         self.start_executors();
-        if self.now.at >= self.listed_at + Duration::from_millis(200) {
+        if !self.lists_paused && self.now.at >= self.listed_at + Duration::from_millis(200) {
             self.publish_listing();
         }
         let mut owners = std::mem::take(&mut self.owners);
--- a/tests/batch/simulation/hosts.rs
+++ b/tests/batch/simulation/hosts.rs
@@ -127,6 +127,16 @@
         *previous = host_state;
     }
 
+    /// Executors of a pool that are up and don't drain.
+    pub fn executors_of(&self, pool: &str) -> impl Iterator<Item = &FakeExecutor> {
+        let pool = service(pool);
+        let hosts = self.hosts.values();
+        let ids = hosts.filter(move |host_state| host_state.pool == pool);
+        let ids = ids.filter_map(|host_state| host_state.executor.as_ref());
+        let ids = ids.filter(|id| !self.draining.contains(*id));
+        ids.map(|id| &self.fakes[id]).filter(|fake| !fake.down)
+    }
+
     /// Number of hosts that are down for a move or for maintenance.
     pub fn count_away(&self) -> usize {
         let away = self
