Dispatcher: repeat a stop order that was lost

Seen: in virtual time, a long-running task of a cancelled job ran on for good, and kept its room, after the order to stop it got no answer. Cause: the next report that lists such a run made it count as running, whether its task still wanted it or not, and nothing ordered the stop again. Class of fault: a retry that depends on the event that was lost. Change: a reported run that isn't the one that its task has there is stopped, each time it is reported.

--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -92,11 +92,25 @@
                 run_state.phase = Phase::Running(now.at);
             }
             run_state.update(now.at, run);
-            return self.save_progress(run);
+            self.save_progress(run);
+            if !self.is_wanted(id, run) {
+                // An earlier order to stop it may have been lost.
+                self.stop(id, run.task, run.run);
+            }
+            return;
         }
         self.adopt(now, id, run);
     }
 
+    /// Whether a run is the one that its task, of an active job, has on an executor.
+    fn is_wanted(&self, id: &ExecutorId, run: &Running) -> bool {
+        let entry = self.state.jobs.get(&run.task.job);
+        let task = entry
+            .filter(|entry| entry.is_active())
+            .and_then(|entry| entry.task(&run.task));
+        task.is_some_and(|task| task.placed.as_ref() == Some(id) && task.run == run.run)
+    }
+
     fn save_progress(&mut self, run: &Running) {
         let Some(saved) = &run.saved else {
             return;
--- a/tests/batch/standstill.rs
+++ b/tests/batch/standstill.rs
@@ -340,3 +340,19 @@
     sim.run(3_000);
     assert_eq!(sim.starts.len(), 2, "the second task was not started");
 }
+
+/// Guards against a run that goes on for good after its job was cancelled: the order to stop it got
+/// no answer, and the next report made it count as wanted again.
+#[test]
+fn a_stop_order_without_an_answer_is_repeated() {
+    let mut sim = Simulation::new(&[("captions", 1)]);
+    let job = sim.submit(1, "captions", vec![long_running(1)]);
+    sim.run(1_000);
+    let id = sim.fakes.keys().next().expect("no executor").clone();
+    sim.owner().unreachable.insert(id.clone());
+    sim.cancel(job);
+    sim.run(1_500);
+    sim.owner().unreachable.clear();
+    sim.run(6_000);
+    assert!(sim.fakes[&id].runs.is_empty(), "the run was not stopped");
+}
