Dispatcher: share the limit on unanswered starts among services

Cause: at most 100 starts may be unanswered, over all services, and they were given out in the order of ranks. Jobs of a lower priority number come first there, even if far too late. While those had hosts and a backlog, they used up each look. Class of fault: a shared limit that is handed out in an order which means something only within each part (head-of-line blocking); a slow owner makes it bind. Change: starts without an answer are counted by service, and the next job is of the service that has fewest. Within a service the order is as it was; services have no executors in common. Where two services' jobs share a team's limit, the lower priority number comes first no longer.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -48,9 +48,9 @@
 use crate::batch::executor_state::ExecutorState;
 use crate::batch::executor_state::LEASE_MS;
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
-use crate::batch::in_flight::InFlight;
 use crate::batch::pool_balancer::PoolBalancer;
 use crate::batch::turns::Turns;
+use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::batch::waves::Waves;
 use crate::batch::widening::Widening;
 use crate::name::ExecutorId;
@@ -139,7 +139,7 @@
     last_opening: Instant,
     last_metrics: Instant,
     last_summary: Instant,
-    starts: InFlight,
+    starts: UnansweredStarts,
     // Whether the last placement left tasks out because of the limit on unanswered starts.
     throttled: bool,
     // Whether something has changed that may allow more tasks to start.
@@ -210,7 +210,7 @@
             last_opening: now.at,
             last_metrics: now.at,
             last_summary: now.at,
-            starts: InFlight::default(),
+            starts: UnansweredStarts::default(),
             throttled: false,
             dirty: true,
             ends: [0; RunOutcome::ALL.len()],
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -1,6 +1,7 @@
 //! Selects the waiting tasks to start now, and the executors for them.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use slog::info;
@@ -70,7 +71,8 @@
             .is_some_and(|since| now.at > since + limit)
     }
 
-    /// Starts the tasks that are due, in the order of their jobs' ranks, while capacity lasts.
+    /// Starts the tasks that are due, in the order of their jobs' ranks within each service, while
+    /// capacity lasts.
     pub(super) fn place_tasks(&mut self, now: Now) {
         if self.is_lagging(now) {
             // Reading the remaining records sets `dirty` again.
@@ -81,13 +83,13 @@
             return;
         }
         self.mark_excess();
-        let ranked = self.ranked_jobs(now);
+        let mut ranked = self.ranked_jobs(now);
         let unknown_partitions = self.unknown_partitions();
         let unknown_usage = self.unknown_usage();
         let mut blocked = Vec::new();
         self.extra_hosts.clear();
         let mut capacity = self.free_capacity(now);
-        for id in ranked {
+        while let Some(id) = self.next_job(&mut ranked) {
             let Some(entry) = self.state.jobs.get(&id) else {
                 continue;
             };
@@ -140,8 +142,8 @@
         }
     }
 
-    /// Returns the active jobs with tasks to start, in the order in which to serve them.
-    fn ranked_jobs(&self, now: Now) -> Vec<JobId> {
+    /// Returns the active jobs with tasks to start, by service, in the order in which to serve them.
+    fn ranked_jobs(&self, now: Now) -> BTreeMap<ServiceName, VecDeque<Position>> {
         let policy = self.directives.policy.as_ref();
         let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
         let jobs = jobs.filter(|entry| !entry.remaining().ready.is_empty());
@@ -154,12 +156,24 @@
                 .or_default()
                 .push(candidate);
         }
-        let positions = services
-            .into_iter()
-            .flat_map(|(service, jobs)| self.turns.positions(service, jobs));
-        let mut positions: Vec<Position> = positions.collect();
-        positions.sort_unstable();
-        positions.into_iter().map(|position| position.id).collect()
+        let ranked = services.into_iter().map(|(service, jobs)| {
+            let positions = self.turns.positions(service, jobs);
+            (service.clone(), VecDeque::from(positions))
+        });
+        ranked.collect()
+    }
+
+    /// Removes and returns the next job to serve: one of the service with the fewest unanswered
+    /// starts. Services have no executors in common, so the limit on these starts must not be used
+    /// up by the jobs of one, whatever their rank.
+    fn next_job(&self, ranked: &mut BTreeMap<ServiceName, VecDeque<Position>>) -> Option<JobId> {
+        let heads = ranked.iter_mut().filter_map(|(service, positions)| {
+            let head = *positions.front()?;
+            Some((self.starts.of(service), head, positions))
+        });
+        let next = heads.min_by_key(|(starts, head, _)| (*starts, *head));
+        next.and_then(|(_, _, positions)| positions.pop_front())
+            .map(|position| position.id)
     }
 
     /// Returns the free capacity of the executors that can take new work.
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -68,7 +68,7 @@
             RunState::of(&job, &task, Phase::Starting, now.at),
         );
         let ticket = self.advisor.ticket(now.at, &task.of_step(), id);
-        self.starts.push(now.at);
+        self.starts.push(&job.service, now.at);
         self.actions.push(Action::Start(Start {
             target,
             task,
@@ -77,6 +77,7 @@
             deadline,
             saved,
             ticket,
+            service: job.service.clone(),
             decided: now.at,
         }));
     }
@@ -95,7 +96,7 @@
     }
 
     pub(super) fn on_started(&mut self, now: Now, order: &Start, result: Result<(), OrderError>) {
-        self.starts.complete(order.decided);
+        self.starts.complete(&order.service, order.decided);
         self.dirty |= std::mem::take(&mut self.throttled);
         let id = &order.target.executor;
         let Some(executor) = self.executors.get_mut(id) else {
--- a/src/batch/in_flight.rs
+++ b/src/batch/in_flight.rs
@@ -53,10 +53,4 @@
     pub fn len(&self) -> usize {
         self.sent.len() + self.overdue / OVERDUE_DIVISOR
     }
-
-    /// Whether the count is 0; a few overdue orders may remain.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -64,6 +64,7 @@
 mod task_progress;
 mod term;
 mod turns;
+mod unanswered_starts;
 mod watchers;
 mod waves;
 mod widening;
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -58,8 +58,10 @@
     pub saved: Option<Arc<str>>,
     /// Ticket of the advice service, if the queue needs one.
     pub ticket: Option<Arc<str>>,
-    /// When the owner decided to start it. Not sent; the order is counted under this time among
-    /// those in flight.
+    /// Service of its job. Not sent; the order is counted under it and the next among those in
+    /// flight.
+    pub service: ServiceName,
+    /// When the owner decided to start it. Not sent.
     pub decided: Instant,
 }
 
--- a/tests/batch/standstill.rs
+++ b/tests/batch/standstill.rs
@@ -356,3 +356,34 @@
     sim.run(6_000);
     assert!(sim.fakes[&id].runs.is_empty(), "the run was not stopped");
 }
+
+/// Guards against a service that gets no start at all beside its idle hosts: the limit on
+/// unanswered starts was used up by the backlog of another service whose jobs ranked first.
+#[test]
+fn a_backlog_of_one_service_keeps_no_start_from_another() {
+    let mut sim = Simulation::new(&[("captions", 20), ("tags", 2)]);
+    sim.configure(|policy| {
+        for queue in &mut policy.queues {
+            queue.priority = u32::from(queue.name.as_str() == "tags");
+        }
+    });
+    sim.script = Box::new(|_, _| (20, RunOutcome::Done));
+    // More starts than may be unanswered, at any time.
+    let small = Step {
+        demand: Resources {
+            cpu: 50,
+            memory: 10,
+            gpu: 0,
+        },
+        ..step(100)
+    };
+    for number in 0..600 {
+        sim.submit(number, "captions", vec![small.clone()]);
+    }
+    sim.run(300);
+    let late = sim.submit(1_000, "tags", vec![step(4)]);
+    sim.run(1_000);
+    let first = sim.starts.iter().filter(|start| start.1.job == late);
+    assert_eq!(first.count(), 4, "tasks started on idle hosts");
+    assert!(sim.done.len() < 60_000, "the backlog was over too soon");
+}
