--- a/src/batch/backlog.rs
+++ b/src/batch/backlog.rs
@@ -11,6 +11,7 @@
 use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::service_order::ServiceOrder;
 use crate::batch::turns::Turns;
+use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::name::QueueName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
@@ -144,11 +145,13 @@
         &self,
         turns: &Turns,
         cursors: &BTreeMap<ServiceName, Candidate>,
+        starts: &UnansweredStarts,
     ) -> Vec<ServiceOrder<'_>> {
         let services = self.services.iter();
         let orders = services.map(|(service, backlog)| {
             let cursor = cursors.get(service).copied();
-            ServiceOrder::new(service, backlog, turns.is_drawn(service), cursor)
+            let drawn = turns.is_drawn(service);
+            ServiceOrder::new(service, backlog, drawn, cursor, starts.of(service))
         });
         orders.collect()
     }
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -32,13 +32,19 @@
 /// Shortest time between two placements of which the later one only goes on with jobs that the
 /// earlier one left out, in milliseconds.
 const CONTINUE_MS: u64 = 10;
+/// Longest time between two placements while there are active jobs, in milliseconds. Some
+/// changes that let a task start come with time alone: no event tells that a pause is over.
+const MAX_INTERVAL_MS: u64 = 250;
 
 impl Dispatcher {
-    /// Whether it is time for another placement.
+    /// Whether to look for tasks to start: at once after a change that may allow it, soon after a
+    /// placement that left jobs out, and from time to time while there are active jobs.
     pub(super) fn is_placement_due(&self, now: Now) -> bool {
         let since = now.at.saturating_duration_since(self.last_placement);
         let after = |ms: u64| since >= Duration::from_millis(ms);
-        (self.dirty && after(MIN_INTERVAL_MS)) || (self.unfinished && after(CONTINUE_MS))
+        (self.dirty && after(MIN_INTERVAL_MS))
+            || (self.unfinished && after(CONTINUE_MS))
+            || (!self.active.is_empty() && after(MAX_INTERVAL_MS))
     }
 
     /// Whether there may be tasks that can be started.
@@ -55,7 +61,8 @@
             .is_some_and(|since| now.at > since + limit)
     }
 
-    /// Starts the tasks that are due, in the order of their jobs' ranks, while capacity lasts.
+    /// Starts the tasks that are due, in the order of their jobs' ranks within each service, while
+    /// capacity lasts.
     pub(super) fn place_tasks(&mut self, now: Now) {
         if self.is_lagging(now) {
             // Reading the remaining records sets `dirty` again.
@@ -69,7 +76,7 @@
         let unknown_usage = self.unknown_usage();
         let mut capacity = self.free_capacity(now);
         let backlog = std::mem::take(&mut self.backlog);
-        let mut orders = backlog.orders(&self.turns, &self.cursors);
+        let mut orders = backlog.orders(&self.turns, &self.cursors, &self.starts);
         while let Some((order, position)) = first(&mut orders) {
             if self.starts.len() >= START_LIMIT {
                 self.throttled = true;
@@ -81,7 +88,7 @@
             }
             self.effort.candidates += 1;
             let served = self.place_job(now, &mut capacity, &unknown_usage, position.id);
-            order.pass(served);
+            order.pass(served, self.starts.of(order.service()));
         }
         self.unfinished = orders.iter().any(|order| !order.is_complete());
         let cursors = orders
@@ -358,11 +365,13 @@
     }
 }
 
-/// Returns the order whose next job comes first, and the position of that job.
+/// Returns the order of the service with the fewest unanswered starts, and the position of its next
+/// job. Services have no executors in common, so the limit on these starts must not be used up by
+/// the jobs of one, whatever their rank.
 fn first<'a, 'b>(
     orders: &'a mut [ServiceOrder<'b>],
 ) -> Option<(&'a mut ServiceOrder<'b>, Position)> {
     let heads = orders.iter_mut();
     let heads = heads.filter_map(|order| order.head().map(|position| (order, position)));
-    heads.min_by_key(|(_, position)| *position)
+    heads.min_by_key(|(order, position)| (order.unanswered(), *position))
 }
--- a/src/batch/service_order.rs
+++ b/src/batch/service_order.rs
@@ -35,6 +35,7 @@
 pub struct ServiceOrder<'a> {
     service: &'a ServiceName,
     smallest: Resources,
+    unanswered: usize,
     by_work: Peekable<Box<dyn Iterator<Item = &'a Candidate> + 'a>>,
     by_draw: Peekable<Box<dyn Iterator<Item = &'a Drawn> + 'a>>,
     rest: Box<dyn Iterator<Item = &'a Candidate> + 'a>,
@@ -51,19 +52,21 @@
 
 impl<'a> ServiceOrder<'a> {
     /// Returns the order of a service's jobs; `drawn_first` if the next to start is drawn by lot.
-    /// Behind the front, it goes on after `cursor`.
+    /// Behind the front, it goes on after `cursor`. The service has `unanswered` starts.
     #[must_use]
     pub fn new(
         service: &'a ServiceName,
         backlog: &'a ServiceBacklog,
         drawn_first: bool,
         cursor: Option<Candidate>,
+        unanswered: usize,
     ) -> Self {
         let by_work: Box<dyn Iterator<Item = &Candidate>> = Box::new(backlog.by_work());
         let by_draw: Box<dyn Iterator<Item = &Drawn>> = Box::new(backlog.by_draw());
         let mut order = Self {
             service,
             smallest: backlog.smallest(),
+            unanswered,
             by_work: by_work.peekable(),
             by_draw: by_draw.peekable(),
             rest: Box::new(backlog.after(cursor)),
@@ -105,8 +108,16 @@
         self.complete = true;
     }
 
-    /// Goes on to the next job. `served` tells whether the last one found capacity.
-    pub fn pass(&mut self, served: bool) {
+    /// Returns the number of starts of the service that wait for an answer.
+    #[must_use]
+    pub const fn unanswered(&self) -> usize {
+        self.unanswered
+    }
+
+    /// Goes on to the next job. `served` tells whether the last one found capacity; the service has
+    /// `unanswered` starts now.
+    pub fn pass(&mut self, served: bool, unanswered: usize) {
+        self.unanswered = unanswered;
         self.misses += usize::from(!served);
         self.advance();
     }
