--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,11 +1,12 @@
 //! Stand-in for the log service of the users' platform: partitioned topics, a consumer group, and
 //! fault injection.
 
+mod member;
+mod producer;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::future::pending;
 use std::io;
 use std::rc::Rc;
@@ -27,17 +28,16 @@
 use crate::serve::HttpResponse;
 use crate::serve::json;
 use crate::serve::plain;
+use crate::store::member::Member;
+use crate::store::member::PARTITIONS;
+use crate::store::member::rebalance;
+use crate::store::producer::Producer;
 
 /// Interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Limit on simultaneous connections.
 const MAX_CONNECTIONS: usize = 256;
 
-/// Number of partitions of a topic.
-const PARTITIONS: u64 = 12;
-/// Number of recent appends per producer whose repetition is recognised.
-const MAX_RECENT_APPENDS: usize = 5;
-
 /// A partition of a topic, with its records and producers.
 #[derive(Default)]
 struct Partition {
@@ -47,47 +47,6 @@
     producers: BTreeMap<String, Producer>,
 }
 
-/// A producer that numbers its appends, so that a repeated one is stored once.
-#[derive(Default)]
-struct Producer {
-    epoch: u64,
-    /// Expected sequence number of the next append; `None` accepts any, after a change of epoch.
-    next: Option<u64>,
-    /// Sequence numbers and offsets of the most recent appends.
-    recent: VecDeque<(u64, u64)>,
-}
-
-impl Producer {
-    /// Checks the sequence number of an append. Returns the offset of the first append if this one
-    /// repeats it, or the body of the refusal.
-    fn check(&mut self, epoch: u64, sequence: u64) -> Result<Option<u64>, Value> {
-        if epoch < self.epoch {
-            return Err(json!({ "reason": "fenced" }));
-        }
-        if epoch > self.epoch {
-            *self = Self {
-                epoch,
-                ..Self::default()
-            };
-        }
-        if let Some((_, offset)) = self.recent.iter().find(|(number, _)| *number == sequence) {
-            return Ok(Some(*offset));
-        }
-        match self.next {
-            Some(next) if next != sequence => Err(json!({ "reason": "seq", "expected": next })),
-            _ => Ok(None),
-        }
-    }
-
-    fn record(&mut self, sequence: u64, offset: u64) {
-        self.next = Some(sequence + 1);
-        self.recent.push_back((sequence, offset));
-        if self.recent.len() > MAX_RECENT_APPENDS {
-            self.recent.pop_front();
-        }
-    }
-}
-
 /// The log service, with its fault switches.
 pub struct Store {
     connections: Connections,
@@ -360,49 +319,6 @@
     }
 }
 
-/// A member of the consumer group and the partitions assigned to it.
-struct Member {
-    name: String,
-    partitions: BTreeSet<u64>,
-}
-
-impl Member {
-    fn new(name: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            partitions: BTreeSet::new(),
-        }
-    }
-}
-
-/// Assigns the partitions evenly, with as few moves as possible.
-fn rebalance(members: &mut [Member]) {
-    if members.is_empty() {
-        return;
-    }
-    let assigned: BTreeSet<u64> = members
-        .iter()
-        .flat_map(|member| member.partitions.clone())
-        .collect();
-    let mut unassigned: BTreeSet<u64> = (0..PARTITIONS)
-        .filter(|partition| !assigned.contains(partition))
-        .collect();
-    let limit = PARTITIONS.div_ceil(members.len() as u64) as usize;
-    for member in members.iter_mut() {
-        while member.partitions.len() > limit {
-            unassigned.extend(member.partitions.pop_first());
-        }
-    }
-    while let Some(partition) = unassigned.pop_first() {
-        let smallest = members
-            .iter_mut()
-            .min_by_key(|member| member.partitions.len());
-        if let Some(member) = smallest {
-            member.partitions.insert(partition);
-        }
-    }
-}
-
 impl Handler for Store {
     fn is_control(_: &str) -> bool {
         false
