--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod load_stats;
 pub mod log;
+pub mod machines;
 pub mod query;
 pub mod runs;
 pub mod serve;
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -24,6 +24,7 @@
 
 use crate::connections::Connections;
 use crate::query::query_number;
+use crate::query::query_text;
 use crate::serve::Handler;
 use crate::serve::HttpResponse;
 use crate::serve::json;
@@ -37,6 +38,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Limit on simultaneous connections.
 const MAX_CONNECTIONS: usize = 256;
+/// Limit on the keys in a page of newest values.
+const PAGE_ITEMS: usize = 500;
+/// Limit on the size of a read that names none, in KB.
+const READ_KB: u64 = 1_024;
 
 /// A partition of a topic, with its records and producers.
 #[derive(Default)]
@@ -66,6 +71,8 @@
     pub append_delay: Cell<Duration>,
     /// Whether appends are answered with status 507.
     pub full: Cell<bool>,
+    /// Items that each page of newest values has in addition.
+    pub odd_items: RefCell<Vec<Value>>,
     /// Number of coming appends that take effect but get no response.
     pub unanswered_appends: Cell<u64>,
 }
@@ -84,6 +91,7 @@
             appends: Cell::new(0),
             append_delay: Cell::new(Duration::ZERO),
             full: Cell::new(false),
+            odd_items: RefCell::default(),
             unanswered_appends: Cell::new(0),
         })
     }
@@ -139,7 +147,8 @@
         let mut partitions = self.partitions.borrow_mut();
         let partition = partitions.entry(partition_id(uri)).or_default();
         let sequence = query_number(uri, "sequence").unwrap_or(0);
-        let producer = query_number(uri, "epoch").map(|epoch| (query_text(uri, "producer"), epoch));
+        let producer = query_number(uri, "epoch")
+            .map(|epoch| (query_text(uri, "producer").unwrap_or_default(), epoch));
         if let Some((name, epoch)) = &producer {
             let known = partition.producers.entry(name.clone()).or_default();
             match known.check(*epoch, sequence) {
@@ -173,10 +182,12 @@
         let partition_id = partition_id(uri);
         let from = query_number(uri, "from").unwrap_or(0);
         let wait = query_number(uri, "wait_ms").unwrap_or(0);
+        let size = query_number(uri, "max_kb").unwrap_or(READ_KB) * 1_024;
         let until = Instant::now() + Duration::from_millis(wait);
         compio::time::sleep(self.read_delay.get()).await;
         loop {
-            if let Some(response) = self.read_now(&partition_id, from, Instant::now() >= until) {
+            let timed_out = Instant::now() >= until;
+            if let Some(response) = self.read_now(&partition_id, from, size, timed_out) {
                 return response;
             }
             compio::time::sleep(POLL_INTERVAL).await;
@@ -187,6 +198,7 @@
         &self,
         partition_id: &(String, u64),
         from: u64,
+        size: u64,
         timed_out: bool,
     ) -> Option<HttpResponse> {
         let mut partitions = self.partitions.borrow_mut();
@@ -207,6 +219,9 @@
             limit => limit,
         };
         for content in partition.records.iter().skip(skip).take(limit) {
+            if (body.len() + content.len()) as u64 > size {
+                break;
+            }
             let len = u32::try_from(content.len()).unwrap_or(u32::MAX);
             body.extend_from_slice(&len.to_be_bytes());
             body.extend_from_slice(content);
@@ -228,19 +243,23 @@
             let key = String::from_utf8_lossy(key).into_owned();
             newest.insert(key, (offset, value.to_vec()));
         }
-        let items: Vec<Value> = newest
+        let after = query_text(uri, "depends_on");
+        let mut rest = newest
             .into_iter()
             .filter(|(_, (_, value))| !value.is_empty())
-            .map(|(key, (offset, value))| {
+            .filter(|(key, _)| after.as_ref().is_none_or(|after| key > after));
+        let mut items = self.odd_items.borrow().clone();
+        let page = rest.by_ref().take(PAGE_ITEMS);
+        items.extend(page.map(|(key, (offset, value))| {
                 json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
-            })
-            .collect();
+            }));
+        let more = rest.next().is_some();
         let end = partition.map_or(0, |partition| {
             partition.first + partition.records.len() as u64
         });
         json(
             StatusCode::OK,
-            &json!({ "items": items, "more": false, "end": end }),
+            &json!({ "items": items, "more": more, "end": end }),
         )
     }
 
@@ -360,12 +379,5 @@
 /// Returns the topic and partition number that a call names.
 fn partition_id(uri: &Uri) -> (String, u64) {
     let partition = query_number(uri, "part").unwrap_or(0);
-    (query_text(uri, "topic"), partition)
-}
-
-fn query_text(uri: &Uri, name: &str) -> String {
-    let pairs = uri.query().unwrap_or_default().split('&');
-    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
-    let found = pairs.find(|(key, _)| *key == name);
-    found.map_or_else(String::new, |(_, value)| value.to_owned())
+    (query_text(uri, "topic").unwrap_or_default(), partition)
 }
