Executors: a stated later start locks no true entry out

Seen: another writer's entry under an executor's key, with a start far ahead or a minute ahead and an address where nobody answers: the executor's true entries were ignored from then on, and it got no work. Cause: a listing with an earlier start counted as one of an earlier process, even where the later start was known from the list alone. Change: a listing is ignored for its start only if the executor itself has reported a later one. An earlier start in the list alone is no restart: nothing is dropped, the next report tells.

--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -64,7 +64,8 @@
                 .insert(id.clone(), ExecutorState::listed(listed, now.at));
             return self.assign(&id);
         };
-        if executor.born.is_some_and(|born| listed.born < born) {
+        let earlier = executor.born.is_some_and(|born| listed.born < born);
+        if earlier && executor.born_reported {
             // The listing is of an earlier process.
             return;
         }
@@ -76,7 +77,9 @@
         let moved = executor.addr != listed.addr;
         executor.addr = listed.addr;
         executor.service = listed.service.clone();
-        executor.born = Some(listed.born);
+        executor.born_reported &= !restarted;
+        // An earlier start stated by the list alone shows no restart; its report tells.
+        executor.born = executor.born.max(Some(listed.born));
         executor.info = Some(Rc::new(listed));
         if restarted {
             self.reset(now, &id);
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -125,6 +125,7 @@
         if let Some(born) = report.born {
             let restarted = executor.born.is_some_and(|known| known != born);
             executor.born = Some(born);
+            executor.born_reported = true;
             if restarted {
                 self.reset(now, id);
             }
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -64,6 +64,8 @@
     /// When its process started, in Unix milliseconds, once that is known. A new value means that
     /// it has restarted.
     pub born: Option<u64>,
+    /// `born` is from its own report, not only from the platform's list.
+    pub born_reported: bool,
     /// Its entry in the platform's list; `None` while it is not listed.
     pub info: Option<Rc<Executor>>,
     /// It may be given work only while this is `Recorded`.
@@ -132,6 +134,7 @@
             usable: false,
             addr,
             born: None,
+            born_reported: false,
             info: None,
             assignment: Assignment::Recorded,
             reported: false,
