--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -2,13 +2,13 @@
 
 mod actions;
 mod hosts;
+mod jobs;
 mod operators;
 mod simulated_owner;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,25 +16,17 @@
 use mimosastep::batch::Directives;
 use mimosastep::batch::Dispatcher;
 use mimosastep::batch::Event;
-use mimosastep::batch::Job;
 use mimosastep::batch::JobId;
-use mimosastep::batch::JobState;
 use mimosastep::batch::Now;
-use mimosastep::batch::OwnerRequest;
-use mimosastep::batch::OwnerResponse;
 use mimosastep::batch::Policy;
 use mimosastep::batch::Pool;
-use mimosastep::batch::Queue;
 use mimosastep::batch::Record;
-use mimosastep::batch::Resources;
 use mimosastep::batch::RunOutcome;
-use mimosastep::batch::Step;
 use mimosastep::batch::TaskId;
 use mimosastep::batch::WaveState;
 use mimosastep::name::ExecutorId;
 use mimosastep::name::HostName;
 use mimosastep::name::NodeName;
-use mimosastep::name::QueueName;
 use mimosastep::name::ServiceName;
 use mimosastep::name::TeamName;
 use slog::Discard;
@@ -42,6 +34,9 @@
 use slog::o;
 
 use crate::fake_executor::FakeExecutor;
+pub use crate::simulation::jobs::long_running;
+use crate::simulation::jobs::queue;
+pub use crate::simulation::jobs::step;
 pub use crate::simulation::simulated_owner::OwnerFault;
 use crate::simulation::simulated_owner::SimulatedOwner;
 
@@ -125,30 +120,6 @@
     format!("{number:016x}").parse().expect("invalid job id")
 }
 
-/// A step of tasks that each take one core and one second.
-pub fn step(count: u32) -> Step {
-    Step {
-        count,
-        demand: Resources {
-            cpu: 1_000,
-            memory: 100,
-            gpu: 0,
-        },
-        estimate: 1_000,
-        ..Step::default()
-    }
-}
-
-/// A step of long-running tasks: at most one per executor, and at most one interrupted at a time.
-pub fn long_running(count: u32) -> Step {
-    Step {
-        long_running: true,
-        spread: Some(1),
-        away: Some(1),
-        ..step(count)
-    }
-}
-
 impl Simulation {
     /// Creates a site from the names and host counts of its pools, and runs it for 4 s. Hosts of
     /// the pool `spare` are off.
@@ -289,65 +260,6 @@
         self.publish_listing();
     }
 
-    /// Submits a job without a team.
-    pub fn submit(&mut self, number: u64, pool: &str, steps: Vec<Step>) -> JobId {
-        self.submit_as(None, number, pool, steps)
-    }
-
-    /// Submits a job, optionally of a team.
-    pub fn submit_as(
-        &mut self,
-        team: Option<TeamName>,
-        number: u64,
-        pool: &str,
-        steps: Vec<Step>,
-    ) -> JobId {
-        let job = Job {
-            id: job_id(number),
-            queue: QueueName::new(pool).expect("invalid name"),
-            service: service(pool),
-            team,
-            spec: Arc::from("work"),
-            steps,
-            attempts: 3,
-            schedule: None,
-            accepted: self.now.unix,
-        };
-        self.append_record(Record::Accepted(job));
-        job_id(number)
-    }
-
-    /// Makes the store reachable again for the elected owner; appends its pending records.
-    pub fn restore_store(&mut self) {
-        let now = self.now.at;
-        let records = self.owner().restore_store(now);
-        self.records.extend(records);
-    }
-
-    pub fn cancel(&mut self, job: JobId) {
-        self.append_record(Record::Cancelled(job));
-    }
-
-    fn append_record(&mut self, record: Record) {
-        self.records.push(record.clone());
-        self.schedule(
-            ROUND_TRIP_MS,
-            Event::Records {
-                records: vec![record],
-                more: self.log_backlog,
-            },
-        );
-    }
-
-    pub fn job_state(&self, pool: &str, job: JobId) -> JobState {
-        let queue = QueueName::new(pool).expect("invalid name");
-        let owner = self.owners.last().expect("no owner");
-        match owner.dispatcher.answer(&OwnerRequest::State(queue, job)) {
-            OwnerResponse::State(Some(state)) => state,
-            answer => panic!("expected a state of job {job}, got {answer:?}"),
-        }
-    }
-
     /// Executors that run a task.
     pub fn executors_running(&self, task: &TaskId) -> Vec<ExecutorId> {
         let fakes = self
@@ -431,19 +343,3 @@
         }
     }
 }
-
-fn queue(name: &str) -> Queue {
-    Queue {
-        name: QueueName::new(name).expect("invalid name"),
-        host: Arc::from("site.example"),
-        prefix: Arc::from(format!("/{name}/")),
-        service: service(name),
-        public: false,
-        priority: 0,
-        attempts: 3,
-        stretch: 2.0,
-        latency: 600,
-        timeout: 3_000,
-        advised: false,
-    }
-}
