--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -4,6 +4,7 @@
 mod heartbeats;
 mod host_orders;
 mod idle_task;
+mod job_order;
 mod jobs;
 mod maintenance;
 mod measurement;
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -1,7 +1,6 @@
 //! Selects the waiting tasks to start now, and the executors for them.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use slog::info;
@@ -16,15 +15,12 @@
 use crate::batch::Resources;
 use crate::batch::Step;
 use crate::batch::StepId;
-use crate::batch::candidate::Candidate;
 use crate::batch::dispatcher::idle_task::IdleTask;
 use crate::batch::dispatcher::maintenance::is_order_recent;
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
-use crate::batch::turns::Position;
 use crate::name::ExecutorId;
-use crate::name::ServiceName;
 use crate::name::TeamName;
 
 /// Time for which the reader of the log may lag before starts are suspended, in milliseconds.
@@ -142,40 +138,6 @@
         }
     }
 
-    /// Returns the active jobs with tasks to start, by service, in the order in which to serve them.
-    fn ranked_jobs(&self, now: Now) -> BTreeMap<ServiceName, VecDeque<Position>> {
-        let policy = self.directives.policy.as_ref();
-        let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
-        let jobs = jobs.filter(|entry| !entry.remaining().ready.is_empty());
-        let mut services: BTreeMap<&ServiceName, Vec<Candidate>> = BTreeMap::new();
-        for entry in jobs {
-            let queue = policy.and_then(|policy| policy.queue_named(&entry.job.queue));
-            let candidate = Candidate::of(entry, queue, now.unix);
-            services
-                .entry(&entry.job.service)
-                .or_default()
-                .push(candidate);
-        }
-        let ranked = services.into_iter().map(|(service, jobs)| {
-            let positions = self.turns.positions(service, jobs);
-            (service.clone(), VecDeque::from(positions))
-        });
-        ranked.collect()
-    }
-
-    /// Removes and returns the next job to serve: one of the service with the fewest unanswered
-    /// starts. Services have no executors in common, so the limit on these starts must not be used
-    /// up by the jobs of one, whatever their rank.
-    fn next_job(&self, ranked: &mut BTreeMap<ServiceName, VecDeque<Position>>) -> Option<JobId> {
-        let heads = ranked.iter_mut().filter_map(|(service, positions)| {
-            let head = *positions.front()?;
-            Some((self.starts.of(service), head, positions))
-        });
-        let next = heads.min_by_key(|(starts, head, _)| (*starts, *head));
-        next.and_then(|(_, _, positions)| positions.pop_front())
-            .map(|position| position.id)
-    }
-
     /// Returns the free capacity of the executors that can take new work.
     pub(super) fn free_capacity(&self, now: Now) -> SiteCapacity {
         let mut capacity = SiteCapacity::default();
