--- a/tests/batch/standstill.rs
+++ b/tests/batch/standstill.rs
@@ -19,6 +19,7 @@
 use crate::simulation::Simulation;
 use crate::simulation::long_running;
 use crate::simulation::step;
+use crate::simulation::team;
 
 /// Pools whose queues get jobs.
 const POOLS: [&str; 2] = ["captions", "tags"];
@@ -85,7 +86,8 @@
                 .map(|at| random_step(rng, at))
                 .collect()
         };
-        let id = self.sim.submit(number, pool, steps.clone());
+        let team = rng.random_bool(0.3).then(|| team("team"));
+        let id = self.sim.submit_as(team, number, pool, steps.clone());
         self.jobs.push(Submitted {
             id,
             pool,
@@ -113,7 +115,7 @@
 
     fn disturb(&mut self) {
         let store_down = self.sim.owner().store_down;
-        match self.rng.random_range(0..14) {
+        match self.rng.random_range(0..16) {
             0 => {
                 let id = self.executor();
                 self.sim.owner().unreachable.insert(id);
@@ -149,6 +151,10 @@
             }
             12 => self.sim.draining.clear(),
             13 => self.sim.log_backlog = self.rng.random_bool(0.3),
+            14 => self.sim.set_team("team", 4, 8_000),
+            15 => self
+                .sim
+                .request_wave(&["captions-0", "tags-1", "spare-0"], 12_000, 1),
             _ => {}
         }
     }
@@ -217,6 +223,7 @@
         self.sim.lost_starts = 0;
         self.sim.lost_stops = 0;
         self.sim.log_backlog = false;
+        self.sim.set_team("team", 4, 0);
         self.sim.close_dc("dc-a", false);
         if self.sim.owner().store_down {
             self.sim.restore_store();
