Logs: lines are written in batches, by a writer that wakes once a batch

Callers saw an owner short of processor; each of its log lines cost a wake-up of the writer's thread, a write of its own and copies of all values for that thread.

--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics and the timeline of decisions.
 
+mod batch_writer;
 mod clock;
 mod counters;
 mod entry;
@@ -20,6 +21,7 @@
 pub use entry::Entry;
 pub use hlc_timestamp::HlcTimestamp;
 pub use hybrid_clock::HybridClock;
+pub use log::open_batched_log;
 pub use log::open_stderr_log;
 pub use log::open_stdout_log;
 pub use message_kind::MessageKind;
