HTTP: connections clear no memory before they read, and hand out their own buffer

Each poll of a connection cleared the whole buffer that it was to fill (8 KB and more), also if nothing was there to read: 2.7 % of the owner's time at 1,500 started tasks a second, by samples. Client, server and the connections with long responses now share one stream that copies what has arrived. No change of behaviour; the tests of clients and servers pass.

--- a/src/http/backend_connection.rs
+++ b/src/http/backend_connection.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -17,11 +16,11 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
-use hyper::rt::Read;
-use hyper::rt::Write;
 use quick_error::quick_error;
 
-use crate::http::large_buffer_stream::LargeBufferStream;
+use crate::http::buffered_stream::BufferedStream;
+use crate::http::buffered_stream::LARGE_BUFFER_BYTES;
+use crate::http::buffered_stream::SMALL_BUFFER_BYTES;
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -59,7 +58,7 @@
     /// # Errors
     /// [`BackendError::Connect`] if the connection cannot be established.
     pub async fn open(addr: SocketAddr) -> Result<Self, BackendError> {
-        Self::start(addr, HyperStream::new_plain(connect(addr).await?)).await
+        Self::start(addr, SMALL_BUFFER_BYTES).await
     }
 
     /// Like [`Self::open`], with large buffers for long responses.
@@ -67,13 +66,11 @@
     /// # Errors
     /// [`BackendError::Connect`] if the connection cannot be established.
     pub async fn open_with_large_buffers(addr: SocketAddr) -> Result<Self, BackendError> {
-        Self::start(addr, LargeBufferStream::new(connect(addr).await?)).await
+        Self::start(addr, LARGE_BUFFER_BYTES).await
     }
 
-    async fn start<T>(addr: SocketAddr, stream: T) -> Result<Self, BackendError>
-    where
-        T: Read + Write + Unpin + 'static,
-    {
+    async fn start(addr: SocketAddr, buffer_bytes: usize) -> Result<Self, BackendError> {
+        let stream = BufferedStream::new(connect(addr).await?, buffer_bytes);
         let (sender, connection) = http1::handshake(stream)
             .await
             .map_err(|err| BackendError::Connect(io::Error::other(err)))?;
--- a/src/http/large_buffer_stream.rs
+++ b/src/http/buffered_stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream with large buffers.
+//! A TCP stream with buffers of its own.
 
 use std::io;
 use std::pin::Pin;
@@ -8,49 +8,48 @@
 
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
-use futures_util::AsyncRead;
+use futures_util::AsyncBufRead;
 use futures_util::AsyncWrite;
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
-/// Maximum number of bytes read in one iteration of the event loop.
-const BUFFER_BYTES: usize = 64 << 10;
-/// Maximum number of bytes copied in one poll.
-const CHUNK_BYTES: usize = 8 << 10;
+/// Size of the buffers of most connections.
+pub const SMALL_BUFFER_BYTES: usize = 8 << 10;
+/// Size of the buffers of connections with long responses: a busy event loop needs fewer iterations
+/// to read them.
+pub const LARGE_BUFFER_BYTES: usize = 64 << 10;
 
-/// A stream for few connections with long responses: a busy event loop needs fewer iterations to
-/// read them.
-pub struct LargeBufferStream {
+/// A stream that hands out what is in its buffer and clears no memory before it reads.
+pub struct BufferedStream {
     inner: Pin<Box<AsyncStream<TcpStream>>>,
 }
 
-impl LargeBufferStream {
-    /// Wraps an open connection.
+impl BufferedStream {
+    /// Wraps an open connection, with buffers of `size` bytes.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, size: usize) -> Self {
         Self {
-            inner: Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream)),
+            inner: Box::pin(AsyncStream::with_capacity(size, stream)),
         }
     }
 }
 
-impl Read for LargeBufferStream {
+impl Read for BufferedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; CHUNK_BYTES];
-        let size = buf.remaining().min(CHUNK_BYTES);
-        let inner = self.inner.as_mut();
-        let count = ready!(AsyncRead::poll_read(inner, cx, &mut chunk[..size]))?;
-        buf.put_slice(&chunk[..count]);
+        let filled = ready!(self.inner.as_mut().poll_fill_buf(cx))?;
+        let count = filled.len().min(buf.remaining());
+        buf.put_slice(&filled[..count]);
+        self.inner.as_mut().consume(count);
         Poll::Ready(Ok(()))
     }
 }
 
-impl Write for LargeBufferStream {
+impl Write for BufferedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod backend_connection;
 mod body;
 mod body_error;
+mod buffered_stream;
 mod client;
 mod concurrency_limiter;
 mod connection_timer;
@@ -10,7 +11,6 @@
 mod error_outcome;
 mod http_error;
 mod idle_connections;
-mod large_buffer_stream;
 mod limits;
 mod monitored_stream;
 mod reply;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,7 +12,6 @@
 
 use compio::net::TcpListener;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::Either;
@@ -29,6 +28,8 @@
 use crate::http::HttpError;
 use crate::http::Limits;
 use crate::http::Reply;
+use crate::http::buffered_stream::BufferedStream;
+use crate::http::buffered_stream::SMALL_BUFFER_BYTES;
 use crate::http::connection_timer::ConnectionTimer;
 use crate::http::monitored_stream::MonitoredStream;
 
@@ -153,7 +154,8 @@
             reply
         }
     });
-    let stream = MonitoredStream::new(HyperStream::new_plain(stream), Rc::clone(&timer));
+    let stream = BufferedStream::new(stream, SMALL_BUFFER_BYTES);
+    let stream = MonitoredStream::new(stream, Rc::clone(&timer));
     let mut builder = http1::Builder::new();
     builder
         .header_read_timeout(None)
