--- a/standins/src/connections.rs
+++ b/standins/src/connections.rs
@@ -38,6 +38,7 @@
 pub struct Connections {
     limit: usize,
     open: RefCell<Vec<Rc<Connection>>>,
+    opened: Cell<u64>,
 }
 
 impl Connections {
@@ -46,6 +47,7 @@
         Self {
             limit,
             open: RefCell::default(),
+            opened: Cell::new(0),
         }
     }
 
@@ -63,9 +65,15 @@
             fault: RefCell::new(Some(sender)),
         });
         open.push(connection.clone());
+        self.opened.set(self.opened.get() + 1);
         Some((connection, receiver))
     }
 
+    /// Number of connections registered so far, those that have ended included.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
     /// Removes a connection that has ended.
     pub fn close(&self, connection: &Rc<Connection>) {
         self.open
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -37,6 +37,8 @@
     last_end: Cell<u64>,
     /// Number of runs started so far.
     pub starts: Cell<u64>,
+    /// Number of heartbeats so far.
+    pub heartbeats: Cell<u64>,
 }
 
 impl Worker {
@@ -51,6 +53,7 @@
             ended: RefCell::default(),
             last_end: Cell::new(0),
             starts: Cell::new(0),
+            heartbeats: Cell::new(0),
         })
     }
 
@@ -99,7 +102,13 @@
         json(StatusCode::OK, &json!({ "clock_ms": self.clock_ms() }))
     }
 
+    /// Number of connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.connections.opened()
+    }
+
     async fn hold(&self, body: &Value) -> HttpResponse {
+        self.heartbeats.set(self.heartbeats.get() + 1);
         let acked = body["acked_upto"].as_u64().unwrap_or(0);
         self.ended
             .borrow_mut()
