--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -32,15 +32,13 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let present = |task: &TaskId, number: u64| {
-            running
-                .iter()
-                .any(|run| run.task == *task && run.run == number)
-        };
+        let mut present: Vec<(TaskId, u64)> =
+            running.iter().map(|run| (run.task, run.run)).collect();
+        present.sort_unstable();
         let absent = executor
             .runs
             .iter()
-            .filter(|((task, run), _)| !present(task, *run));
+            .filter(|(key, _)| present.binary_search(key).is_err());
         let absent: Vec<(TaskId, u64, Phase)> = absent
             .map(|((task, run), run_state)| (*task, *run, run_state.phase))
             .collect();
