Sums: the largest numbers saturate instead of overflowing

Seen: a client's job with the largest estimate, accepted with 200, ended the process in a test build (the main thread panicked in demand_meter.rs); a release build went on with wrapped sums, in which the largest demand seems to fit beside others. The same in a team's weight, the sums of hosts' capacities and executors' clocks. Change: what an executor holds is compared with a checked sum; all other sums and products of numbers from outside saturate. Evidence: the five tests of tests/batch/largest.rs failed before: 'attempt to multiply with overflow' in demand_meter.rs:45 and shares.rs:28, 'attempt to add' in resources.rs:21.

--- a/src/batch/demand_meter.rs
+++ b/src/batch/demand_meter.rs
@@ -42,8 +42,11 @@
             return;
         }
         let steps = job.steps.iter();
-        let work = steps.map(|step| step.estimate * step.demand.cpu * u64::from(step.count));
-        let work = work.sum::<u64>() / 1_000;
+        let work = steps.map(|step| {
+            let time = step.estimate.saturating_mul(u64::from(step.count));
+            time.saturating_mul(step.demand.cpu)
+        });
+        let work = work.fold(0, u64::saturating_add) / 1_000;
         let arrivals = self.services.entry(job.service.clone()).or_default();
         arrivals.items.push_back((now, work));
     }
@@ -73,16 +76,16 @@
         {
             arrivals.items.pop_front();
         }
-        let mut recent = 0;
-        let mut previous = 0;
+        let mut recent = 0_u64;
+        let mut previous = 0_u64;
         let mut largest = 0;
         let mut squares = 0.0;
         for &(at, work) in &arrivals.items {
             if age(at) <= window {
-                recent += work;
+                recent = recent.saturating_add(work);
                 largest = largest.max(work);
             } else {
-                previous += work;
+                previous = previous.saturating_add(work);
                 squares += square(work);
             }
         }
@@ -91,7 +94,7 @@
         } else {
             0
         };
-        let noise = root(squares * 2.0) * NOISE_PERCENT / 100;
+        let noise = root(squares * 2.0).saturating_mul(NOISE_PERCENT) / 100;
         let rise = rise.saturating_sub(noise.max(largest));
         // Without a rise, the mean of both windows.
         let rate = if rise > 0 || !comparable {
@@ -99,7 +102,8 @@
         } else {
             recent.min(previous) + recent.abs_diff(previous) / 2
         };
-        (rate + rise * AHEAD_WINDOWS) * 1_000 / WINDOW_MS
+        let ahead = rise.saturating_mul(AHEAD_WINDOWS);
+        rate.saturating_add(ahead).saturating_mul(1_000) / WINDOW_MS
     }
 }
 
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -188,7 +188,9 @@
                         progress.tasks.len() - progress.done as usize
                     };
                     if too_late {
-                        service.late_work += left as u64 * step.estimate * step.reserved().cpu;
+                        let time = step.estimate.saturating_mul(left as u64);
+                        let work = time.saturating_mul(step.reserved().cpu);
+                        service.late_work = service.late_work.saturating_add(work);
                         continue;
                     }
                     service.demand.add(&step.reserved().times(left as u64));
@@ -219,8 +221,9 @@
     /// CPU of the hosts that the load takes, in thousandths of a core. Load that takes a larger
     /// share of the hosts' memory than of their CPU counts by its memory.
     fn need(&self, total: &Resources) -> u64 {
-        let memory = self.demand.memory * total.cpu;
-        let memory = memory.checked_div(total.memory).unwrap_or(0);
+        let memory = u128::from(self.demand.memory) * u128::from(total.cpu);
+        let memory = memory.checked_div(u128::from(total.memory)).unwrap_or(0);
+        let memory = u64::try_from(memory).unwrap_or(u64::MAX);
         self.demand.cpu.max(memory)
     }
 }
--- a/src/batch/executor_capacity.rs
+++ b/src/batch/executor_capacity.rs
@@ -71,7 +71,11 @@
 
     /// Returns the share of its CPU that is in use, in thousandths.
     fn load(&self) -> u64 {
-        let load = (self.used.cpu * 1_000).checked_div(self.info.capacity.cpu);
+        let load = self
+            .used
+            .cpu
+            .saturating_mul(1_000)
+            .checked_div(self.info.capacity.cpu);
         load.unwrap_or(0)
     }
 }
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -167,7 +167,7 @@
     pub fn deadline(&self, now: Instant, ahead: u64) -> Option<u64> {
         let (clock, at) = self.clock?;
         let since = u64::try_from(now.saturating_duration_since(at).as_millis()).ok()?;
-        Some(clock + since + ahead)
+        Some(clock.saturating_add(since).saturating_add(ahead))
     }
 
     /// Notes that an order sent at `now` renews its leases.
@@ -277,6 +277,10 @@
     #[must_use]
     pub fn load(&self) -> u64 {
         let capacity = self.info.as_ref().map_or(0, |info| info.capacity.cpu);
-        (self.used.cpu * 1_000).checked_div(capacity).unwrap_or(0)
+        self.used
+            .cpu
+            .saturating_mul(1_000)
+            .checked_div(capacity)
+            .unwrap_or(0)
     }
 }
--- a/src/batch/pool_balancer.rs
+++ b/src/batch/pool_balancer.rs
@@ -141,14 +141,14 @@
                 target: target_cpu(pool),
             })
             .collect();
-        let mut unmet = 0;
+        let mut unmet = 0_u64;
         while let Some(at) = worst(&shortages) {
             let shortage = &mut shortages[at];
             let found = donors.iter().position(|(from, member)| {
                 from != shortage.pool && self.is_fit(&member.host, shortage.pool)
             });
             let Some(found) = found else {
-                unmet += std::mem::take(&mut shortage.lacking);
+                unmet = unmet.saturating_add(std::mem::take(&mut shortage.lacking));
                 continue;
             };
             let (_, member) = donors.remove(found);
@@ -246,12 +246,13 @@
 
     /// Returns the CPU that a pool has, pending moves included, in thousandths of a core.
     fn supply(&self, pool: &PoolView) -> u64 {
-        let here: u64 = self.staying(pool).map(|member| member.cpu).sum();
+        let here = self.staying(pool).map(|member| member.cpu);
         let incoming = self
             .pending
             .values()
             .filter(|pending| pending.pool == pool.service);
-        here + incoming.map(|pending| pending.cpu).sum::<u64>()
+        let incoming = incoming.map(|pending| pending.cpu);
+        here.chain(incoming).fold(0, u64::saturating_add)
     }
 
     /// Returns the number of hosts that have been ordered to join a pool.
@@ -267,12 +268,13 @@
     }
 
     fn needed_cpu(pool: &PoolView) -> u64 {
-        pool.need + pool.need * MARGIN_PERCENT / 100
+        let margin = pool.need.saturating_mul(MARGIN_PERCENT) / 100;
+        pool.need.saturating_add(margin)
     }
 
     /// Returns the CPU that a pool may have while no other pool is short, in thousandths of a core.
     fn usable_cpu(pool: &PoolView) -> u64 {
-        Self::needed_cpu(pool) + pool.late_cpu
+        Self::needed_cpu(pool).saturating_add(pool.late_cpu)
     }
 
     /// Returns the CPU that a pool lacks, in thousandths of a core. If it lacks only hosts, that is
@@ -312,7 +314,7 @@
         for member in &pool.hosts {
             let usable =
                 member.idle && member.available && !self.pending.contains_key(&member.host);
-            if usable && count > min_hosts && supply >= wanted + member.cpu {
+            if usable && count > min_hosts && supply >= wanted.saturating_add(member.cpu) {
                 supply -= member.cpu;
                 count -= 1;
                 found.push(member.clone());
--- a/src/batch/resources.rs
+++ b/src/batch/resources.rs
@@ -18,9 +18,9 @@
     /// Whether this amount and `used` together are within `capacity`.
     #[must_use]
     pub const fn fits(&self, used: &Self, capacity: &Self) -> bool {
-        used.cpu + self.cpu <= capacity.cpu
-            && used.memory + self.memory <= capacity.memory
-            && used.gpu + self.gpu <= capacity.gpu
+        sum_within(used.cpu, self.cpu, capacity.cpu)
+            && sum_within(used.memory, self.memory, capacity.memory)
+            && sum_within(used.gpu, self.gpu, capacity.gpu)
     }
 
     /// Returns how many times `each` can be added to `used` under this limit, where 0 means
@@ -49,21 +49,21 @@
         }
     }
 
-    /// Returns this amount multiplied by `count`.
+    /// Returns this amount multiplied by `count`, saturating at the largest number.
     #[must_use]
     pub const fn times(&self, count: u64) -> Self {
         Self {
-            cpu: self.cpu * count,
-            memory: self.memory * count,
-            gpu: self.gpu * count,
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
         }
     }
 
-    /// Adds another amount in each resource.
+    /// Adds another amount in each resource, saturating at the largest number.
     pub const fn add(&mut self, other: &Self) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.gpu += other.gpu;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.gpu = self.gpu.saturating_add(other.gpu);
     }
 
     /// Subtracts another amount, saturating at zero.
@@ -74,6 +74,13 @@
     }
 }
 
+const fn sum_within(one: u64, other: u64, limit: u64) -> bool {
+    match one.checked_add(other) {
+        Some(sum) => sum <= limit,
+        None => false,
+    }
+}
+
 const fn lesser(one: u64, other: u64) -> u64 {
     if one < other { one } else { other }
 }
--- a/src/batch/shares.rs
+++ b/src/batch/shares.rs
@@ -25,14 +25,15 @@
     /// Charges a job that was accepted at `unix` (in milliseconds) to its team; returns whether it
     /// is within the share of a team with that weight. Call it in the order of acceptance.
     pub fn admit(&mut self, unix: u64, team: &TeamName, weight: u64) -> bool {
-        let capacity = weight.max(1) * JOB_TOKENS;
+        let capacity = weight.max(1).saturating_mul(JOB_TOKENS);
         let bucket = self.buckets.entry(team.clone()).or_insert(Bucket {
             tokens: capacity,
             filled_unix: unix,
         });
         // A rate in jobs per second equals the same number of tokens per millisecond.
-        let fresh = unix.saturating_sub(bucket.filled_unix) * weight.max(1);
-        bucket.tokens = (bucket.tokens + fresh).min(capacity);
+        let fresh = unix.saturating_sub(bucket.filled_unix);
+        let fresh = fresh.saturating_mul(weight.max(1));
+        bucket.tokens = bucket.tokens.saturating_add(fresh).min(capacity);
         bucket.filled_unix = bucket.filled_unix.max(unix);
         let Some(left) = bucket.tokens.checked_sub(JOB_TOKENS) else {
             return false;
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod handover;
 mod large;
+mod largest;
 mod line;
 mod needs;
 mod objective;
