--- a/src/batch/backlog_entry.rs
+++ b/src/batch/backlog_entry.rs
@@ -7,6 +7,7 @@
 use crate::batch::Resources;
 use crate::batch::candidate::Candidate;
 use crate::batch::rank::Rank;
+use crate::batch::service_load::JOB_LIMIT;
 use crate::batch::service_load::JobLoad;
 use crate::name::QueueName;
 use crate::name::ServiceName;
@@ -79,7 +80,8 @@
     }
 }
 
-/// Returns the resources of a job's tasks that are neither done nor known to run.
+/// Returns the resources of a job's tasks that are neither done nor known to run, at most
+/// [`JOB_LIMIT`].
 fn unplaced(job_progress: &JobProgress) -> Resources {
     let mut demand = Resources::default();
     for steps in job_progress.occurrences.values() {
@@ -88,5 +90,5 @@
             demand.add(&step.demand.times(idle.count() as u64));
         }
     }
-    demand
+    demand.min(&JOB_LIMIT)
 }
--- a/src/batch/service_load.rs
+++ b/src/batch/service_load.rs
@@ -5,7 +5,7 @@
 use crate::batch::multiset::Multiset;
 
 /// Most of each resource that one job counts for, so that the sum over all jobs can't overflow.
-const JOB_LIMIT: Resources = Resources {
+pub const JOB_LIMIT: Resources = Resources {
     cpu: u64::MAX >> 24,
     memory: u64::MAX >> 24,
     gpu: u64::MAX >> 24,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod handover;
 mod large;
+mod largest;
 mod line;
 mod load;
 mod needs;
