--- a/src/batch/backlog.rs
+++ b/src/batch/backlog.rs
@@ -7,9 +7,9 @@
 use crate::batch::JobId;
 use crate::batch::Resources;
 use crate::batch::backlog_entry::BacklogEntry;
-use crate::batch::candidate::Candidate;
 use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::service_order::ServiceOrder;
+use crate::batch::sweep::Sweep;
 use crate::batch::turns::Turns;
 use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::name::QueueName;
@@ -139,19 +139,19 @@
     }
 
     /// Returns, for each service, the jobs with tasks to start in the order in which to serve them.
-    /// Behind the front, each goes on after the service's candidate among `cursors`.
+    /// Behind the front, each goes on with the service's sweep.
     #[must_use]
     pub fn orders(
         &self,
         turns: &Turns,
-        cursors: &BTreeMap<ServiceName, Candidate>,
+        sweeps: &BTreeMap<ServiceName, Sweep>,
         starts: &UnansweredStarts,
     ) -> Vec<ServiceOrder<'_>> {
         let services = self.services.iter();
         let orders = services.map(|(service, backlog)| {
-            let cursor = cursors.get(service).copied();
+            let sweep = sweeps.get(service).copied().unwrap_or_default();
             let drawn = turns.is_drawn(service);
-            ServiceOrder::new(service, backlog, drawn, cursor, starts.of(service))
+            ServiceOrder::new(service, backlog, drawn, sweep, starts.of(service))
         });
         orders.collect()
     }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -47,7 +47,6 @@
 use crate::batch::advisor::Advisor;
 use crate::batch::backlog::Backlog;
 use crate::batch::batch_state::BatchState;
-use crate::batch::candidate::Candidate;
 use crate::batch::demand_meter::DemandMeter;
 use crate::batch::dispatcher::host_orders::PendingOrder;
 use crate::batch::executor_capacity::SiteCapacity;
@@ -55,6 +54,7 @@
 use crate::batch::executor_state::LEASE_MS;
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
 use crate::batch::pool_balancer::PoolBalancer;
+use crate::batch::sweep::Sweep;
 use crate::batch::turns::Turns;
 use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::batch::waves::Waves;
@@ -115,8 +115,8 @@
     widening: Widening,
     // Jobs that have work left.
     backlog: Backlog,
-    // Up to which candidate of each service those behind the front have been examined.
-    cursors: BTreeMap<ServiceName, Candidate>,
+    // How far placements have come behind the front of each service.
+    sweeps: BTreeMap<ServiceName, Sweep>,
     // Partitions of executors with unknown runs, as of the last update of the backlog.
     unknown: BTreeMap<ServiceName, Partitions>,
     // Whether the configuration has changed since the last update of the backlog.
@@ -210,7 +210,7 @@
             pending_grants: BTreeMap::new(),
             widening: Widening::default(),
             backlog: Backlog::default(),
-            cursors: BTreeMap::new(),
+            sweeps: BTreeMap::new(),
             unknown: BTreeMap::new(),
             policy_changed: false,
             openings,
--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -35,6 +35,7 @@
         }
         // Their records may soon expire, so they are rewritten at the next check.
         self.last_rewrite = 0;
+        self.update_backlog(now);
     }
 
     /// Applies the platform's list of executors.
--- a/src/batch/dispatcher/partition_grants.rs
+++ b/src/batch/dispatcher/partition_grants.rs
@@ -92,15 +92,16 @@
 
     /// Logs which executors with unknown runs these jobs wait for.
     pub(super) fn log_blocked(&self, blocked: &[JobId]) {
+        let unknown = self.executors.iter();
+        let unknown = unknown.filter(|(_, executor)| executor.has_unknown_runs());
+        let unknown: Vec<_> = unknown.collect();
         for id in blocked {
             let Some(entry) = self.state.jobs.get(id) else {
                 continue;
             };
             let service = &entry.job.service;
-            let waited_for = self.executors.iter().filter(|(_, executor)| {
-                executor.has_unknown_runs()
-                    && executor.service == *service
-                    && entry.inherited.intersects(executor.partition)
+            let waited_for = unknown.iter().filter(|(_, executor)| {
+                entry.inherited.intersects(executor.partition) && executor.service == *service
             });
             let waited_for: Vec<&str> = waited_for.map(|(executor, _)| executor.as_str()).collect();
             info!(self.log, "job blocked by unknown runs"; "job" => %id, "service" => %service,
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -73,11 +73,13 @@
             return;
         }
         self.effort.looks += 1;
+        self.mark_excess();
+        self.update_backlog(now);
         let unknown_usage = self.unknown_usage();
         let mut capacity = self.free_capacity(now);
         let backlog = std::mem::take(&mut self.backlog);
-        let mut orders = backlog.orders(&self.turns, &self.cursors, &self.starts);
-        while let Some((order, position)) = first(&mut orders) {
+        let mut orders = backlog.orders(&self.turns, &self.sweeps, &self.starts);
+        while let Some((order, position)) = next_order(&mut orders) {
             if self.starts.len() >= START_LIMIT {
                 self.throttled = true;
                 break;
@@ -91,12 +93,12 @@
             order.pass(served, self.starts.of(order.service()));
         }
         self.unfinished = orders.iter().any(|order| !order.is_complete());
-        let cursors = orders
+        let sweeps = orders
             .iter()
-            .filter_map(|order| Some((order.service().clone(), order.cursor()?)));
-        let cursors = cursors.collect();
+            .map(|order| (order.service().clone(), order.sweep()));
+        let sweeps = sweeps.collect();
         drop(orders);
-        self.cursors = cursors;
+        self.sweeps = sweeps;
         self.backlog = backlog;
         self.free_capacity = capacity;
         self.grant_further();
@@ -113,11 +115,11 @@
         let Some(entry) = self.state.jobs.get(&id) else {
             return false;
         };
+        self.extra_hosts.remove(&id);
         let remaining = entry.remaining();
         if !capacity.may_fit(&entry.job.service, &remaining.least) {
             return false;
         }
-        self.extra_hosts.remove(&id);
         let before = self.starts.len();
         for &(occurrence, step) in &remaining.ready {
             self.place_step(now, capacity, unknown_usage, id, occurrence, step);
@@ -237,7 +239,8 @@
                     .widening
                     .widen(now.at, id, executors, &mut placement, left));
         let restricted = idle.iter().any(|task| task.avoided.is_some());
-        if !has_room && step.is_plain() && tickets.is_none() && !restricted {
+        let sized = step.reserved() != Resources::default();
+        if !has_room && sized && step.is_plain() && tickets.is_none() && !restricted {
             capacity.note_full(&job.service, step.reserved());
         }
         self.throttled |= wanted > unanswered;
@@ -368,7 +371,7 @@
 /// Returns the order of the service with the fewest unanswered starts, and the position of its next
 /// job. Services have no executors in common, so the limit on these starts must not be used up by
 /// the jobs of one, whatever their rank.
-fn first<'a, 'b>(
+fn next_order<'a, 'b>(
     orders: &'a mut [ServiceOrder<'b>],
 ) -> Option<(&'a mut ServiceOrder<'b>, Position)> {
     let heads = orders.iter_mut();
--- a/src/batch/dispatcher/polling.rs
+++ b/src/batch/dispatcher/polling.rs
@@ -58,7 +58,6 @@
             self.dirty = false;
             self.unfinished = false;
             self.last_placement = now.at;
-            self.update_backlog(now);
             self.place_tasks(now);
         }
     }
--- a/src/batch/dispatcher/ranking.rs
+++ b/src/batch/dispatcher/ranking.rs
@@ -15,7 +15,6 @@
 impl Dispatcher {
     /// Brings the backlog up to date. The cost grows with what has changed, not with what waits.
     pub(super) fn update_backlog(&mut self, now: Now) {
-        self.mark_excess();
         let mut ids = self.state.jobs.take_changed();
         ids.extend(self.backlog.expired(now.unix));
         ids.extend(self.update_unknown());
@@ -75,7 +74,7 @@
     }
 
     /// Marks the new jobs that exceed their team's share.
-    fn mark_excess(&mut self) {
+    pub(super) fn mark_excess(&mut self) {
         let Some(policy) = self.directives.policy.clone() else {
             return;
         };
--- a/src/batch/dispatcher/rewriting.rs
+++ b/src/batch/dispatcher/rewriting.rs
@@ -13,7 +13,7 @@
 
 /// Time between two checks for old records, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 2_000;
-/// Most jobs that are rewritten at a time.
+/// Most jobs that are rewritten at a time, unless there are so many that this is too few.
 const JOB_LIMIT: usize = 50;
 /// Records are rewritten when their age is the log's retention divided by this.
 const RETENTION_DIVISOR: u64 = 3;
@@ -35,16 +35,19 @@
     }
 
     fn rewrite_jobs(&mut self, now: Now, age: u64) {
-        let old = self.active.iter().filter(|id| {
-            let entry = self.state.jobs.get(*id);
-            entry.is_some_and(|entry| now.unix >= entry.written + age)
-        });
-        let old: Vec<JobId> = old.take(JOB_LIMIT).copied().collect();
+        let jobs = self.active.iter().filter_map(|id| self.state.jobs.get(id));
+        let old = jobs.filter(|entry| now.unix >= entry.written.saturating_add(age));
+        let mut old: Vec<(u64, JobId)> = old.map(|entry| (entry.written, entry.job.id)).collect();
         if old.is_empty() {
             return;
         }
+        old.sort_unstable();
+        // As many as it takes to rewrite all of them by the time at which the first are old again.
+        let checks = (age / CHECK_INTERVAL_MS).max(1);
+        let share = self.active.len().div_ceil(checks as usize);
+        old.truncate(share.max(JOB_LIMIT));
         info!(self.log, "jobs rewritten to the log"; "jobs" => old.len());
-        for id in old {
+        for (_, id) in old {
             if let Some(entry) = self.state.jobs.get_mut(&id) {
                 entry.written = now.unix;
                 let snapshot = JobSnapshot::new(entry, now.unix);
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -73,6 +73,7 @@
 mod size_class;
 mod step;
 mod step_progress;
+mod sweep;
 mod takeover;
 mod task_id;
 mod task_progress;
--- a/src/batch/rank.rs
+++ b/src/batch/rank.rs
@@ -63,7 +63,9 @@
     pub fn expiry(job_progress: &JobProgress, objective: &Objective, unix: u64) -> Option<u64> {
         let bound = objective.bound_after(earliest_end(job_progress, unix))?;
         let critical_path = job_progress.remaining().critical_path;
-        Some(bound.saturating_sub(critical_path).saturating_add(1))
+        let expiry = bound.saturating_sub(critical_path).saturating_add(1);
+        // Not so where a time is beyond the largest number.
+        (expiry > unix).then_some(expiry)
     }
 
     /// Whether the job is expected to end too late to be of use to its client.
--- a/src/batch/service_backlog.rs
+++ b/src/batch/service_backlog.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Returns the number of candidates.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_work.len()
+    }
+
     /// Whether there are no jobs.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/src/batch/service_order.rs
+++ b/src/batch/service_order.rs
@@ -9,10 +9,11 @@
 use crate::batch::rank::Rank;
 use crate::batch::service_backlog::Drawn;
 use crate::batch::service_backlog::ServiceBacklog;
+use crate::batch::sweep::Sweep;
 use crate::name::ServiceName;
 
 /// Number of candidates at the front that may find no capacity before the others get their turn.
-const FRONT_MISSES: usize = 32;
+const FRONT_MISSES: usize = 64;
 /// Number of candidates behind the front that may find no capacity in one placement.
 const REST_MISSES: usize = 32;
 
@@ -46,21 +47,26 @@
     place: usize,
     misses: usize,
     head: Option<Position>,
-    cursor: Option<Candidate>,
+    // Candidate behind the front that `head` was made from.
+    examined: Option<Candidate>,
+    sweep: Sweep,
     complete: bool,
 }
 
 impl<'a> ServiceOrder<'a> {
     /// Returns the order of a service's jobs; `drawn_first` if the next to start is drawn by lot.
-    /// Behind the front, it goes on after `cursor`. The service has `unanswered` starts.
+    /// Behind the front, it goes on with `sweep`. The service has `unanswered` starts.
     #[must_use]
     pub fn new(
         service: &'a ServiceName,
         backlog: &'a ServiceBacklog,
         drawn_first: bool,
-        cursor: Option<Candidate>,
+        mut sweep: Sweep,
         unanswered: usize,
     ) -> Self {
+        if sweep.left == 0 {
+            sweep.left = backlog.len();
+        }
         let by_work: Box<dyn Iterator<Item = &Candidate>> = Box::new(backlog.by_work());
         let by_draw: Box<dyn Iterator<Item = &Drawn>> = Box::new(backlog.by_draw());
         let mut order = Self {
@@ -69,7 +75,7 @@
             unanswered,
             by_work: by_work.peekable(),
             by_draw: by_draw.peekable(),
-            rest: Box::new(backlog.after(cursor)),
+            rest: Box::new(backlog.after(sweep.cursor)),
             taken: BTreeSet::new(),
             drawn_first,
             by_lot: drawn_first,
@@ -77,7 +83,8 @@
             place: 0,
             misses: 0,
             head: None,
-            cursor: None,
+            examined: None,
+            sweep,
             complete: false,
         };
         order.advance();
@@ -119,25 +126,30 @@
     pub fn pass(&mut self, served: bool, unanswered: usize) {
         self.unanswered = unanswered;
         self.misses += usize::from(!served);
+        if let Some(examined) = self.examined.take() {
+            self.sweep.cursor = Some(examined);
+            self.sweep.left = self.sweep.left.saturating_sub(1);
+        }
         self.advance();
     }
 
-    /// Whether all jobs have been examined.
+    /// Whether there is nothing left to examine: all jobs have been, by this placement or by this
+    /// and earlier ones, or there is no capacity for any.
     #[must_use]
     pub const fn is_complete(&self) -> bool {
-        self.complete
+        self.complete || self.sweep.left == 0
     }
 
-    /// Returns the candidate from which the next placement goes on behind the front.
+    /// Returns with what the next placement goes on behind the front.
     #[must_use]
-    pub const fn cursor(&self) -> Option<Candidate> {
-        self.cursor
+    pub const fn sweep(&self) -> Sweep {
+        self.sweep
     }
 
     fn advance(&mut self) {
         self.head = if self.misses < FRONT_MISSES {
             self.next_at_front()
-        } else if self.misses < FRONT_MISSES + REST_MISSES {
+        } else if self.sweep.left > 0 && self.misses < FRONT_MISSES + REST_MISSES {
             self.next_behind()
         } else {
             None
@@ -176,8 +188,11 @@
     fn next_behind(&mut self) -> Option<Position> {
         let taken = &self.taken;
         let next = self.rest.find(|job| !taken.contains(&job.id));
-        self.cursor = next.copied();
-        let next = next?;
+        let Some(&next) = next else {
+            self.sweep.cursor = None;
+            return None;
+        };
+        self.examined = Some(next);
         Some(self.position(next.rank, next.id))
     }
 
--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -82,3 +82,22 @@
 fn state(sim: &Simulation, job: JobId) -> JobState {
     sim.job_state("captions", job)
 }
+
+// Guards against a service whose sweep behind its front began anew at each placement that the limit
+// on unanswered starts cut short: jobs further back were never examined.
+#[test]
+fn a_job_behind_many_that_cant_start_is_served_beside_a_service_without_answers() {
+    let mut sim = Simulation::new(&[("captions", HOSTS), ("tags", 2)]);
+    sim.lost_starts = usize::MAX;
+    for number in 0..400 {
+        sim.submit(number, "captions", vec![step(100)]);
+    }
+    sim.run(100);
+    for number in 1_000..1_300 {
+        sim.submit(number, "tags", vec![labelled()]);
+    }
+    let last = sim.submit(2_000, "tags", vec![step(4)]);
+    sim.run(8_000);
+    let first = sim.starts.iter().find(|start| start.1.job == last);
+    assert!(first.is_some(), "no task of the last job was started");
+}
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -1,5 +1,9 @@
 //! Tests of owners and executors that crash or do not answer, and of lost answers.
 
+use std::collections::BTreeSet;
+
+use mimosastep::batch::JobId;
+use mimosastep::batch::JobProgress;
 use mimosastep::batch::JobState;
 use mimosastep::batch::Record;
 use mimosastep::batch::RunOutcome;
@@ -161,6 +165,31 @@
     assert_eq!(sim.starts.len(), 3, "a task was started again");
 }
 
+/// Guards against jobs whose records expire for good: only as many were rewritten at a time as fit a
+/// small backlog, always those with the lowest ids.
+#[test]
+fn all_jobs_of_a_long_backlog_are_rewritten_before_their_records_expire() {
+    const JOBS: u64 = 1_000;
+    const RETENTION_MS: u64 = 30_000;
+    let mut sim = Simulation::new(&[("captions", 1)]);
+    sim.owner().dispatcher.set_retention(RETENTION_MS);
+    sim.script = Box::new(|_, _| (3_600_000, RunOutcome::Done));
+    for number in 0..JOBS {
+        sim.submit(number, "captions", vec![step(16)]);
+    }
+    sim.run(RETENTION_MS);
+    let from = sim.records.len();
+    sim.run(RETENTION_MS);
+    let snapshots = sim.records[from..]
+        .iter()
+        .filter_map(|record| match record {
+            Record::JobSnapshot(snapshot) => Some(JobProgress::from((**snapshot).clone()).job.id),
+            _ => None,
+        });
+    let rewritten: BTreeSet<JobId> = snapshots.collect();
+    assert_eq!(rewritten.len() as u64, JOBS);
+}
+
 /// A task fails while the store is unreachable. Another owner may have been elected that has newer
 /// information on it, so the retry waits until the election confirms this owner, and no longer.
 #[test]
