--- a/tests/observe_log.rs
+++ b/tests/observe_log.rs
@@ -62,8 +62,8 @@
     }
 }
 
+/// Guards against writes of each line by itself, which cost the owner processor time.
 #[test]
-// Guards against writes of each line by itself, which cost the owner processor time.
 fn each_line_was_written_by_itself() {
     let output = Output::default();
     let log = open(&output);
@@ -83,8 +83,8 @@
     assert!(writes < BURST as usize / 10, "{writes} writes");
 }
 
+/// Guards against a stuck output that blocks the process or hides how many lines it cost.
 #[test]
-// Guards against a stuck output that blocks the process or hides how many lines it cost.
 fn lines_dropped_at_a_stuck_output_were_not_counted() {
     let output = Output::default();
     let log = open(&output);
