Jobs: refuse a demand that no host can have

Seen: a job whose tasks need the largest number of a resource was accepted with 200 and could never run, while its demand counted as its pool's need. Change: a demand of more than 4,294,967,295 of a resource is refused with 400.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -23,6 +23,8 @@
 pub const JOB_TASK_LIMIT: u64 = 4_000;
 /// Maximum number of occurrences of a job.
 pub const OCCURRENCE_LIMIT: u32 = 100_000;
+/// Maximum demand of a task in each resource. No host has as much.
+pub const DEMAND_LIMIT: u64 = u32::MAX as u64;
 
 quick_error! {
     /// Why a job is invalid.
@@ -48,6 +50,10 @@
         After(step: usize, other: u32) {
             display("step {} can't wait for step {}: only earlier steps can be waited for", step, other)
         }
+        /// A task of a step needs more than any host has.
+        Demand(step: usize) {
+            display("step {}: a task needs at most {} of each resource", step, DEMAND_LIMIT)
+        }
         /// The schedule has too many occurrences.
         Occurrences(count: u32) {
             display("a job occurs at most {} times, not {}", OCCURRENCE_LIMIT, count)
@@ -161,6 +167,10 @@
     if step.count == 0 || step.count > TASK_LIMIT {
         return Err(JobError::Count(number, step.count));
     }
+    let demand = step.demand;
+    if demand.cpu.max(demand.memory).max(demand.gpu) > DEMAND_LIMIT {
+        return Err(JobError::Demand(number));
+    }
     match step.after.iter().find(|&&other| other as usize >= number) {
         Some(&other) => Err(JobError::After(number, other)),
         None => Ok(()),
