--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -35,6 +35,8 @@
     running: RefCell<BTreeMap<String, (u64, Instant)>>,
     ended: RefCell<Vec<(u64, String, u64, &'static str)>>,
     last_end: Cell<u64>,
+    /// Rows that each list of its reports has in addition.
+    pub odd_rows: RefCell<Vec<Value>>,
     /// Number of runs started so far.
     pub starts: Cell<u64>,
 }
@@ -50,6 +52,7 @@
             running: RefCell::default(),
             ended: RefCell::default(),
             last_end: Cell::new(0),
+            odd_rows: RefCell::default(),
             starts: Cell::new(0),
         })
     }
@@ -114,12 +117,13 @@
         let running = running
             .iter()
             .map(|(task, (run, _))| json!([task, run, "", 50, 0]));
-        let running: Vec<Value> = running.collect();
+        let odd_rows = self.odd_rows.borrow();
+        let running: Vec<Value> = odd_rows.iter().cloned().chain(running).collect();
         let ended = self.ended.borrow();
         let ended = ended
             .iter()
             .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]));
-        let ended: Vec<Value> = ended.collect();
+        let ended: Vec<Value> = odd_rows.iter().cloned().chain(ended).collect();
         json(
             StatusCode::OK,
             &json!({ "clock_ms": self.clock_ms(), "running": running, "ended": ended }),
