--- a/src/batch/dispatcher/ranking.rs
+++ b/src/batch/dispatcher/ranking.rs
@@ -14,7 +14,7 @@
 
 impl Dispatcher {
     /// Brings the backlog up to date. The cost grows with what has changed, not with what waits.
-    pub(super) fn update_backlog(&mut self, now: Now) {
+    pub fn update_backlog(&mut self, now: Now) {
         let mut ids = self.state.jobs.take_changed();
         ids.extend(self.backlog.expired(now.unix));
         ids.extend(self.update_unknown());
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -163,6 +163,7 @@
             }
             let confirmed = self.contact.confirmed();
             if !pause_detector.may_act(self.contact.asked(), confirmed) {
+                dispatcher.update_backlog(now());
                 continue;
             }
             dispatcher.confirm(confirmed);
