--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -7,8 +7,11 @@
 
 use mimosastep::batch::JobId;
 use mimosastep::batch::JobState;
+use mimosastep::batch::OwnerRequest;
+use mimosastep::batch::OwnerResponse;
 use mimosastep::batch::Resources;
 use mimosastep::batch::Step;
+use mimosastep::name::QueueName;
 
 use crate::simulation::HOST_CPU;
 use crate::simulation::Simulation;
@@ -101,3 +104,26 @@
     let first = sim.starts.iter().find(|start| start.1.job == last);
     assert!(first.is_some(), "no task of the last job was started");
 }
+
+// Guards against a new owner that told clients that no jobs wait: it counted them only with its
+// first poll.
+#[test]
+fn a_new_owner_tells_at_once_how_many_jobs_wait() {
+    let mut sim = Simulation::new(&[("captions", 1)]);
+    for number in 0..40 {
+        sim.submit(number, "captions", vec![step(4)]);
+    }
+    sim.run(500);
+    sim.replace_owner(2);
+    // It does not know yet that four of them have started.
+    assert_eq!(waiting(&mut sim), 40);
+}
+
+/// Returns how many jobs are told to wait.
+fn waiting(sim: &mut Simulation) -> u64 {
+    let queue = QueueName::new("captions").expect("invalid name");
+    match sim.owner().dispatcher.answer(&OwnerRequest::Waiting(queue)) {
+        OwnerResponse::Waiting(count) => count,
+        answer => panic!("expected a count, got {answer:?}"),
+    }
+}
