--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -61,6 +61,7 @@
 mod policy;
 mod poll_phase;
 mod pool_balancer;
+mod pool_view;
 mod rank;
 mod record;
 mod remaining_work;
--- a/src/batch/pool_balancer.rs
+++ b/src/batch/pool_balancer.rs
@@ -1,11 +1,13 @@
 //! Moves of hosts between pools: hosts follow the demand, and idle ones go to the spare pool.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::batch::OrderError;
+use crate::batch::pool_view::Move;
+use crate::batch::pool_view::PoolHost;
+use crate::batch::pool_view::PoolView;
 use crate::name::HostName;
 use crate::name::ServiceName;
 
@@ -17,59 +19,14 @@
 const RETRY_MS: u64 = 500;
 /// Time for which a host that can't join a pool is not ordered there again, in milliseconds.
 const UNFIT_BACKOFF_MS: u64 = 30_000;
+/// Longest time for which a host is drained, in milliseconds. One that runs tasks all the same takes
+/// new work again, rather than stand nearly empty until the last of them ends.
+const DRAIN_MS: u64 = 2_000;
+/// Time after that in which a host is not drained again, in milliseconds.
+const DRAIN_PAUSE_MS: u64 = 4_000;
 /// Capacity that a pool should have beyond its need, in percent of the need.
 const MARGIN_PERCENT: u64 = 10;
 
-/// A host in a pool.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PoolHost {
-    /// Name of the host.
-    pub host: HostName,
-    /// CPU of the host, in thousandths of a core.
-    pub cpu: u64,
-    /// CPU that its tasks use, in thousandths of a core.
-    pub used: u64,
-    /// No task runs there.
-    pub idle: bool,
-    /// A long-running task runs there.
-    pub long_running: bool,
-    /// It can take new work or be moved: it is up, its executor responds and does not drain, and no
-    /// other order for it is due. Hosts of the spare pool need no executor.
-    pub available: bool,
-}
-
-/// A pool, its hosts and its need for CPU.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PoolView {
-    /// Service that the pool belongs to.
-    pub service: ServiceName,
-    /// It is the spare pool, whose hosts are switched off.
-    pub spare: bool,
-    /// CPU that its work takes now and soon, in thousandths of a core.
-    pub need: u64,
-    /// Further CPU for work that is too late to be of use, in thousandths of a core. The pool gets
-    /// it only while no other pool is short.
-    pub late_cpu: u64,
-    /// CPU that is forecast from the arrival rate, in thousandths of a core; the need is at least
-    /// this.
-    pub forecast: u64,
-    /// Fewest hosts that the pool must have.
-    pub min_hosts: usize,
-    /// Further hosts that long-running tasks need in order to start.
-    pub extra_hosts: usize,
-    /// Hosts in the pool, also those that can't be used now.
-    pub hosts: Vec<PoolHost>,
-}
-
-/// A move to order: a host and the pool that it joins.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Move {
-    /// Host to move.
-    pub host: HostName,
-    /// Service whose pool it joins.
-    pub pool: ServiceName,
-}
-
 /// A move that was ordered.
 #[derive(Debug)]
 struct PendingMove {
@@ -85,8 +42,10 @@
 #[derive(Debug, Default)]
 pub struct PoolBalancer {
     pending: BTreeMap<HostName, PendingMove>,
-    // Hosts that get no new work, so that they can move to other pools soon.
-    draining: BTreeSet<HostName>,
+    // Hosts that get no new work, so that they can move to other pools soon, and until when.
+    draining: BTreeMap<HostName, Instant>,
+    // Hosts that were drained for too long, and until when they aren't drained again.
+    undrained: BTreeMap<HostName, Instant>,
     idle: BTreeMap<HostName, Instant>,
     unfit: BTreeMap<(HostName, ServiceName), Instant>,
 }
@@ -103,7 +62,7 @@
     /// Whether a host is being drained for another pool, so that it gets no new work.
     #[must_use]
     pub fn is_draining(&self, host: Option<&HostName>) -> bool {
-        host.is_some_and(|host| self.draining.contains(host))
+        host.is_some_and(|host| self.draining.contains_key(host))
     }
 
     /// Returns the moves to order now.
@@ -117,7 +76,7 @@
         if unmet == 0 {
             self.fill_shortages(pools, &mut moves, Self::usable_cpu);
         }
-        self.draining = self.hosts_to_drain(pools, unmet);
+        self.drain(now, pools, unmet);
         moves.extend(self.release_idle(now, pools));
         moves
     }
@@ -323,15 +282,37 @@
         found
     }
 
+    /// Drains hosts for pools that lack `unmet` CPU, each for a limited time.
+    fn drain(&mut self, now: Instant, pools: &[PoolView], unmet: u64) {
+        self.undrained.retain(|_, until| now < *until);
+        for (host, until) in &self.draining {
+            if now >= *until {
+                let pause = Duration::from_millis(DRAIN_PAUSE_MS);
+                self.undrained.insert(host.clone(), now + pause);
+            }
+        }
+        let until = now + Duration::from_millis(DRAIN_MS);
+        let hosts = self.hosts_to_drain(pools, unmet).into_iter();
+        let hosts = hosts.map(|host| {
+            let until = self.draining.get(&host).copied().unwrap_or(until);
+            (host, until)
+        });
+        self.draining = hosts.collect();
+    }
+
     /// Returns busy hosts to drain, which their pools don't need, up to the CPU that other pools
-    /// lack. The least used hosts come first; hosts with long-running tasks are left out.
-    fn hosts_to_drain(&self, pools: &[PoolView], mut unmet: u64) -> BTreeSet<HostName> {
-        let mut found = BTreeSet::new();
+    /// lack. The least used hosts come first; hosts with long-running tasks and those that were
+    /// drained for too long are left out.
+    fn hosts_to_drain(&self, pools: &[PoolView], mut unmet: u64) -> Vec<HostName> {
+        let mut found = Vec::new();
         for pool in pools.iter().filter(|pool| !pool.spare) {
             let mut supply = self.supply(pool);
             let mut count = self.count(pool);
             let mut busy: Vec<&PoolHost> = self.staying(pool).collect();
-            busy.retain(|member| !member.idle && !member.long_running);
+            busy.retain(|member| {
+                let kept = member.long_running || self.undrained.contains_key(&member.host);
+                !member.idle && !kept
+            });
             busy.sort_by_key(|member| member.used);
             for member in busy {
                 let kept = supply.saturating_sub(member.cpu);
@@ -341,7 +322,7 @@
                 supply = kept;
                 count -= 1;
                 unmet = unmet.saturating_sub(member.cpu);
-                found.insert(member.host.clone());
+                found.push(member.host.clone());
             }
         }
         found
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -20,6 +20,7 @@
 mod simulation;
 mod sizes;
 mod standstill;
+mod standstill_trial;
 mod starvation;
 mod takeover;
 mod teams;
