--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The scheduler of a site: assigns tasks to executors and hosts to pools.
 
+mod backlog;
 mod executors;
 mod heartbeats;
 mod host_orders;
@@ -11,7 +12,6 @@
 mod partition_grants;
 mod placement;
 mod polling;
-mod ranking;
 mod rebalancing;
 mod reconciliation;
 mod rewriting;
--- a/src/batch/dispatcher/ranking.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -31,9 +31,9 @@
         self.log_blocked(&blocked);
     }
 
-    /// Whether the backlog holds what would be computed from all jobs anew. Brings it up to date
-    /// first.
-    pub fn is_backlog_current(&mut self, now: Now) -> bool {
+    /// Brings the backlog up to date; returns whether it holds what is computed from all jobs anew.
+    /// For tests.
+    pub fn check_backlog(&mut self, now: Now) -> bool {
         self.update_backlog(now);
         let jobs = self.state.jobs.values();
         let entries = jobs.filter_map(|entry| Some((entry.job.id, self.entry_of(now, entry)?)));
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -72,7 +72,7 @@
             // The next confirmation by the election sets `dirty` again.
             return;
         }
-        self.effort.looks += 1;
+        self.effort.placements += 1;
         self.mark_excess();
         self.update_backlog(now);
         let unknown_usage = self.unknown_usage();
--- a/src/batch/effort.rs
+++ b/src/batch/effort.rs
@@ -3,9 +3,9 @@
 /// Counts of the dispatcher's work since the beginning of its term.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Effort {
-    /// Placements.
-    pub looks: u64,
-    /// Jobs for which a placement tried to start tasks.
+    /// Looks for tasks to start.
+    pub placements: u64,
+    /// Jobs that placements examined.
     pub candidates: u64,
     /// Jobs whose place in the backlog was computed again, and checks of one for due occurrences.
     pub ranked: u64,
@@ -17,13 +17,13 @@
 
 impl Effort {
     /// Names of the counts in metrics, in the order of [`Self::counts`].
-    pub const LABELS: [&'static str; 5] = ["looks", "candidates", "ranked", "starts", "ends"];
+    pub const LABELS: [&'static str; 5] = ["placements", "candidates", "ranked", "starts", "ends"];
 
     /// The counts, in the order of [`Self::LABELS`].
     #[must_use]
     pub const fn counts(&self) -> [u64; Self::LABELS.len()] {
         [
-            self.looks,
+            self.placements,
             self.candidates,
             self.ranked,
             self.starts,
@@ -35,7 +35,7 @@
     #[must_use]
     pub const fn since(&self, earlier: &Self) -> Self {
         Self {
-            looks: self.looks - earlier.looks,
+            placements: self.placements - earlier.placements,
             candidates: self.candidates - earlier.candidates,
             ranked: self.ranked - earlier.ranked,
             starts: self.starts - earlier.starts,
--- a/src/batch/load_summary.rs
+++ b/src/batch/load_summary.rs
@@ -52,7 +52,7 @@
         info!(log, "owner load"; "span_ms" => self.span.as_millis() as u64,
             "lag_ms" => self.lag.as_millis() as u64, "messages" => self.messages,
             "most_messages" => self.most_messages, "busy_percent" => self.busy_percent(),
-            "spent_ms" => spent.join(" "), "looks" => effort.looks,
+            "spent_ms" => spent.join(" "), "placements" => effort.placements,
             "candidates" => effort.candidates, "ranked" => effort.ranked, "active" => active,
             "starts" => effort.starts, "ends" => effort.ends);
     }
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -58,10 +58,9 @@
     pub saved: Option<Arc<str>>,
     /// Ticket of the advice service, if the queue needs one.
     pub ticket: Option<Arc<str>>,
-    /// Service of its job. Not sent; the order is counted under it and the next among those in
-    /// flight.
+    /// Service of its job. Not sent: unanswered starts are counted by service.
     pub service: ServiceName,
-    /// When the owner decided to start it. Not sent.
+    /// When the owner decided to start it. Not sent: unanswered starts are told apart by it.
     pub decided: Instant,
 }
 
--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -20,8 +20,8 @@
 
 const HOSTS: usize = 20;
 
-/// Returns the number of jobs that the owner visits for each start while `jobs` jobs were handed in
-/// at once, of which its hosts can do 40 a second.
+/// Returns the number of jobs that the owner visits for each start, of `jobs` jobs that were handed
+/// in at once. The hosts have room for 40 of them.
 fn visits_per_start(jobs: u64) -> f64 {
     let mut sim = Simulation::new(&[("captions", HOSTS)]);
     for number in 0..jobs {
--- a/tests/batch/load.rs
+++ b/tests/batch/load.rs
@@ -42,7 +42,7 @@
     load.note_spent(placement, ms(250));
     load.note_spent(placement, ms(150));
     let effort = Effort {
-        looks: 2,
+        placements: 2,
         ranked: 50,
         ..Effort::default()
     };
@@ -55,13 +55,13 @@
     assert_eq!(summary.effort, effort);
 
     let later = Effort {
-        looks: 5,
+        placements: 5,
         ranked: 80,
         ..Effort::default()
     };
     let summary = load.summarize(began + ms(2_000), later).expect("due");
     assert_eq!((summary.lag, summary.busy_percent()), (Duration::ZERO, 0));
-    assert_eq!((summary.effort.looks, summary.effort.ranked), (3, 30));
+    assert_eq!((summary.effort.placements, summary.effort.ranked), (3, 30));
 }
 
 #[test]
@@ -121,6 +121,9 @@
     sim.run(2_000);
     let effort = sim.owner().dispatcher.effort().since(&before);
     assert_eq!((effort.starts, effort.ends), (7, 7));
-    assert!(effort.looks > 0 && effort.candidates >= 2, "{effort:?}");
+    assert!(
+        effort.placements > 0 && effort.candidates >= 2,
+        "{effort:?}"
+    );
     assert!(effort.ranked >= effort.candidates, "{effort:?}");
 }
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -277,7 +277,7 @@
         }
         let now = self.now;
         assert!(
-            self.owner().dispatcher.is_backlog_current(now),
+            self.owner().dispatcher.check_backlog(now),
             "the backlog differs from the jobs' states"
         );
     }
