--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -35,8 +35,8 @@
     (effort.ranked + effort.candidates) as f64 / effort.starts as f64
 }
 
-// Guards against an owner that fell behind for good: each placement, each balance of pools and each
-// check for due occurrences visited all jobs that waited.
+/// Guards against an owner that fell behind and never caught up: each placement, each balance of pools and each
+/// check for due occurrences visited all jobs that waited.
 #[test]
 fn a_start_costs_no_more_with_4000_jobs_waiting_than_with_250() {
     let few = visits_per_start(250);
@@ -66,7 +66,7 @@
     }
 }
 
-// Guards against a bounded look that never comes to the jobs behind those that can't start.
+/// Guards against a bounded look that never comes to the jobs behind those that can't start.
 #[test_case(huge(), None ; "more than any host has")]
 #[test_case(labelled(), None ; "a label that no host has")]
 #[test_case(step(1), Some("stopped") ; "of a team at its limit")]
@@ -86,8 +86,8 @@
     sim.job_state("captions", job)
 }
 
-// Guards against a service whose sweep behind its front began anew at each placement that the limit
-// on unanswered starts cut short: jobs further back were never examined.
+/// Guards against a service whose sweep behind its front began anew at each placement that the limit
+/// on unanswered starts cut short: jobs further back were never examined.
 #[test]
 fn a_job_behind_many_that_cant_start_is_served_beside_a_service_without_answers() {
     let mut sim = Simulation::new(&[("captions", HOSTS), ("tags", 2)]);
@@ -105,8 +105,8 @@
     assert!(first.is_some(), "no task of the last job was started");
 }
 
-// Guards against a new owner that told clients that no jobs wait: it counted them only with its
-// first poll.
+/// Guards against a new owner that told clients that no jobs wait: it counted them only with its
+/// first poll.
 #[test]
 fn a_new_owner_tells_at_once_how_many_jobs_wait() {
     let mut sim = Simulation::new(&[("captions", 1)]);
--- a/tests/batch/faults.rs
+++ b/tests/batch/faults.rs
@@ -165,8 +165,8 @@
     assert_eq!(sim.starts.len(), 3, "a task was started again");
 }
 
-/// Guards against jobs whose records expire for good: only as many were rewritten at a time as fit a
-/// small backlog, always those with the lowest ids.
+/// Guards against jobs that a later owner does not find, as their records expired: too few were
+/// rewritten at a time, always those with the lowest ids.
 #[test]
 fn all_jobs_of_a_long_backlog_are_rewritten_before_their_records_expire() {
     const JOBS: u64 = 1_000;
--- a/tests/batch/standstill.rs
+++ b/tests/batch/standstill.rs
@@ -13,7 +13,7 @@
 use crate::simulation::long_running;
 use crate::simulation::step;
 
-/// Guards against a task that waits for good because only time changes: its executor refused a
+/// Guards against a task that never starts because only time changes: its executor refused a
 /// start, and no event tells that the pause after it is over.
 #[test]
 fn a_refused_task_starts_once_the_pause_of_its_executor_is_over() {
@@ -32,7 +32,7 @@
     assert_eq!(sim.starts.len(), 1, "the task was not started");
 }
 
-/// Guards against a task that waits for good because only time changes: it failed on the only
+/// Guards against a task that never starts because only time changes: it failed on the only
 /// executor, and no event tells that it may start there again.
 #[test]
 fn a_failed_task_starts_again_on_the_only_executor() {
@@ -54,7 +54,7 @@
     assert_eq!(sim.job_state("captions", job), JobState::Completed);
 }
 
-/// Guards against a task that waits for good because only time changes: the answer to the last
+/// Guards against a task that never starts because only time changes: the answer to the last
 /// start was late, and no event tells that the executor takes work again.
 #[test]
 fn a_task_starts_on_an_executor_that_answered_late() {
@@ -69,7 +69,7 @@
     assert_eq!(sim.starts.len(), 2, "the second task was not started");
 }
 
-/// Guards against a run that goes on for good after its job was cancelled: the order to stop it got
+/// Guards against a run that never ends after its job was cancelled: the order to stop it got
 /// no answer, and the next report made it count as wanted again.
 #[test]
 fn a_stop_order_without_an_answer_is_repeated() {
--- a/tests/batch/standstill_trial.rs
+++ b/tests/batch/standstill_trial.rs
@@ -266,7 +266,7 @@
     }
 }
 
-/// Guards against tasks that stand still for good: whatever went wrong before, all accepted work
+/// Guards against tasks that never start again: whatever went wrong before, all accepted work
 /// ends once the faults are over.
 #[test_case(0; "first")]
 #[test_case(1; "second")]
