--- a/src/batch/dispatcher/partition_grants.rs
+++ b/src/batch/dispatcher/partition_grants.rs
@@ -109,9 +109,8 @@
         }
     }
 
-    /// Returns the resources that each team may be using on executors with unknown runs: at most
-    /// what its tasks take that may be there, and at most the capacity of these executors, if that
-    /// is known.
+    /// Returns the resources that each team may be using on executors with unknown runs: the demand
+    /// of its tasks that may run there, limited by the capacity of these executors where it is known.
     pub(super) fn unknown_usage(&self) -> BTreeMap<TeamName, Resources> {
         let mut unknown_usage = self.backlog.unseen().clone();
         if self.unknown.is_empty() {
--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -15,6 +15,7 @@
 
 use crate::simulation::HOST_CPU;
 use crate::simulation::Simulation;
+use crate::simulation::job_id;
 use crate::simulation::step;
 use crate::simulation::team;
 
@@ -76,8 +77,9 @@
     for number in 0..500 {
         sim.submit_as(of_team.map(team), number, "captions", vec![stuck.clone()]);
     }
-    // Of all jobs, it has the most work left.
-    let last = sim.submit(1_000, "captions", vec![step(4)]);
+    // It comes last in both orders: it has the most work left, and is drawn late.
+    let last = (1_000..2_000).max_by_key(|&number| job_id(number).draw());
+    let last = sim.submit(last.expect("a number"), "captions", vec![step(20)]);
     sim.run(3_000);
     assert_eq!(state(&sim, last), JobState::Completed);
 }
