--- a/scenarios/src/lib.rs
+++ b/scenarios/src/lib.rs
@@ -6,9 +6,9 @@
 pub mod layout;
 pub mod ports;
 pub mod process;
+pub mod process_addresses;
 pub mod runner;
 pub mod script;
 pub mod site;
-
 pub mod step;
 pub mod usage;
--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -19,6 +19,7 @@
 use crate::ports;
 use crate::process::Process;
 use crate::process::sibling_program;
+use crate::process_addresses::ProcessAddresses;
 
 /// The roles that run on each entry host.
 pub const ROLES: [&str; 3] = ["fleet", "sched", "gate"];
@@ -26,8 +27,8 @@
 const OPERATOR_KEY: &str = "operator-key-of-a-test-site";
 /// Number of addresses of the platform's stand-ins: log, list of hosts, and forwarder control.
 const PLATFORM_PORTS: usize = 3;
-/// Number of addresses of one entry host: three for each of its processes.
-const ENTRY_PORTS: usize = 9;
+/// Number of addresses of one entry host.
+const ENTRY_PORTS: usize = ROLES.len() * ProcessAddresses::COUNT;
 /// Timeout for each step of making a new site ready, in milliseconds.
 const READY_TIMEOUT_MS: u64 = 30_000;
 /// Interval at which conditions are polled, in milliseconds.
@@ -35,17 +36,6 @@
 
 type Fallible<T> = Result<T, Box<dyn Error>>;
 
-/// Addresses of one of the system's processes.
-#[derive(Debug, Clone, Copy)]
-pub struct ProcessAddresses {
-    /// QUIC address for the system's other processes.
-    pub quic: SocketAddr,
-    /// HTTP address for callers, operators and probes.
-    pub http: SocketAddr,
-    /// Address of the forwarder link through which the process reaches the log.
-    pub log: SocketAddr,
-}
-
 /// A site of real processes, which are killed when it is dropped.
 pub struct Site {
     /// The composition of the site.
@@ -77,18 +67,11 @@
         let first = PLATFORM_PORTS + layout.host_count();
         let ports = ports::free_addresses(first + layout.entries * ENTRY_PORTS)?;
         let backends = ports[PLATFORM_PORTS..first].to_vec();
-        let addresses = ports[first..].chunks(ENTRY_PORTS).map(|p| {
-            let process_addresses = |i: usize| ProcessAddresses {
-                quic: p[3 * i],
-                http: p[3 * i + 1],
-                log: p[3 * i + 2],
-            };
-            [
-                process_addresses(0),
-                process_addresses(1),
-                process_addresses(2),
-            ]
-        });
+        let of_process = |role: usize, ports: &[SocketAddr]| {
+            ProcessAddresses::new(&ports[role * ProcessAddresses::COUNT..])
+        };
+        let entries = ports[first..].chunks(ENTRY_PORTS);
+        let addresses = entries.map(|ports| [0, 1, 2].map(|role| of_process(role, ports)));
         let mut site = Self {
             log: ports[0],
             addresses: addresses.collect(),
@@ -222,11 +205,7 @@
         let link = self.links.iter().position(|name| name == node);
         let link = link.ok_or_else(|| format!("no process {node}"))?;
         let body = format!("{{\"link\": {link}, \"cut\": \"{direction}\"}}");
-        let response = http::send(self.forward, "PUT", "/control", &[], &body)?;
-        if response.status == 200 || response.status == 204 {
-            return Ok(());
-        }
-        Err(format!("the cut was refused: {} {}", response.status, response.body).into())
+        put(self.forward, "/control", &body)
     }
 
     /// Sets the state of a host on the platform's list, `live` or `leaving`.
@@ -348,15 +327,7 @@
             })
             .collect();
         let body = format!("[{}]", rows.join(","));
-        let response = http::send(self.hosts, "PUT", "/control/hosts", &[], &body)?;
-        if response.status == 200 || response.status == 204 {
-            return Ok(());
-        }
-        Err(format!(
-            "the list was refused: {} {}",
-            response.status, response.body
-        )
-        .into())
+        put(self.hosts, "/control/hosts", &body)
     }
 
     fn configure(&self) -> Fallible<()> {
@@ -406,3 +377,13 @@
 pub fn node_name(entry: usize, role: &str) -> String {
     format!("entry-{entry}-{role}")
 }
+
+/// Puts a change to a stand-in of the platform.
+fn put(addr: SocketAddr, path: &str, body: &str) -> Fallible<()> {
+    let response = http::send(addr, "PUT", path, &[], body)?;
+    if response.status == 200 || response.status == 204 {
+        return Ok(());
+    }
+    let reason = response.body;
+    Err(format!("{path} was refused: {} {reason}", response.status).into())
+}
