--- a/src/batch/batch_metrics.rs
+++ b/src/batch/batch_metrics.rs
@@ -8,16 +8,11 @@
 use std::time::Instant;
 
 use futures_util::FutureExt;
-use hyper::StatusCode;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
-use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::batch::CallOutcome;
 use crate::batch::Lateness;
@@ -28,7 +23,7 @@
 use crate::batch::SizeClass;
 use crate::batch::load_metrics::LoadMetrics;
 use crate::http::Handler;
-use crate::http::text_reply;
+use crate::observe::MetricExporter;
 
 /// Bucket bounds of the latency histograms, in seconds.
 const BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
@@ -51,9 +46,7 @@
 /// Metric instruments of a process; clones share them.
 #[derive(Clone)]
 pub struct BatchMetrics {
-    registry: Registry,
-    // Dropping the provider would shut the instruments down.
-    _provider: SdkMeterProvider,
+    exporter: MetricExporter,
     calls: Histogram<f64>,
     orders: Histogram<f64>,
     completed: Counter<u64>,
@@ -67,14 +60,8 @@
     /// # Errors
     /// An [`OTelSdkError`] if the exporter can't be registered.
     pub fn open() -> Result<Self, OTelSdkError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("mimosastep");
+        let exporter = MetricExporter::open()?;
+        let meter = exporter.meter();
         let gauges = Arc::new(Gauges::default());
         observe(&meter, &gauges);
         Ok(Self {
@@ -85,8 +72,7 @@
                 .with_unit("{job}")
                 .build(),
             load: LoadMetrics::new(&meter),
-            registry,
-            _provider: provider,
+            exporter,
             gauges,
         })
     }
@@ -156,7 +142,7 @@
     /// # Errors
     /// A [`prometheus::Error`] if they can't be encoded.
     pub fn encode(&self) -> Result<String, prometheus::Error> {
-        TextEncoder::new().encode_to_string(&self.registry.gather())
+        self.exporter.encode()
     }
 
     /// Handler that serves the metrics in the Prometheus text format.
@@ -164,14 +150,8 @@
     pub fn handler(&self) -> Handler {
         let metrics = self.clone();
         Rc::new(move |_| {
-            let text = metrics.encode();
-            async move {
-                match text {
-                    Ok(text) => text_reply(StatusCode::OK, text),
-                    Err(err) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
-                }
-            }
-            .boxed_local()
+            let reply = metrics.exporter.reply();
+            async move { reply }.boxed_local()
         })
     }
 }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -7,23 +7,18 @@
 use std::time::Instant;
 
 use futures_util::FutureExt;
-use hyper::StatusCode;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
-use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::http::ErrorOutcome;
 use crate::http::Handler;
 use crate::http::Reply;
-use crate::http::text_reply;
 use crate::observe::Counters;
 use crate::observe::MessageKind;
+use crate::observe::MetricExporter;
 use crate::observe::counters::MessageCounter;
 use crate::observe::unix_millis;
 
@@ -40,9 +35,7 @@
 /// Metrics registry and instruments of a process; clones share them.
 #[derive(Clone)]
 pub struct Metrics {
-    registry: Registry,
-    // Kept only because the instruments need the provider alive.
-    _provider: SdkMeterProvider,
+    exporter: MetricExporter,
     durations: Histogram<f64>,
     requests: Counter<u64>,
     refresh: RefreshCallback,
@@ -54,14 +47,8 @@
     /// # Errors
     /// An [`OTelSdkError`] if the exporter cannot be registered.
     pub fn open(counters: &Arc<Counters>, refresh: RefreshCallback) -> Result<Self, OTelSdkError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("mimosastep");
+        let exporter = MetricExporter::open()?;
+        let meter = exporter.meter();
         register_message_metrics(&meter, counters);
         register_link_metrics(&meter, counters);
         register_request_metrics(&meter, counters);
@@ -74,8 +61,7 @@
                 .with_boundaries(LATENCY_BOUNDS_S.to_vec())
                 .build(),
             requests: meter.u64_counter("mimosa.requests").build(),
-            registry,
-            _provider: provider,
+            exporter,
             refresh,
         })
     }
@@ -106,10 +92,7 @@
     #[must_use]
     pub fn scrape(&self) -> Reply {
         (self.refresh)();
-        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
-            Ok(text) => text_reply(StatusCode::OK, text),
-            Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        }
+        self.exporter.reply()
     }
 
     fn record_request(&self, route: &'static str, start: Instant, reply: &Reply) {
