--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -159,7 +159,7 @@
         PoolHost {
             host: host.name.clone(),
             cpu: host.capacity.cpu,
-            used: executor.map_or(0, |executor| executor.used.cpu),
+            ends: executor.map_or(now.at, |executor| executor.expected_end(now.at)),
             idle: counts == RunCounts::default(),
             long_running: counts.long_running > 0,
             available: host.phase == HostPhase::Up && (spare || here) && !closed && !due,
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -190,6 +190,13 @@
             && !self.is_overdue(now)
     }
 
+    /// Returns when its runs are expected to have ended.
+    #[must_use]
+    pub fn expected_end(&self, now: Instant) -> Instant {
+        let ends = self.runs.values().map(|run| run.expected_end(now));
+        ends.max().unwrap_or(now)
+    }
+
     /// Whether an order to start is overdue for an answer.
     fn is_overdue(&self, now: Instant) -> bool {
         let limit = Duration::from_millis(OVERDUE_MS);
--- a/src/batch/pool_balancer.rs
+++ b/src/batch/pool_balancer.rs
@@ -19,10 +19,12 @@
 const RETRY_MS: u64 = 500;
 /// Time for which a host that can't join a pool is not ordered there again, in milliseconds.
 const UNFIT_BACKOFF_MS: u64 = 30_000;
-/// Longest time for which a host is drained, in milliseconds. One that runs tasks all the same takes
-/// new work again, rather than stand nearly empty until the last of them ends.
+/// Longest time for which any number of a pool's hosts may be drained, in milliseconds. Each stands
+/// nearly empty until its last task has ended.
 const DRAIN_MS: u64 = 2_000;
-/// Time after that in which a host is not drained again, in milliseconds.
+/// Part of a pool's hosts that may be drained for longer: one of this many.
+const SLOW_PART: usize = 4;
+/// Time in which a host that took too long to drain is not drained again, in milliseconds.
 const DRAIN_PAUSE_MS: u64 = 4_000;
 /// Capacity that a pool should have beyond its need, in percent of the need.
 const MARGIN_PERCENT: u64 = 10;
@@ -282,43 +284,44 @@
         found
     }
 
-    /// Drains hosts for pools that lack `unmet` CPU, each for a limited time.
+    /// Drains hosts for pools that lack `unmet` CPU.
     fn drain(&mut self, now: Instant, pools: &[PoolView], unmet: u64) {
         self.undrained.retain(|_, until| now < *until);
-        for (host, until) in &self.draining {
-            if now >= *until {
-                let pause = Duration::from_millis(DRAIN_PAUSE_MS);
-                self.undrained.insert(host.clone(), now + pause);
-            }
-        }
+        let hosts = self.hosts_to_drain(now, pools, unmet);
         let until = now + Duration::from_millis(DRAIN_MS);
-        let hosts = self.hosts_to_drain(pools, unmet).into_iter();
-        let hosts = hosts.map(|host| {
+        let draining = hosts.into_iter().map(|host| {
             let until = self.draining.get(&host).copied().unwrap_or(until);
             (host, until)
         });
-        self.draining = hosts.collect();
+        let draining: BTreeMap<HostName, Instant> = draining.collect();
+        let pause = now + Duration::from_millis(DRAIN_PAUSE_MS);
+        for (host, until) in &self.draining {
+            if now >= *until && !draining.contains_key(host) {
+                self.undrained.insert(host.clone(), pause);
+            }
+        }
+        self.draining = draining;
     }
 
     /// Returns busy hosts to drain, which their pools don't need, up to the CPU that other pools
-    /// lack. The least used hosts come first; hosts with long-running tasks and those that were
-    /// drained for too long are left out.
-    fn hosts_to_drain(&self, pools: &[PoolView], mut unmet: u64) -> Vec<HostName> {
+    /// lack. Those whose tasks end soonest come first; hosts with long-running tasks are left out.
+    fn hosts_to_drain(&self, now: Instant, pools: &[PoolView], mut unmet: u64) -> Vec<HostName> {
         let mut found = Vec::new();
         for pool in pools.iter().filter(|pool| !pool.spare) {
             let mut supply = self.supply(pool);
             let mut count = self.count(pool);
-            let mut busy: Vec<&PoolHost> = self.staying(pool).collect();
-            busy.retain(|member| {
-                let kept = member.long_running || self.undrained.contains_key(&member.host);
-                !member.idle && !kept
-            });
-            busy.sort_by_key(|member| member.used);
-            for member in busy {
+            let mut slow_left = (count / SLOW_PART).max(1);
+            for member in self.drainable(pool) {
                 let kept = supply.saturating_sub(member.cpu);
                 if unmet == 0 || count <= pool.min_hosts || kept < Self::needed_cpu(pool) {
                     break;
                 }
+                if self.is_slow(now, member) {
+                    if slow_left == 0 {
+                        continue;
+                    }
+                    slow_left -= 1;
+                }
                 supply = kept;
                 count -= 1;
                 unmet = unmet.saturating_sub(member.cpu);
@@ -328,6 +331,24 @@
         found
     }
 
+    /// Returns the busy hosts of a pool that may be drained, those whose tasks end soonest first.
+    fn drainable<'a>(&self, pool: &'a PoolView) -> Vec<&'a PoolHost> {
+        let mut busy: Vec<&PoolHost> = self.staying(pool).collect();
+        busy.retain(|member| {
+            let kept = member.long_running || self.undrained.contains_key(&member.host);
+            !member.idle && !kept
+        });
+        busy.sort_by_key(|member| member.ends);
+        busy
+    }
+
+    /// Whether draining a host takes, or is expected to take, longer than [`DRAIN_MS`].
+    fn is_slow(&self, now: Instant, member: &PoolHost) -> bool {
+        let until = self.draining.get(&member.host);
+        until.is_some_and(|&until| now >= until)
+            || member.ends > now + Duration::from_millis(DRAIN_MS)
+    }
+
     /// Moves hosts that have been idle for long enough to the spare pool.
     fn release_idle(&mut self, now: Instant, pools: &[PoolView]) -> Vec<Move> {
         let Some(spare) = pools.iter().find(|pool| pool.spare) else {
--- a/src/batch/pool_view.rs
+++ b/src/batch/pool_view.rs
@@ -1,5 +1,7 @@
 //! Pools as the balancer sees them.
 
+use std::time::Instant;
+
 use crate::name::HostName;
 use crate::name::ServiceName;
 
@@ -10,8 +12,8 @@
     pub host: HostName,
     /// CPU of the host, in thousandths of a core.
     pub cpu: u64,
-    /// CPU that its tasks use, in thousandths of a core.
-    pub used: u64,
+    /// When its tasks are expected to have ended.
+    pub ends: Instant,
     /// No task runs there.
     pub idle: bool,
     /// A long-running task runs there.
--- a/src/batch/run_state.rs
+++ b/src/batch/run_state.rs
@@ -116,6 +116,18 @@
         self.measured = run.measured;
     }
 
+    /// Returns when it is expected to end: by its progress, or by its estimate before it has made
+    /// any. One that has exceeded this is expected to take as long again.
+    #[must_use]
+    pub fn expected_end(&self, now: Instant) -> Instant {
+        let total = match u32::try_from(self.percent) {
+            Ok(percent) if percent > 0 => (self.progress_at - self.started) * 100 / percent,
+            _ => Duration::from_millis(self.estimate),
+        };
+        let elapsed = now.saturating_duration_since(self.started);
+        now + total.checked_sub(elapsed).unwrap_or(elapsed)
+    }
+
     /// Whether it has made no progress for too long. Long-running tasks make none and best-effort
     /// tasks may get no CPU, so neither counts as stalled.
     #[must_use]
--- a/tests/batch/standstill.rs
+++ b/tests/batch/standstill.rs
@@ -10,9 +10,13 @@
 
 use crate::fake_executor::FakeExecutor;
 use crate::simulation::Simulation;
+use crate::simulation::job_id;
 use crate::simulation::long_running;
 use crate::simulation::step;
 
+/// Number of the first of the jobs that are in time, beside late ones.
+const URGENT: u64 = 5_000;
+
 /// Guards against a task that never starts because only time changes: its executor refused a
 /// start, and no event tells that the pause after it is over.
 #[test]
@@ -147,3 +151,41 @@
     }
     assert!(stands_still < 3_000, "{stands_still} ms");
 }
+
+/// Guards against hosts that are drained in vain: each runs a task for longer than it may be
+/// drained, takes new work again, and the pool that lacks hosts gets none of them.
+#[test]
+fn a_pool_in_need_gets_hosts_that_run_tasks_longer_than_a_drain() {
+    let mut sim = Simulation::new(&[("captions", 2), ("tags", 8)]);
+    sim.script = Box::new(|task, run| {
+        let dice = (task.job.draw() ^ (u64::from(task.index) * 7_919) ^ run) % 100;
+        let late = task.job < job_id(URGENT);
+        let ms = if late {
+            600 + dice * dice * 36 / 100
+        } else {
+            500
+        };
+        (ms, RunOutcome::Done)
+    });
+    let large = Step {
+        demand: Resources {
+            cpu: 4_000,
+            memory: 4_000,
+            gpu: 0,
+        },
+        estimate: 1_700,
+        ..step(8)
+    };
+    for number in 0..300 {
+        sim.submit(number, "tags", vec![large.clone()]);
+    }
+    sim.run(16_000);
+    for number in 0..60 {
+        sim.submit(URGENT + 2 * number, "captions", vec![step(12)]);
+        sim.submit(URGENT + 2 * number + 1, "captions", vec![step(12)]);
+        sim.run(100);
+    }
+    let hosts = sim.executors_of("captions").count();
+    // No task runs for more than 4.2 s, and a host that moves is away for 1.5 s.
+    assert_eq!(hosts, 8, "after 6 s");
+}
