--- a/src/batch/backlog.rs
+++ b/src/batch/backlog.rs
@@ -7,9 +7,9 @@
 use crate::batch::JobId;
 use crate::batch::Resources;
 use crate::batch::backlog_entry::BacklogEntry;
+use crate::batch::round::Round;
 use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::service_order::ServiceOrder;
-use crate::batch::sweep::Sweep;
 use crate::batch::turns::Turns;
 use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::name::QueueName;
@@ -139,19 +139,19 @@
     }
 
     /// Returns, for each service, the jobs with tasks to start in the order in which to serve them.
-    /// Behind the front, each goes on with the service's sweep.
+    /// Behind the front, each goes on with the service's round.
     #[must_use]
     pub fn orders(
         &self,
         turns: &Turns,
-        sweeps: &BTreeMap<ServiceName, Sweep>,
+        rounds: &BTreeMap<ServiceName, Round>,
         starts: &UnansweredStarts,
     ) -> Vec<ServiceOrder<'_>> {
         let services = self.services.iter();
         let orders = services.map(|(service, backlog)| {
-            let sweep = sweeps.get(service).copied().unwrap_or_default();
+            let round = rounds.get(service).copied().unwrap_or_default();
             let drawn = turns.is_drawn(service);
-            ServiceOrder::new(service, backlog, drawn, sweep, starts.of(service))
+            ServiceOrder::new(service, backlog, drawn, round, starts.of(service))
         });
         orders.collect()
     }
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -54,7 +54,7 @@
 use crate::batch::executor_state::LEASE_MS;
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
 use crate::batch::pool_balancer::PoolBalancer;
-use crate::batch::sweep::Sweep;
+use crate::batch::round::Round;
 use crate::batch::turns::Turns;
 use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::batch::waves::Waves;
@@ -115,8 +115,8 @@
     widening: Widening,
     // Jobs that have work left.
     backlog: Backlog,
-    // How far placements have come behind the front of each service.
-    sweeps: BTreeMap<ServiceName, Sweep>,
+    // What is left to examine behind the front of each service.
+    rounds: BTreeMap<ServiceName, Round>,
     // Partitions of executors with unknown runs, as of the last update of the backlog.
     unknown: BTreeMap<ServiceName, Partitions>,
     // Whether the configuration has changed since the last update of the backlog.
@@ -210,7 +210,7 @@
             pending_grants: BTreeMap::new(),
             widening: Widening::default(),
             backlog: Backlog::default(),
-            sweeps: BTreeMap::new(),
+            rounds: BTreeMap::new(),
             unknown: BTreeMap::new(),
             policy_changed: false,
             openings,
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -18,7 +18,7 @@
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
-use crate::batch::service_order::Position;
+use crate::batch::position::Position;
 use crate::batch::service_order::ServiceOrder;
 use crate::name::ExecutorId;
 use crate::name::TeamName;
@@ -53,6 +53,14 @@
         self.dirty || self.unfinished
     }
 
+    /// Begins a new round through the jobs of each service: after a change, those that have been
+    /// examined may start as well.
+    pub(super) fn restart_rounds(&mut self) {
+        for round in self.rounds.values_mut() {
+            *round = round.restarted();
+        }
+    }
+
     /// Whether the reader of the log lags too far: jobs that look due may have been cancelled.
     /// Starts are suspended then, which also leaves the reader the processor time to catch up.
     fn is_lagging(&self, now: Now) -> bool {
@@ -78,7 +86,7 @@
         let unknown_usage = self.unknown_usage();
         let mut capacity = self.free_capacity(now);
         let backlog = std::mem::take(&mut self.backlog);
-        let mut orders = backlog.orders(&self.turns, &self.sweeps, &self.starts);
+        let mut orders = backlog.orders(&self.turns, &self.rounds, &self.starts);
         while let Some((order, position)) = next_order(&mut orders) {
             if self.starts.len() >= START_LIMIT {
                 self.throttled = true;
@@ -93,12 +101,11 @@
             order.pass(served, self.starts.of(order.service()));
         }
         self.unfinished = orders.iter().any(|order| !order.is_complete());
-        let sweeps = orders
+        let rounds = orders
             .iter()
-            .map(|order| (order.service().clone(), order.sweep()));
-        let sweeps = sweeps.collect();
+            .map(|order| (order.service().clone(), order.round()));
+        self.rounds = rounds.collect();
         drop(orders);
-        self.sweeps = sweeps;
         self.backlog = backlog;
         self.free_capacity = capacity;
         self.grant_further();
--- a/src/batch/dispatcher/polling.rs
+++ b/src/batch/dispatcher/polling.rs
@@ -55,6 +55,9 @@
     fn place_due(&mut self, now: Now) {
         self.expire_starts(now);
         if self.is_placement_due(now) {
+            if self.dirty || !self.unfinished {
+                self.restart_rounds();
+            }
             self.dirty = false;
             self.unfinished = false;
             self.last_placement = now.at;
--- a/src/batch/service_backlog.rs
+++ b/src/batch/service_backlog.rs
@@ -3,34 +3,13 @@
 use std::collections::BTreeSet;
 use std::ops::Bound;
 
-use crate::batch::JobId;
 use crate::batch::Resources;
 use crate::batch::backlog_entry::BacklogEntry;
 use crate::batch::candidate::Candidate;
+use crate::batch::drawn::Drawn;
 use crate::batch::multiset::Multiset;
-use crate::batch::rank::Rank;
 use crate::batch::service_load::ServiceLoad;
 
-/// A candidate's place among those of its rank if the next one is drawn by lot.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Drawn {
-    /// Its precedence over other jobs.
-    pub rank: Rank,
-    draw: u64,
-    /// The job.
-    pub id: JobId,
-}
-
-impl From<&Candidate> for Drawn {
-    fn from(candidate: &Candidate) -> Self {
-        Self {
-            rank: candidate.rank,
-            draw: candidate.id.draw(),
-            id: candidate.id,
-        }
-    }
-}
-
 /// Jobs of one service.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct ServiceBacklog {
@@ -71,12 +50,6 @@
         }
     }
 
-    /// Returns the number of candidates.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.by_work.len()
-    }
-
     /// Whether there are no jobs.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
@@ -115,9 +88,11 @@
         self.by_draw.iter()
     }
 
-    /// Returns the candidates of [`Self::by_work`] that come after `cursor`; all if it is `None`.
-    pub fn after(&self, cursor: Option<Candidate>) -> impl Iterator<Item = &Candidate> + use<'_> {
-        let from = cursor.map_or(Bound::Unbounded, Bound::Excluded);
-        self.by_work.range((from, Bound::Unbounded))
+    /// Returns the candidates of [`Self::by_work`] in a range.
+    pub fn within(
+        &self,
+        range: (Bound<Candidate>, Bound<Candidate>),
+    ) -> impl Iterator<Item = &Candidate> + use<'_> {
+        self.by_work.range(range)
     }
 }
--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -84,6 +84,38 @@
     assert_eq!(state(&sim, last), JobState::Completed);
 }
 
+/// Returns the number of placements in two seconds in which nothing changes, with `jobs` jobs that
+/// can't start.
+fn placements(jobs: u64) -> u64 {
+    let mut sim = Simulation::new(&[("captions", HOSTS)]);
+    for number in 0..jobs {
+        sim.submit(number, "captions", vec![labelled()]);
+    }
+    sim.run(3_000);
+    let before = sim.owner().dispatcher.effort();
+    sim.run(2_000);
+    sim.owner().dispatcher.effort().since(&before).placements
+}
+
+/// Guards against placements without end: with as many stuck jobs as a placement examines at the
+/// front, the sweep behind it had nothing to examine and never counted as complete.
+#[test_case(63 ; "fewer than the front takes")]
+#[test_case(64 ; "as many as the front takes")]
+#[test_case(65 ; "one more than the front takes")]
+#[test_case(96 ; "as many as one placement examines")]
+#[test_case(97 ; "one more than one placement examines")]
+#[test_case(200 ; "many")]
+fn jobs_that_cant_start_cause_no_placements_without_end(jobs: u64) {
+    let few = placements(1);
+    let found = placements(jobs);
+    // A placement examines 64 of them, and 32 of the others.
+    let most = few * jobs.saturating_sub(64).div_ceil(32).max(1);
+    assert!(
+        found <= most,
+        "{found} placements with {jobs} jobs, {few} with one; at most {most} are of use"
+    );
+}
+
 fn state(sim: &Simulation, job: JobId) -> JobState {
     sim.job_state("captions", job)
 }
