--- a/src/batch/backlog.rs
+++ b/src/batch/backlog.rs
@@ -139,19 +139,24 @@
     }
 
     /// Returns, for each service, the jobs with tasks to start in the order in which to serve them.
-    /// Behind the front, each goes on with the service's round.
+    /// Behind the front, each goes on with the service's round. The jobs of teams of which `is_open`
+    /// does not hold are left out; it is given the team and the least that a task of it needs.
     #[must_use]
     pub fn orders(
         &self,
         turns: &Turns,
         rounds: &BTreeMap<ServiceName, Round>,
         starts: &UnansweredStarts,
+        is_open: impl Fn(&TeamName, &Resources) -> bool,
     ) -> Vec<ServiceOrder<'_>> {
         let services = self.services.iter();
         let orders = services.map(|(service, backlog)| {
             let round = rounds.get(service).copied().unwrap_or_default();
             let drawn = turns.is_drawn(service);
-            ServiceOrder::new(service, backlog, drawn, round, starts.of(service))
+            let teams = backlog
+                .teams()
+                .filter(|(team, jobs)| team.is_none_or(|team| is_open(team, &jobs.least_demand())));
+            ServiceOrder::new(service, teams.collect(), drawn, round, starts.of(service))
         });
         orders.collect()
     }
--- a/src/batch/backlog_entry.rs
+++ b/src/batch/backlog_entry.rs
@@ -22,8 +22,12 @@
     pub queue: QueueName,
     /// Its place among the jobs with tasks to start; `None` if it has none or may not start any.
     pub candidate: Option<Candidate>,
+    /// Its team, if that has a limit.
+    pub limited: Option<TeamName>,
+    /// Least of each resource that a task to start needs.
+    pub least_demand: Resources,
     /// Least of each resource that a task to start reserves.
-    pub least: Resources,
+    pub least_reserved: Resources,
     /// It has tasks to start that wait for executors with unknown runs.
     pub blocked: bool,
     /// None of its tasks has started.
@@ -40,11 +44,13 @@
 
 impl BacklogEntry {
     /// Returns the entry of a job of `queue` at `unix` (in milliseconds), with executors with
-    /// unknown runs in these partitions; `None` if nothing of the job matters any more.
+    /// unknown runs in these partitions; `None` if nothing of the job matters any more. `limited`
+    /// tells whether its team has a limit.
     #[must_use]
     pub fn of(
         job_progress: &JobProgress,
         queue: Option<&Queue>,
+        limited: bool,
         unknown: Partitions,
         unix: u64,
     ) -> Option<Self> {
@@ -56,7 +62,8 @@
         }
         let objective = Objective::of(job, queue);
         let rank = Rank::of(job_progress, queue, &objective, unix);
-        let ready = active && !job_progress.remaining().ready.is_empty();
+        let remaining = job_progress.remaining();
+        let ready = active && !remaining.ready.is_empty();
         let startable = ready && !unseen_runs && !job_progress.partitions.is_empty();
         let load = if active {
             JobLoad::of(job_progress, rank.is_too_late(), unseen_runs)
@@ -69,7 +76,9 @@
             service: job.service.clone(),
             queue: job.queue.clone(),
             candidate: startable.then(|| Candidate::of(job_progress, rank)),
-            least: job_progress.remaining().least,
+            limited: job.team.clone().filter(|_| limited),
+            least_demand: remaining.least_demand,
+            least_reserved: remaining.least_reserved,
             blocked: ready && unseen_runs,
             waiting: active && !job_progress.started,
             inherited: !job_progress.inherited.is_empty(),
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -16,6 +16,7 @@
 mod reconciliation;
 mod rewriting;
 mod runs;
+mod team_limits;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/src/batch/dispatcher/backlog.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -44,8 +44,10 @@
         let job = &job_progress.job;
         let policy = self.directives.policy.as_ref();
         let queue = policy.and_then(|policy| policy.queue_named(&job.queue));
+        let limited = policy.zip(job.team.as_ref());
+        let limited = limited.is_some_and(|(policy, team)| policy.is_limited(team));
         let unknown = self.unknown.get(&job.service).copied().unwrap_or_default();
-        BacklogEntry::of(job_progress, queue, unknown, now.unix)
+        BacklogEntry::of(job_progress, queue, limited, unknown, now.unix)
     }
 
     /// Updates the backlog's entry of a job; returns whether it is newly blocked by unknown runs.
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -86,18 +86,20 @@
         let unknown_usage = self.unknown_usage();
         let mut capacity = self.free_capacity(now);
         let backlog = std::mem::take(&mut self.backlog);
-        let mut orders = backlog.orders(&self.turns, &self.rounds, &self.starts);
+        let is_open = |team: &TeamName, demand: &_| !self.is_at_limit(team, &unknown_usage, demand);
+        let mut orders = backlog.orders(&self.turns, &self.rounds, &self.starts, is_open);
         while let Some((order, position)) = next_order(&mut orders) {
             if self.starts.len() >= START_LIMIT {
                 self.throttled = true;
                 break;
             }
-            if capacity.is_full_for(order.service(), &order.smallest()) {
+            if capacity.is_full_for(order.service(), &order.least_reserved()) {
                 order.finish();
                 continue;
             }
             self.effort.candidates += 1;
             let served = self.place_job(now, &mut capacity, &unknown_usage, position.id);
+            self.close_team(order, &unknown_usage, &position.id);
             order.pass(served, self.starts.of(order.service()));
         }
         self.unfinished = orders.iter().any(|order| !order.is_complete());
@@ -124,7 +126,7 @@
         };
         self.extra_hosts.remove(&id);
         let remaining = entry.remaining();
-        if !capacity.may_fit(&entry.job.service, &remaining.least) {
+        if !capacity.may_fit(&entry.job.service, &remaining.least_reserved) {
             return false;
         }
         let before = self.starts.len();
@@ -353,26 +355,6 @@
         }
         false
     }
-
-    /// Returns how many more tasks of a demand a team may run under its limit.
-    fn team_allowance(
-        &self,
-        team: Option<&TeamName>,
-        unknown_usage: &BTreeMap<TeamName, Resources>,
-        demand: &Resources,
-    ) -> usize {
-        let policy = self.directives.policy.as_ref();
-        let limits = policy.and_then(|policy| policy.teams.get(team?));
-        let Some(limits) = limits else {
-            return usize::MAX;
-        };
-        let unknown_usage = team.and_then(|team| unknown_usage.get(team));
-        let mut used = unknown_usage.copied().unwrap_or_default();
-        if let Some(own) = team.and_then(|team| self.usage.get(team)) {
-            used.add(own);
-        }
-        usize::try_from(limits.limit.max_count(&used, demand)).unwrap_or(usize::MAX)
-    }
 }
 
 /// Returns the order of the service with the fewest unanswered starts, and the position of its next
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -1,5 +1,6 @@
 //! Moves hosts between pools as demand changes.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slog::info;
@@ -20,6 +21,7 @@
 use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::service_load::ServiceLoad;
 use crate::batch::waves::RunCounts;
+use crate::name::ServiceName;
 
 /// Time between two rounds of balancing, in milliseconds.
 const BALANCE_INTERVAL_MS: u64 = 150;
@@ -103,14 +105,13 @@
         };
         let no_load = ServiceLoad::default();
         let total = self.total_capacity();
+        let extra_hosts = self.extra_hosts();
         let mut views = Vec::new();
         for (service, pool) in &policy.pools {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
             let forecast = self.meter.forecast(now.at, service);
             let backlog = self.backlog.of(service);
             let load = backlog.map_or(&no_load, ServiceBacklog::load);
-            let extra_hosts = self.extra_hosts.values();
-            let extra_hosts = extra_hosts.filter(|(lacking, _)| lacking == service);
             let hosts = self.hosts.values().filter(|host| host.pool == *service);
             let hosts = hosts
                 .map(|host| self.pool_host(now, host, pool.spare))
@@ -121,7 +122,7 @@
                 need: load.need(&total).max(forecast),
                 late_cpu: load.late_work() / LATE_WORK_MS,
                 forecast,
-                extra_hosts: extra_hosts.map(|(_, hosts)| hosts).sum(),
+                extra_hosts: extra_hosts.get(service).copied().unwrap_or(0),
                 min_hosts: if used {
                     MIN_HOSTS.max(load.min_hosts())
                 } else {
@@ -133,6 +134,27 @@
         views
     }
 
+    /// Returns the number of hosts that long-running tasks of each service lack. Those of teams at
+    /// their limits lack none: they could not start on them.
+    fn extra_hosts(&self) -> BTreeMap<ServiceName, usize> {
+        let mut extra_hosts = BTreeMap::new();
+        if self.extra_hosts.is_empty() {
+            return extra_hosts;
+        }
+        let unknown_usage = self.unknown_usage();
+        for (id, (service, hosts)) in &self.extra_hosts {
+            let Some(entry) = self.state.jobs.get(id) else {
+                continue;
+            };
+            let demand = entry.remaining().least_demand;
+            let team = entry.job.team.as_ref();
+            if team.is_none_or(|team| !self.is_at_limit(team, &unknown_usage, &demand)) {
+                *extra_hosts.entry(service.clone()).or_default() += hosts;
+            }
+        }
+        extra_hosts
+    }
+
     /// Returns the capacity of all hosts together.
     fn total_capacity(&self) -> Resources {
         let mut total = Resources::default();
--- a/src/batch/front.rs
+++ b/src/batch/front.rs
@@ -1,21 +1,23 @@
 //! Selects jobs at the front of a service.
 
 use std::collections::BTreeSet;
-use std::iter::Peekable;
+use std::ops::Bound;
 
 use crate::batch::JobId;
 use crate::batch::candidate::Candidate;
 use crate::batch::drawn::Drawn;
+use crate::batch::merge::Merge;
+use crate::batch::open_teams::OpenTeams;
 use crate::batch::rank::Rank;
-use crate::batch::service_backlog::ServiceBacklog;
+use crate::name::TeamName;
 
 /// Iterates over the jobs of a service by rank. Among jobs of the same rank, one with the least
 /// remaining work and one drawn by lot come in turn. The former alone would never serve large jobs
 /// while more work arrives than the hosts can do. By lot, each job has the same chance, so each size
 /// starts at least half as often as all.
 pub struct Front<'a> {
-    by_work: Peekable<Box<dyn Iterator<Item = &'a Candidate> + 'a>>,
-    by_draw: Peekable<Box<dyn Iterator<Item = &'a Drawn> + 'a>>,
+    by_work: Merge<'a, Candidate>,
+    by_draw: Merge<'a, Drawn>,
     taken: BTreeSet<JobId>,
     rank: Option<Rank>,
     // Whether the first job of each rank is drawn by lot.
@@ -27,12 +29,10 @@
 impl<'a> Front<'a> {
     /// Returns the front of a service's jobs; `drawn_first` if the next to start is drawn by lot.
     #[must_use]
-    pub fn new(backlog: &'a ServiceBacklog, drawn_first: bool) -> Self {
-        let by_work: Box<dyn Iterator<Item = &Candidate>> = Box::new(backlog.by_work());
-        let by_draw: Box<dyn Iterator<Item = &Drawn>> = Box::new(backlog.by_draw());
+    pub fn new(teams: &OpenTeams<'a>, drawn_first: bool) -> Self {
         Self {
-            by_work: by_work.peekable(),
-            by_draw: by_draw.peekable(),
+            by_work: teams.by_work((Bound::Unbounded, Bound::Unbounded)),
+            by_draw: teams.by_draw(),
             taken: BTreeSet::new(),
             rank: None,
             drawn_first,
@@ -46,18 +46,21 @@
         self.taken.contains(id)
     }
 
+    /// Leaves out the remaining jobs of a team.
+    pub fn close(&mut self, team: &TeamName) {
+        self.by_work.close(team);
+        self.by_draw.close(team);
+    }
+
     fn skip_taken(&mut self) {
         let taken = &self.taken;
-        while self
-            .by_work
-            .next_if(|job| taken.contains(&job.id))
-            .is_some()
-        {}
-        while self
-            .by_draw
-            .next_if(|job| taken.contains(&job.id))
-            .is_some()
-        {}
+        let is_taken = |id: &JobId| taken.contains(id);
+        while self.by_work.peek().is_some_and(|job| is_taken(&job.id)) {
+            self.by_work.next();
+        }
+        while self.by_draw.peek().is_some_and(|job| is_taken(&job.id)) {
+            self.by_draw.next();
+        }
     }
 }
 
--- a/src/batch/policy.rs
+++ b/src/batch/policy.rs
@@ -96,6 +96,13 @@
         found.max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Whether a team has a limit.
+    #[must_use]
+    pub fn is_limited(&self, team: &TeamName) -> bool {
+        let team = self.teams.get(team);
+        team.is_some_and(|team| team.limit != Resources::default())
+    }
+
     /// Returns the queue with this name.
     #[must_use]
     pub fn queue_named(&self, name: &QueueName) -> Option<&Queue> {
--- a/src/batch/remaining_work.rs
+++ b/src/batch/remaining_work.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::JobProgress;
 use crate::batch::Resources;
+use crate::batch::Step;
 use crate::batch::step_progress::StepProgress;
 
 /// Remaining work of a job, valid until the job's state changes.
@@ -13,9 +14,11 @@
     pub critical_path: u64,
     /// Remaining work by the estimates, in core-milliseconds.
     pub work: u64,
+    /// Least of each resource that a task to start needs.
+    pub least_demand: Resources,
     /// Least of each resource that a task to start reserves. Nothing if a task is long-running: it
     /// is examined even if no executor has room, as hosts are moved to its pool.
-    pub least: Resources,
+    pub least_reserved: Resources,
 }
 
 impl RemainingWork {
@@ -25,7 +28,8 @@
         let (critical_path, work) = estimate(job_progress);
         let ready = ready_steps(job_progress);
         Self {
-            least: least_demand(job_progress, &ready),
+            least_demand: least(job_progress, &ready, |step| step.demand),
+            least_reserved: least(job_progress, &ready, needed_room),
             ready,
             critical_path,
             work,
@@ -33,21 +37,28 @@
     }
 }
 
-fn least_demand(job_progress: &JobProgress, ready: &[(u32, u32)]) -> Resources {
-    let steps = ready
+/// Returns the least of each resource among the amounts of these steps.
+fn least(
+    job_progress: &JobProgress,
+    steps: &[(u32, u32)],
+    amount: impl Fn(&Step) -> Resources,
+) -> Resources {
+    let steps = steps
         .iter()
         .filter_map(|&(_, number)| job_progress.job.steps.get(number as usize));
-    let demands = steps.map(|step| {
-        if step.long_running {
-            Resources::default()
-        } else {
-            step.reserved()
-        }
-    });
-    let least = demands.reduce(|one, other| one.min(&other));
+    let least = steps.map(amount).reduce(|one, other| one.min(&other));
     least.unwrap_or_default()
 }
 
+/// Returns the resources without which a task of a step isn't examined.
+fn needed_room(step: &Step) -> Resources {
+    if step.long_running {
+        Resources::default()
+    } else {
+        step.reserved()
+    }
+}
+
 fn ready_steps(job_progress: &JobProgress) -> Vec<(u32, u32)> {
     let mut found = Vec::new();
     for (&occurrence, progress) in &job_progress.occurrences {
--- a/src/batch/service_backlog.rs
+++ b/src/batch/service_backlog.rs
@@ -1,23 +1,17 @@
 //! Jobs of one service that have tasks to start, sorted, and the load of all its jobs.
 
-use std::collections::BTreeSet;
-use std::ops::Bound;
+use std::collections::BTreeMap;
 
-use crate::batch::Resources;
 use crate::batch::backlog_entry::BacklogEntry;
-use crate::batch::candidate::Candidate;
-use crate::batch::drawn::Drawn;
-use crate::batch::multiset::Multiset;
 use crate::batch::service_load::ServiceLoad;
+use crate::batch::team_backlog::TeamBacklog;
+use crate::name::TeamName;
 
 /// Jobs of one service.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct ServiceBacklog {
-    by_work: BTreeSet<Candidate>,
-    by_draw: BTreeSet<Drawn>,
-    // CPU and memory that the smallest tasks to start of each job reserve.
-    cpus: Multiset,
-    memories: Multiset,
+    // Candidates by team, those of all teams without a limit together.
+    teams: BTreeMap<Option<TeamName>, TeamBacklog>,
     load: ServiceLoad,
     jobs: usize,
     blocked: usize,
@@ -30,10 +24,8 @@
         self.jobs += 1;
         self.blocked += usize::from(entry.blocked);
         if let Some(candidate) = entry.candidate {
-            self.by_work.insert(candidate);
-            self.by_draw.insert(Drawn::from(&candidate));
-            self.cpus.add(entry.least.cpu);
-            self.memories.add(entry.least.memory);
+            let team = self.teams.entry(entry.limited.clone()).or_default();
+            team.add(candidate, &entry.least_demand, &entry.least_reserved);
         }
     }
 
@@ -42,11 +34,13 @@
         self.load.sub(&entry.load);
         self.jobs -= 1;
         self.blocked -= usize::from(entry.blocked);
-        if let Some(candidate) = entry.candidate {
-            self.by_work.remove(&candidate);
-            self.by_draw.remove(&Drawn::from(&candidate));
-            self.cpus.remove(entry.least.cpu);
-            self.memories.remove(entry.least.memory);
+        if let Some(candidate) = entry.candidate
+            && let Some(team) = self.teams.get_mut(&entry.limited)
+        {
+            team.remove(candidate, &entry.least_demand, &entry.least_reserved);
+            if team.is_empty() {
+                self.teams.remove(&entry.limited);
+            }
         }
     }
 
@@ -68,31 +62,8 @@
         self.blocked
     }
 
-    /// Returns resources that no task of a candidate reserves less of.
-    #[must_use]
-    pub fn smallest(&self) -> Resources {
-        Resources {
-            cpu: self.cpus.min(),
-            memory: self.memories.min(),
-            gpu: 0,
-        }
-    }
-
-    /// Returns the candidates, those with the least remaining work in each rank first.
-    pub fn by_work(&self) -> impl Iterator<Item = &Candidate> + use<'_> {
-        self.by_work.iter()
-    }
-
-    /// Returns the candidates, in the order of the draw in each rank.
-    pub fn by_draw(&self) -> impl Iterator<Item = &Drawn> + use<'_> {
-        self.by_draw.iter()
-    }
-
-    /// Returns the candidates of [`Self::by_work`] in a range.
-    pub fn within(
-        &self,
-        range: (Bound<Candidate>, Bound<Candidate>),
-    ) -> impl Iterator<Item = &Candidate> + use<'_> {
-        self.by_work.range(range)
+    /// Returns the candidates of each team that has a limit, and those of all others together.
+    pub fn teams(&self) -> impl Iterator<Item = (Option<&TeamName>, &TeamBacklog)> + use<'_> {
+        self.teams.iter().map(|(team, jobs)| (team.as_ref(), jobs))
     }
 }
--- a/src/batch/service_order.rs
+++ b/src/batch/service_order.rs
@@ -3,12 +3,14 @@
 use crate::batch::JobId;
 use crate::batch::Resources;
 use crate::batch::front::Front;
+use crate::batch::open_teams::OpenTeams;
 use crate::batch::position::Position;
 use crate::batch::rank::Rank;
 use crate::batch::round::Round;
-use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::sweep::Sweep;
+use crate::batch::team_backlog::TeamBacklog;
 use crate::name::ServiceName;
+use crate::name::TeamName;
 
 /// Number of candidates at the front that may find no capacity before the others get their turn.
 const FRONT_MISSES: usize = 64;
@@ -20,37 +22,36 @@
 /// depend on how many wait.
 pub struct ServiceOrder<'a> {
     service: &'a ServiceName,
-    smallest: Resources,
+    teams: OpenTeams<'a>,
+    least_reserved: Resources,
     unanswered: usize,
     front: Front<'a>,
     sweep: Sweep<'a>,
     misses: usize,
     head: Option<Position>,
-    // Whether `head` is a job of the sweep.
-    behind: bool,
     complete: bool,
 }
 
 impl<'a> ServiceOrder<'a> {
-    /// Returns the order of a service's jobs; `drawn_first` if the next to start is drawn by lot.
+    /// Returns the order of the jobs of these teams at a service; `drawn_first` if the next to start is drawn by lot.
     /// Behind the front, it goes on with `round`. The service has `unanswered` starts.
     #[must_use]
     pub fn new(
         service: &'a ServiceName,
-        backlog: &'a ServiceBacklog,
+        teams: OpenTeams<'a>,
         drawn_first: bool,
         round: Round,
         unanswered: usize,
     ) -> Self {
         let mut order = Self {
             service,
-            smallest: backlog.smallest(),
+            least_reserved: teams.least_reserved(),
             unanswered,
-            front: Front::new(backlog, drawn_first),
-            sweep: Sweep::new(backlog, round),
+            front: Front::new(&teams, drawn_first),
+            sweep: Sweep::new(&teams, round),
+            teams,
             misses: 0,
             head: None,
-            behind: false,
             complete: false,
         };
         order.advance();
@@ -71,8 +72,23 @@
 
     /// Returns resources that no task to start of the service reserves less of.
     #[must_use]
-    pub const fn smallest(&self) -> Resources {
-        self.smallest
+    pub const fn least_reserved(&self) -> Resources {
+        self.least_reserved
+    }
+
+    /// Returns resources that no task to start of a team needs less of; `None` if it has no limit or
+    /// was left out.
+    #[must_use]
+    pub fn least_demand(&self, team: &TeamName) -> Option<Resources> {
+        self.teams.get(team).map(TeamBacklog::least_demand)
+    }
+
+    /// Leaves out the remaining jobs of a team, which is at its limit.
+    pub fn close(&mut self, team: &TeamName) {
+        self.teams.close(team);
+        self.front.close(team);
+        self.sweep.close(team);
+        self.least_reserved = self.teams.least_reserved();
     }
 
     /// Returns the number of starts of the service that wait for an answer.
@@ -92,14 +108,12 @@
     pub fn pass(&mut self, served: bool, unanswered: usize) {
         self.unanswered = unanswered;
         self.misses += usize::from(!served);
-        if self.behind {
-            self.sweep.pass();
-        }
+        self.sweep.pass();
         self.advance();
     }
 
     /// Whether no job is left to examine: each has been, by this placement or by an earlier one in
-    /// the same round, or there is no capacity for any.
+    /// the same round, or its team is at its limit, or there is no capacity for any.
     #[must_use]
     pub const fn is_complete(&self) -> bool {
         self.complete
@@ -112,12 +126,11 @@
     }
 
     fn advance(&mut self) {
-        self.behind = self.misses >= FRONT_MISSES;
-        let next = if self.behind {
-            let next = self.sweep.next(&self.front);
-            next.map(|job| (job.rank, job.id))
-        } else {
+        let next = if self.misses < FRONT_MISSES {
             self.front.next()
+        } else {
+            let next = self.sweep.advance(&self.front);
+            next.map(|job| (job.rank, job.id))
         };
         self.complete = next.is_none();
         let left = self.misses < FRONT_MISSES + REST_MISSES;
--- a/tests/batch/backlog.rs
+++ b/tests/batch/backlog.rs
@@ -22,9 +22,14 @@
 const HOSTS: usize = 20;
 
 /// Returns the number of jobs that the owner visits for each start, of `jobs` jobs that were handed
-/// in at once. The hosts have room for 40 of them.
-fn visits_per_start(jobs: u64) -> f64 {
+/// in at once, after `stuck` jobs of a team at its limit. The hosts have room for 40 of them.
+fn visits_per_start(jobs: u64, stuck: u64) -> f64 {
     let mut sim = Simulation::new(&[("captions", HOSTS)]);
+    sim.set_team("stopped", 0, 1);
+    for number in 0..stuck {
+        let stopped = Some(team("stopped"));
+        sim.submit_as(stopped, 10_000 + number, "captions", vec![step(1)]);
+    }
     for number in 0..jobs {
         sim.submit(number, "captions", vec![step(8)]);
     }
@@ -40,14 +45,27 @@
 /// check for due occurrences visited all jobs that waited.
 #[test]
 fn a_start_costs_no_more_with_4000_jobs_waiting_than_with_250() {
-    let few = visits_per_start(250);
-    let many = visits_per_start(4_000);
+    let few = visits_per_start(250, 0);
+    let many = visits_per_start(4_000, 0);
     assert!(
         many <= few * 1.1,
         "{few:.1} jobs visited a start with 250 jobs, {many:.1} with 4,000"
     );
 }
 
+/// Guards against placements that went through the jobs of a team at its limit one by one.
+#[test_case(250 ; "few")]
+#[test_case(4_000 ; "many")]
+fn a_start_costs_no_more_beside_jobs_of_a_team_at_its_limit(stuck: u64) {
+    let alone = visits_per_start(250, 0);
+    let beside = visits_per_start(250, stuck);
+    assert!(
+        beside <= alone * 1.1,
+        "{alone:.1} jobs visited a start with 250 jobs, {beside:.1} beside {stuck} of a team at \
+         its limit"
+    );
+}
+
 /// A task that needs more than any host has.
 fn huge() -> Step {
     Step {
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod large;
 mod largest;
+mod limits;
 mod line;
 mod load;
 mod needs;
