Waves: a long-running task goes to no host that is due while there is another

Cause: the choice of an executor prefers those with most long-running tasks and the highest load, and these are hosts that other work keeps busy, so that they are the last to be drained. Each task that moves to one of them has to move again, one at a time by its step's limit.

Change: an executor knows whether its host is due for maintenance; among executors with capacity, long-running tasks take one whose host is not due.

Test without the change: a_task_that_makes_way_goes_to_no_host_that_is_due: left: captions-0, right: captions-0 (the task moved to a host that is due). With it: passes, with all other tests of tests/batch.

--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -141,19 +141,21 @@
                     executor.partition,
                     executor.used,
                     executor.long_running,
+                    executor.due,
                 ));
             }
         }
         capacity
     }
 
-    /// Updates which executors are usable. Must be called after every change to the plans for hosts
-    /// or to the list of closed data centres.
+    /// Updates which executors are usable and which are on hosts that are due for maintenance. Must
+    /// be called after every change to the plans for hosts or to the list of closed data centres.
     pub(super) fn mark_usable(&mut self, now: Now) {
         let mut executors = std::mem::take(&mut self.executors);
         for executor in executors.values_mut() {
             let info = executor.info.as_ref();
             executor.usable = info.is_some_and(|info| self.is_usable(now, info));
+            executor.due = info.is_some_and(|info| self.waves.is_due(info.host.as_ref()));
         }
         self.executors = executors;
     }
--- a/src/batch/executor_capacity.rs
+++ b/src/batch/executor_capacity.rs
@@ -19,23 +19,27 @@
     used: Resources,
     long_running: usize,
     partition: Partitions,
+    // Its host is due for maintenance.
+    due: bool,
 }
 
 impl ExecutorCapacity {
     /// Creates an entry for an executor with `used` resources in use, in part by `long_running`
-    /// long-running tasks.
+    /// long-running tasks. Its host is `due` if it is to be maintained and has not been yet.
     #[must_use]
     pub const fn new(
         info: Rc<Executor>,
         partition: Partitions,
         used: Resources,
         long_running: usize,
+        due: bool,
     ) -> Self {
         Self {
             info,
             used,
             long_running,
             partition,
+            due,
         }
     }
 
@@ -226,6 +230,8 @@
                     .is_none_or(|tickets| tickets.contains_key(executor.id()))
         });
         let best = fitting.min_by_key(|&(at, executor)| {
+            // A long-running task would soon have to leave a host that is due.
+            let leaves = self.step.long_running && executor.due;
             // Bin packing: hosts that are left empty can be moved to other pools.
             let long_running = if self.step.long_running {
                 executor.long_running
@@ -236,6 +242,7 @@
             let off_rack = rack.is_some_and(|rack| !executor.has_label(rack));
             (
                 off_rack,
+                leaves,
                 Reverse(long_running),
                 Reverse(executor.load()),
                 self.task_counts[at],
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -59,6 +59,8 @@
     pub partition: Partitions,
     /// Its host is not to be moved, drained or taken down, and its data centre is not closed.
     pub usable: bool,
+    /// Its host is due for maintenance.
+    pub due: bool,
     /// Address that orders are sent to.
     pub addr: SocketAddr,
     /// When its process started, in Unix milliseconds, once that is known. A new value means that
@@ -132,6 +134,7 @@
             service,
             partition,
             usable: false,
+            due: false,
             addr,
             born: None,
             born_reported: false,
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 struct WaveProgress {
     wave: Wave,
+    // Hosts of the wave.
+    hosts: BTreeSet<HostName>,
     deadline: Instant,
     maintained: BTreeSet<HostName>,
     ordered: BTreeSet<HostName>,
@@ -104,6 +106,7 @@
             let left = Duration::from_millis(wave.period.saturating_sub(spent));
             self.waves.entry(number).or_insert_with(|| WaveProgress {
                 wave: wave.clone(),
+                hosts: wave.hosts.iter().cloned().collect(),
                 deadline: now.at + left,
                 maintained,
                 ordered: BTreeSet::new(),
@@ -128,6 +131,17 @@
             .any(|progress| progress.blocked.contains(host))
     }
 
+    /// Whether a host is to be maintained and has not been yet.
+    #[must_use]
+    pub fn is_due(&self, host: Option<&HostName>) -> bool {
+        let Some(host) = host else {
+            return false;
+        };
+        self.waves
+            .values()
+            .any(|progress| progress.hosts.contains(host) && !progress.maintained.contains(host))
+    }
+
     /// Whether a host was taken down and may not be up again.
     #[must_use]
     pub fn is_down(&self, now: Instant, host: &HostName) -> bool {
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -1,7 +1,11 @@
 //! Tests of maintenance waves.
 
+use std::time::Instant;
+
 use mimosastep::batch::RunOutcome;
+use mimosastep::batch::TaskId;
 use mimosastep::batch::WaveState;
+use mimosastep::name::ExecutorId;
 use test_case::test_case;
 
 use crate::simulation::Simulation;
@@ -242,3 +246,32 @@
         );
     }
 }
+
+/// Guards against late waves: a task that makes way for maintenance moves to a host that is due
+/// itself, and has to move once more.
+#[test]
+fn a_task_that_makes_way_goes_to_no_host_that_is_due() {
+    let mut sim = Simulation::new(&[("captions", 4)]);
+    sim.script = Box::new(|task, _| {
+        let duration = if task.index < 8 { 1_000 } else { 60_000 };
+        (duration, RunOutcome::Done)
+    });
+    sim.submit(1, "captions", vec![step(16)]);
+    sim.run(500);
+    sim.submit(2, "captions", vec![long_running(1)]);
+    sim.run(2_000);
+    let busy = host_of(&sim.starts[0]);
+    let left = host_of(&sim.starts[16]);
+    sim.request_wave(&[&busy, &left], 60_000, 1);
+    sim.run(6_000);
+    let hosts: Vec<String> = sim.starts.iter().skip(16).map(host_of).collect();
+    assert_eq!(hosts.len(), 2, "started on {hosts:?}");
+    assert_ne!(hosts[1], busy, "the task moved to a host that is due");
+}
+
+/// Host of the executor on which a task was started.
+fn host_of(start: &(Instant, TaskId, u64, ExecutorId)) -> String {
+    let (_, _, _, executor) = start;
+    let host = executor.as_str().split('.').next();
+    host.expect("an executor without a host").to_owned()
+}
