--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -121,8 +121,10 @@
     unknown: BTreeMap<ServiceName, Partitions>,
     // Whether the configuration has changed since the last update of the backlog.
     policy_changed: bool,
-    // When occurrences of jobs have to be opened, in Unix milliseconds.
+    // When the next occurrences of jobs are due, in Unix milliseconds.
     openings: BTreeSet<(u64, JobId)>,
+    // Jobs with a due occurrence that waits until another has ended.
+    limited: BTreeSet<JobId>,
     // Jobs that have ended and when, in Unix milliseconds, oldest first.
     closed: VecDeque<(u64, JobId)>,
     // Hosts that long-running tasks of a job lacked when they were last examined.
@@ -214,6 +216,7 @@
             unknown: BTreeMap::new(),
             policy_changed: false,
             openings,
+            limited: BTreeSet::new(),
             closed: VecDeque::new(),
             extra_hosts: BTreeMap::new(),
             free_capacity: SiteCapacity::default(),
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -38,11 +38,11 @@
         if entry.is_active() {
             self.meter.note(now.at, &entry.job);
             self.active.insert(id);
-            self.openings.insert((now.unix, id));
             if entry.partitions.is_empty() {
                 self.ungranted.push(id);
             }
             self.unchecked.push(id);
+            self.open_job(now, id);
         } else {
             self.close(now, id);
         }
@@ -86,23 +86,31 @@
         self.last_opening = now.at;
         let due = self.openings.iter().take_while(|(at, _)| *at <= now.unix);
         let due: Vec<(u64, JobId)> = due.copied().collect();
-        self.effort.ranked += due.len() as u64;
+        let mut ids = std::mem::take(&mut self.limited);
         for opening in due {
             self.openings.remove(&opening);
-            self.open_job(now, opening.1);
+            ids.insert(opening.1);
+        }
+        for id in ids {
+            self.open_job(now, id);
         }
         self.drop_closed(now);
     }
 
+    /// Opens the occurrences of a job that are due, as far as the limit on tasks allows.
     fn open_job(&mut self, now: Now, id: JobId) {
+        self.effort.ranked += 1;
         let Some(entry) = self.state.jobs.get_mut(&id) else {
             return;
         };
         self.dirty |= entry.open_due(now.unix);
-        if let Some(due) = entry.next_due() {
-            // One that is due already waits until another occurrence has ended.
-            let soon = now.unix.saturating_add(OPEN_INTERVAL_MS);
-            self.openings.insert((due.max(soon), id));
+        let Some(due) = entry.next_due() else {
+            return;
+        };
+        if due > now.unix {
+            self.openings.insert((due, id));
+        } else {
+            self.limited.insert(id);
         }
     }
 
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod candidacy;
+mod clock;
 mod entries;
 mod fake_executor;
 mod faults;
--- a/tests/batch/simulation/jobs.rs
+++ b/tests/batch/simulation/jobs.rs
@@ -11,6 +11,7 @@
 use mimosastep::batch::Queue;
 use mimosastep::batch::Record;
 use mimosastep::batch::Resources;
+use mimosastep::batch::Schedule;
 use mimosastep::batch::Step;
 use mimosastep::name::QueueName;
 use mimosastep::name::TeamName;
@@ -61,6 +62,21 @@
     }
 }
 
+/// A job without a team and a schedule, accepted at `unix` (in milliseconds).
+fn new_job(number: u64, pool: &str, steps: Vec<Step>, unix: u64) -> Job {
+    Job {
+        id: job_id(number),
+        queue: QueueName::new(pool).expect("invalid name"),
+        service: service(pool),
+        team: None,
+        spec: Arc::from("work"),
+        steps,
+        attempts: 3,
+        schedule: None,
+        accepted: unix,
+    }
+}
+
 impl Simulation {
     /// Submits a job without a team.
     pub fn submit(&mut self, number: u64, pool: &str, steps: Vec<Step>) -> JobId {
@@ -76,15 +92,24 @@
         steps: Vec<Step>,
     ) -> JobId {
         let job = Job {
-            id: job_id(number),
-            queue: QueueName::new(pool).expect("invalid name"),
-            service: service(pool),
             team,
-            spec: Arc::from("work"),
-            steps,
-            attempts: 3,
-            schedule: None,
-            accepted: self.now.unix,
+            ..new_job(number, pool, steps, self.now.unix)
+        };
+        self.append_record(Record::Accepted(job));
+        job_id(number)
+    }
+
+    /// Submits a job with a schedule.
+    pub fn submit_scheduled(
+        &mut self,
+        number: u64,
+        pool: &str,
+        steps: Vec<Step>,
+        schedule: Schedule,
+    ) -> JobId {
+        let job = Job {
+            schedule: Some(schedule),
+            ..new_job(number, pool, steps, self.now.unix)
         };
         self.append_record(Record::Accepted(job));
         job_id(number)
