An executor's own answer, not the list, shows that it has begun anew

An entry of another writer under a true executor's key, with a later start or another address, was taken for a restart: the owner dropped the runs there, and their tasks started elsewhere while they ran. The same came of an address that belongs to another executor: its 421 counted as proof that the process had ended, though only the list had named that address.

Now an entry that contradicts what is known of an executor with runs (later start, other address) is kept apart until the executor confirms it. The executor is asked at once, at the listed address, and at the one before if that fails or refuses. Until the answer it gets no new work, its runs count as running, and the lease isn't renewed by the question. Its answer with a new start, or the end of its lease, ends the runs. A refusal (421) counts only at an address where the executor is known to be. Of two heartbeats on their way the answer to the latest counts, so that the question does not wait for one that an ended process will never answer; heartbeats are told apart by when they were decided.

Tests: tests/batch/restarts.rs, in virtual time; the fake executors now report their start and have an address each.

--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -15,9 +15,11 @@
 use crate::batch::Now;
 use crate::batch::Partitions;
 use crate::batch::Record;
+use crate::batch::Target;
 use crate::batch::executor_state::Assignment;
 use crate::batch::executor_state::ExecutorState;
 use crate::batch::executor_state::HeartbeatState;
+use crate::batch::unconfirmed_entry::UnconfirmedEntry;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 
@@ -44,6 +46,7 @@
         for (id, executor) in &mut self.executors {
             if !ids.contains(id) {
                 executor.info = None;
+                executor.unconfirmed = None;
             }
         }
         for listed in list {
@@ -70,18 +73,18 @@
             // The listing is of an earlier process.
             return;
         }
+        if executor.is_contradicted_by(&listed) {
+            return self.ask_about(now, listed);
+        }
         let was_active = executor.info.as_ref().is_none_or(|info| !info.draining);
         if listed.draining && was_active {
             info!(self.log, "executor draining"; "executor" => %id);
         }
         let restarted = executor.born.is_some_and(|born| listed.born > born);
-        let moved = executor.addr != listed.addr;
-        executor.addr = listed.addr;
-        executor.service = listed.service.clone();
         executor.born_reported &= !restarted;
         // An earlier start stated by the list alone shows no restart; its report tells.
         executor.born = executor.born.max(Some(listed.born));
-        executor.info = Some(Rc::new(listed));
+        let moved = executor.set_info(Rc::new(listed));
         if restarted {
             self.reset(now, &id);
         }
@@ -90,6 +93,35 @@
         }
     }
 
+    /// Asks an executor about an entry that differs from what it reported. Its runs count as running
+    /// until it answers or its leases are over.
+    fn ask_about(&mut self, now: Now, listed: Executor) {
+        let Some(executor) = self.executors.get_mut(&listed.id) else {
+            return;
+        };
+        let unconfirmed = executor.unconfirmed.as_ref();
+        if unconfirmed.is_some_and(|entry| *entry.info == listed) {
+            return;
+        }
+        info!(self.log, "another start or address listed; asking the executor";
+            "executor" => %listed.id, "addr" => %listed.addr, "born" => listed.born);
+        executor.unconfirmed = Some(UnconfirmedEntry::listed(listed));
+        executor.heartbeat = HeartbeatState::Due(now.at);
+    }
+
+    /// Applies an entry that the executor has confirmed.
+    pub(super) fn apply_confirmed(&mut self, now: Now, info: Rc<Executor>) {
+        let id = info.id.clone();
+        let Some(executor) = self.executors.get_mut(&id) else {
+            return;
+        };
+        if executor.set_info(info) {
+            self.assign(&id);
+        }
+        self.index_hosts();
+        self.mark_usable(now);
+    }
+
     /// Requests the record that must be in the log before an executor is given work.
     pub(super) fn assign(&mut self, id: &ExecutorId) {
         let Some(executor) = self.executors.get(id) else {
@@ -142,7 +174,8 @@
         for id in ids {
             self.remove_runs(&id);
             if let Some(executor) = self.executors.get_mut(&id) {
-                executor.retired = executor.born;
+                let listed = executor.unconfirmed.take().map(|entry| entry.info.born);
+                executor.retired = executor.born.max(listed);
                 executor.expires = now.at;
             }
             self.unassign(&id);
@@ -202,6 +235,15 @@
         executors.filter(|(_, executor)| !executor.is_retired())
     }
 
+    /// Handles the refusal of an order by a process for which it was not meant. At an address that
+    /// only the list states, this is no proof that the executor's process has ended.
+    pub(super) fn on_reborn(&mut self, now: Now, target: &Target) {
+        let executor = self.executors.get(&target.executor);
+        if executor.is_some_and(|executor| executor.addr == target.addr) {
+            self.reset(now, &target.executor);
+        }
+    }
+
     /// Drops all runs of an executor that has restarted.
     pub(super) fn reset(&mut self, now: Now, id: &ExecutorId) {
         info!(self.log, "executor restarted"; "executor" => %id);
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -51,7 +51,9 @@
             if due > now.at || !executor.is_heartbeat_needed() {
                 continue;
             }
-            let renewed = lease.filter(|_| executor.reported && !executor.heartbeat_failed);
+            let settled =
+                executor.reported && !executor.heartbeat_failed && !executor.is_confirmation_due();
+            let renewed = lease.filter(|_| settled);
             let deadline = renewed.and_then(|lease| {
                 executor.renew(now.at);
                 executor.deadline(now.at, lease)
@@ -60,7 +62,7 @@
             self.actions.push(Action::Heartbeat(Heartbeat {
                 target: Target {
                     executor: id.clone(),
-                    addr: executor.addr,
+                    addr: executor.heartbeat_addr(),
                     fence: self.fence,
                 },
                 deadline,
@@ -70,6 +72,7 @@
                 } else {
                     REPLY_WAIT_MS
                 },
+                decided: now.at,
             }));
         }
     }
@@ -81,15 +84,24 @@
         sent: Instant,
         result: Result<Report, OrderError>,
     ) {
-        let id = &order.target.executor;
+        let target = &order.target;
+        if result == Err(OrderError::Fenced) {
+            return self.on_fenced(&target.executor);
+        }
+        let executor = self.executors.get(&target.executor);
+        let latest = HeartbeatState::Sent(order.decided);
+        if executor.is_none_or(|executor| executor.heartbeat != latest) {
+            // The answer to a later one tells all that this one does.
+            return;
+        }
         match result {
-            Ok(report) => self.on_report(now, id, sent, report),
-            Err(OrderError::Fenced) => self.on_fenced(id),
-            Err(OrderError::Reborn) => {
-                self.reset(now, id);
-                self.on_heartbeat_failed(now, id, OrderError::Reborn);
+            Ok(report) => self.on_report(now, target, sent, report),
+            Err(err) => {
+                if err == OrderError::Reborn {
+                    self.on_reborn(now, target);
+                }
+                self.on_heartbeat_failed(now, target, err);
             }
-            Err(err) => self.on_heartbeat_failed(now, id, err),
         }
     }
 
@@ -99,10 +111,15 @@
         self.actions.push(Action::StepDown);
     }
 
-    fn on_heartbeat_failed(&mut self, now: Now, id: &ExecutorId, err: OrderError) {
+    fn on_heartbeat_failed(&mut self, now: Now, target: &Target, err: OrderError) {
+        let id = &target.executor;
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
+        if executor.swap_address(target.addr) {
+            executor.heartbeat = HeartbeatState::Due(now.at);
+            return;
+        }
         if !executor.heartbeat_failed {
             warn!(self.log, "heartbeat failed; executor gets no new work";
                 "executor" => %id, "why" => %err);
@@ -118,18 +135,9 @@
         executor.heartbeat = HeartbeatState::Due(now.at + Duration::from_millis(pause));
     }
 
-    fn on_report(&mut self, now: Now, id: &ExecutorId, sent: Instant, report: Report) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        if let Some(born) = report.born {
-            let restarted = executor.born.is_some_and(|known| known != born);
-            executor.born = Some(born);
-            executor.born_reported = true;
-            if restarted {
-                self.reset(now, id);
-            }
-        }
+    fn on_report(&mut self, now: Now, target: &Target, sent: Instant, report: Report) {
+        let id = &target.executor;
+        self.note_start(now, target, report.born);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -157,6 +165,30 @@
         self.schedule_heartbeat(now, id, sent, first, has_ends);
     }
 
+    /// Notes when the process started that answered an order, if it states that.
+    fn note_start(&mut self, now: Now, target: &Target, born: Option<u64>) {
+        let id = &target.executor;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        // Tasks may have waited for the answer.
+        self.dirty |= executor.is_confirmation_due();
+        let known = executor.born;
+        let confirmed = executor.confirm_entry(target.addr, born);
+        let born = born.or_else(|| confirmed.as_ref().map(|info| info.born));
+        if born.is_some() {
+            executor.born = born;
+            executor.born_reported = true;
+        }
+        let restarted = known.is_some() && executor.born != known;
+        if let Some(info) = confirmed {
+            self.apply_confirmed(now, info);
+        }
+        if restarted {
+            self.reset(now, id);
+        }
+    }
+
     fn schedule_heartbeat(
         &mut self,
         now: Now,
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -119,7 +119,10 @@
             "executor" => %id, "why" => %err);
         match err {
             OrderError::Fenced => self.on_fenced(id),
-            OrderError::Reborn => self.reset(now, id),
+            OrderError::Reborn => {
+                self.on_reborn(now, &order.target);
+                self.remove_run(id, order.task, order.run);
+            }
             OrderError::Silent | OrderError::Old => {
                 // The executor's next report shows whether the run is there.
                 if run_state.phase == Phase::Starting {
@@ -195,7 +198,10 @@
                 }
             }
             Err(OrderError::Fenced) => self.on_fenced(id),
-            Err(OrderError::Reborn) => self.reset(now, id),
+            Err(OrderError::Reborn) => {
+                run_state.phase = Phase::Unconfirmed(now.at);
+                self.on_reborn(now, &order.target);
+            }
             Err(err) => {
                 warn!(self.log, "stop order failed"; "task" => %order.task,
                     "run" => order.run, "executor" => %id, "why" => %err);
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -13,6 +13,7 @@
 use crate::batch::in_flight::OVERDUE_MS;
 use crate::batch::run_state::Phase;
 use crate::batch::run_state::RunState;
+use crate::batch::unconfirmed_entry::UnconfirmedEntry;
 use crate::name::ServiceName;
 
 /// Length of the lease that an order grants, in milliseconds.
@@ -68,6 +69,8 @@
     pub born_reported: bool,
     /// Its entry in the platform's list; `None` while it is not listed.
     pub info: Option<Rc<Executor>>,
+    /// A listed entry that it has not confirmed, and that is therefore not in `info`.
+    pub unconfirmed: Option<UnconfirmedEntry>,
     /// It may be given work only while this is `Recorded`.
     pub assignment: Assignment,
     /// It has reported its runs to this owner, and has not restarted or been unassigned since.
@@ -136,6 +139,7 @@
             born: None,
             born_reported: false,
             info: None,
+            unconfirmed: None,
             assignment: Assignment::Recorded,
             reported: false,
             runs_known: false,
@@ -161,6 +165,60 @@
         self
     }
 
+    /// Whether an entry states a later start or another address than is known, and there may be
+    /// something to lose if that is not true.
+    #[must_use]
+    pub fn is_contradicted_by(&self, listed: &Executor) -> bool {
+        let restarted = self.born.is_some_and(|born| listed.born > born);
+        let differs = restarted || listed.addr != self.addr;
+        differs && !self.is_empty() && !self.is_retired()
+    }
+
+    /// Applies its entry; returns whether its address has changed.
+    pub fn set_info(&mut self, info: Rc<Executor>) -> bool {
+        let moved = self.addr != info.addr;
+        self.addr = info.addr;
+        self.service = info.service.clone();
+        self.info = Some(info);
+        self.unconfirmed = None;
+        moved
+    }
+
+    /// Whether the next heartbeat is to confirm an entry.
+    #[must_use]
+    pub fn is_confirmation_due(&self) -> bool {
+        self.unconfirmed.as_ref().is_some_and(|entry| entry.due)
+    }
+
+    /// Address that the next heartbeat goes to.
+    #[must_use]
+    pub fn heartbeat_addr(&self) -> SocketAddr {
+        let due = self.unconfirmed.as_ref().filter(|entry| entry.due);
+        due.map_or(self.addr, |entry| entry.info.addr)
+    }
+
+    /// Notes an answer from `addr` of a process that started at `born`, if it states its start.
+    /// Returns the entry that it confirms, if any.
+    pub fn confirm_entry(&mut self, addr: SocketAddr, born: Option<u64>) -> Option<Rc<Executor>> {
+        let entry = self.unconfirmed.as_mut()?;
+        entry.due = false;
+        let moved = addr != self.addr;
+        let started = born.is_none_or(|born| born == entry.info.born);
+        let confirmed = addr == entry.info.addr && (moved || started);
+        confirmed.then(|| entry.info.clone())
+    }
+
+    /// Notes that a heartbeat to `addr` failed: the next one goes to the other address, if there
+    /// are two. Returns whether that one is the address known before.
+    pub fn swap_address(&mut self, addr: SocketAddr) -> bool {
+        let known = self.addr;
+        let Some(entry) = &mut self.unconfirmed else {
+            return false;
+        };
+        entry.due = addr == known;
+        !entry.due
+    }
+
     /// Returns the time on its clock, in milliseconds, `ahead` milliseconds after `now`; `None`
     /// before its first report.
     #[must_use]
@@ -186,6 +244,7 @@
             && self.usable
             && !self.is_retired()
             && !self.heartbeat_failed
+            && !self.is_confirmation_due()
             && !backing_off
             && !self.is_overdue(now)
     }
@@ -255,7 +314,8 @@
         let uncertain = |run_state: &RunState| {
             matches!(run_state.phase, Phase::Unconfirmed(_) | Phase::Stopped(_))
         };
-        !self.reported || self.heartbeat_failed || self.runs.values().any(uncertain)
+        let unsettled = !self.reported || self.heartbeat_failed || self.is_confirmation_due();
+        unsettled || self.runs.values().any(uncertain)
     }
 
     /// Whether its leases have expired and it is still to be unassigned: it has unknown runs, or it
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -81,6 +81,7 @@
 mod term;
 mod turns;
 mod unanswered_starts;
+mod unconfirmed_entry;
 mod watchers;
 mod waves;
 mod widening;
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -39,6 +39,8 @@
     pub acked: u64,
     /// Longest time that the executor delays its answer until a run ends, in milliseconds.
     pub wait: u64,
+    /// When the owner decided to send it. Not sent: heartbeats are told apart by it.
+    pub decided: Instant,
 }
 
 /// Starts a task.
--- a/tests/batch/fake_executor.rs
+++ b/tests/batch/fake_executor.rs
@@ -1,6 +1,7 @@
 //! An in-memory executor with the leases, fences and run reports that the dispatcher relies on.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -51,6 +52,8 @@
 /// An in-memory executor.
 #[derive(Debug)]
 pub struct FakeExecutor {
+    /// Where it takes orders.
+    pub addr: SocketAddr,
     pub capacity: Resources,
     pub started_at: Instant,
     /// Start time in Unix milliseconds.
@@ -75,6 +78,7 @@
 impl FakeExecutor {
     pub fn new(capacity: Resources, now: Now) -> Self {
         Self {
+            addr: SocketAddr::from(([127, 0, 0, 1], 1)),
             capacity,
             started_at: now.at,
             born: now.unix,
@@ -176,7 +180,7 @@
         });
         Report {
             clock: self.clock(now),
-            born: None,
+            born: Some(self.born),
             running: running.collect(),
             ended: self.unacked_ends.clone(),
         }
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -16,6 +16,7 @@
 mod pacing;
 mod pause;
 mod peaks;
+mod restarts;
 mod rules;
 mod simulation;
 mod sizes;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -1,6 +1,6 @@
 //! An in-memory site in virtual time: owners, executors, hosts and the log.
 
-mod actions;
+pub mod actions;
 mod hosts;
 mod jobs;
 mod operators;
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -81,6 +82,8 @@
     pub lists_paused: bool,
     /// Executors listed as draining.
     pub draining: BTreeSet<ExecutorId>,
+    /// Start and address that another writer's entries state for executors, in place of their own.
+    pub odd_entries: BTreeMap<ExecutorId, (u64, SocketAddr)>,
     /// Number of further start orders whose answers are lost.
     pub lost_starts: usize,
     /// Number of further stop orders whose answers are lost.
@@ -175,6 +178,7 @@
             log_backlog: false,
             lists_paused: false,
             draining: BTreeSet::new(),
+            odd_entries: BTreeMap::new(),
             lost_starts: 0,
             lost_stops: 0,
             starts: Vec::new(),
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -10,7 +10,7 @@
 use mimosastep::batch::Record;
 use mimosastep::batch::RunOutcome;
 use mimosastep::batch::Start;
-use mimosastep::name::ExecutorId;
+use mimosastep::batch::Target;
 
 use crate::fake_executor::FakeExecutor;
 use crate::simulation::ROUND_TRIP_MS;
@@ -19,6 +19,8 @@
 
 /// Time after which an unanswered order fails, in milliseconds.
 pub const ORDER_TIMEOUT_MS: u64 = 800;
+/// Port at which an executor that is in no list takes orders.
+pub const OTHER_PORT: u16 = 2;
 /// Duration of a run on an executor that fails all runs, in milliseconds.
 const FAILURE_MS: u64 = 20;
 
@@ -32,16 +34,14 @@
                 }
             }
             Action::Heartbeat(order) => {
-                let id = &order.target.executor;
-                let fake = self.reachable_executor(owner, id);
+                let fake = self.reachable_executor(owner, &order.target);
                 let result = fake.and_then(|fake| fake.heartbeat(now, &order));
                 owner.answer_heartbeat(now, order, result);
             }
             Action::Start(order) => self.start(owner, order),
             Action::Stop(order) => {
-                let id = &order.target.executor;
                 let result = self
-                    .reachable_executor(owner, id)
+                    .reachable_executor(owner, &order.target)
                     .and_then(|fake| fake.stop(now, &order));
                 if self.lost_stops > 0 && result.is_ok() {
                     self.lost_stops -= 1;
@@ -115,17 +115,22 @@
         }
     }
 
-    /// An executor, or [`OrderError::Silent`] if the owner doesn't reach it or it is down.
+    /// An executor; [`OrderError::Silent`] if the owner doesn't reach it or it is down, and
+    /// [`OrderError::Reborn`] if another one takes orders at that address.
     fn reachable_executor(
         &mut self,
         owner: &SimulatedOwner,
-        id: &ExecutorId,
+        target: &Target,
     ) -> Result<&mut FakeExecutor, OrderError> {
-        if owner.unreachable.contains(id) {
+        if owner.unreachable.contains(&target.executor) {
             return Err(OrderError::Silent);
         }
-        let fake = self.fakes.get_mut(id).ok_or(OrderError::Silent)?;
-        if fake.down {
+        if target.addr.port() == OTHER_PORT {
+            return Err(OrderError::Reborn);
+        }
+        let fake = self.fakes.get_mut(&target.executor);
+        let fake = fake.ok_or(OrderError::Silent)?;
+        if fake.down || fake.addr != target.addr {
             return Err(OrderError::Silent);
         }
         Ok(fake)
@@ -146,7 +151,7 @@
         };
         let planned_end = (!step.long_running).then(|| (now + Duration::from_millis(ms), outcome));
         let result = self
-            .reachable_executor(owner, &id)
+            .reachable_executor(owner, &order.target)
             .and_then(|fake| fake.start(now, &order, step.reserved(), planned_end));
         if result.is_ok() {
             self.starts.push((now, order.task, order.run, id));
--- a/tests/batch/simulation/hosts.rs
+++ b/tests/batch/simulation/hosts.rs
@@ -1,7 +1,6 @@
 //! Hosts and the executors that run on them.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,13 +79,18 @@
             if self.fakes[id].down {
                 continue;
             }
+            let entry = executor_entry(id, name, &host_state.pool, &self.fakes[id]);
+            let stated = self.odd_entries.get(id);
+            let (born, addr) = stated.copied().unwrap_or((entry.born, entry.addr));
             executors.push(Executor {
                 draining: self.draining.contains(id),
-                ..executor_entry(id, name, &host_state.pool, self.fakes[id].born)
+                born,
+                addr,
+                ..entry
             });
         }
         for (id, host, service) in &self.stale_listings {
-            let entry = executor_entry(id, host, service, self.fakes[id].born);
+            let entry = executor_entry(id, host, service, &self.fakes[id]);
             executors.push(entry);
         }
         self.schedule(0, Event::Executors(executors));
@@ -112,6 +116,13 @@
         }
     }
 
+    /// Ends an executor and starts it anew under the same id, at another address if `port` differs.
+    pub fn restart_executor(&mut self, id: &ExecutorId, port: u16) {
+        let fake = self.fakes.get_mut(id).expect("unknown executor");
+        *fake = FakeExecutor::new(CAPACITY, self.now);
+        fake.addr.set_port(port);
+    }
+
     /// Moves the host of `executor` to another pool without an answer to any owner. The platform
     /// keeps listing the executor.
     pub fn relocate_host(&mut self, executor: &ExecutorId, pool: &str) {
@@ -148,17 +159,22 @@
 }
 
 /// The platform's entry for an executor.
-fn executor_entry(id: &ExecutorId, host: &HostName, service: &ServiceName, born: u64) -> Executor {
+fn executor_entry(
+    id: &ExecutorId,
+    host: &HostName,
+    service: &ServiceName,
+    fake: &FakeExecutor,
+) -> Executor {
     Executor {
         id: id.clone(),
         host: Some(host.clone()),
         service: service.clone(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        addr: fake.addr,
         dc: dc_of(host),
         draining: false,
         capacity: CAPACITY,
         labels: vec![Arc::from("a"), Arc::from("r1")],
-        born,
+        born: fake.born,
     }
 }
 
--- a/tests/batch/simulation/simulated_owner.rs
+++ b/tests/batch/simulation/simulated_owner.rs
@@ -34,6 +34,8 @@
 /// A heartbeat that an executor answers once a run ends, or at `until`.
 struct LongPoll {
     order: Heartbeat,
+    /// Start of the process that was asked; it alone can answer.
+    born: Option<u64>,
     sent: Instant,
     until: Instant,
 }
@@ -152,11 +154,16 @@
         order: Heartbeat,
         result: Result<Report, OrderError>,
     ) {
-        let waits = |report: &Report| report.ended.is_empty() && order.wait > 0;
-        if result.as_ref().is_ok_and(waits) {
-            let until = now + Duration::from_millis(order.wait);
-            let sent = now;
-            return self.long_polls.push(LongPoll { order, sent, until });
+        if let Ok(report) = &result
+            && report.ended.is_empty()
+            && order.wait > 0
+        {
+            return self.long_polls.push(LongPoll {
+                until: now + Duration::from_millis(order.wait),
+                order,
+                born: report.born,
+                sent: now,
+            });
         }
         self.schedule_answer(now, order, now, result);
     }
@@ -185,7 +192,8 @@
     pub fn answer_long_polls(&mut self, now: Instant, fakes: &BTreeMap<ExecutorId, FakeExecutor>) {
         for poll in std::mem::take(&mut self.long_polls) {
             let id = &poll.order.target.executor;
-            let silent = self.unreachable.contains(id) || fakes[id].down;
+            let ended = fakes[id].down || poll.born != Some(fakes[id].born);
+            let silent = ended || self.unreachable.contains(id);
             let ready = !fakes[id].unacked_ends.is_empty() || poll.until <= now;
             let result = match (silent, ready) {
                 (false, false) => {
