--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -89,6 +89,7 @@
 mod term;
 mod turns;
 mod unanswered_starts;
+mod unconfirmed_entry;
 mod watchers;
 mod waves;
 mod widening;
