--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -10,6 +10,7 @@
 mod measurement;
 mod pacing;
 mod partition_grants;
+mod placed;
 mod placement;
 mod polling;
 mod rebalancing;
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -15,6 +15,7 @@
 use crate::batch::StepId;
 use crate::batch::dispatcher::idle_task::IdleTask;
 use crate::batch::dispatcher::maintenance::is_order_recent;
+use crate::batch::dispatcher::placed::Placed;
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
@@ -98,11 +99,18 @@
                 continue;
             }
             self.effort.candidates += 1;
-            let served = self.place_job(now, &mut capacity, &unknown_usage, position.id);
+            let placed = self.place_job(now, &mut capacity, &unknown_usage, position.id);
+            if placed == Placed::HeldBack {
+                order.finish();
+                continue;
+            }
             self.close_team(order, &unknown_usage, &position.id);
+            let served = placed == Placed::Started;
             order.pass(served, self.starts.of(order.service()));
         }
-        self.unfinished = orders.iter().any(|order| !order.is_complete());
+        let left = orders.iter().any(|order| !order.is_complete());
+        // After the limit on unanswered starts was reached, the next answer sets `dirty`.
+        self.unfinished = left && !self.throttled;
         let rounds = orders
             .iter()
             .map(|order| (order.service().clone(), order.round()));
@@ -113,27 +121,34 @@
         self.grant_further();
     }
 
-    /// Starts the tasks of a job that are due, while capacity lasts; returns whether any started.
+    /// Starts the tasks of a job that are due, while capacity lasts.
     fn place_job(
         &mut self,
         now: Now,
         capacity: &mut SiteCapacity,
         unknown_usage: &BTreeMap<TeamName, Resources>,
         id: JobId,
-    ) -> bool {
+    ) -> Placed {
         let Some(entry) = self.state.jobs.get(&id) else {
-            return false;
+            return Placed::Nothing;
         };
         self.extra_hosts.remove(&id);
         let remaining = entry.remaining();
         if !capacity.may_fit(&entry.job.service, &remaining.least_reserved) {
-            return false;
+            return Placed::Nothing;
         }
         let before = self.starts.len();
+        let mut held_back = false;
         for &(occurrence, step) in &remaining.ready {
-            self.place_step(now, capacity, unknown_usage, id, occurrence, step);
+            held_back |= self.place_step(now, capacity, unknown_usage, id, occurrence, step);
         }
-        self.starts.len() > before
+        if held_back {
+            return Placed::HeldBack;
+        }
+        if self.starts.len() > before {
+            return Placed::Started;
+        }
+        Placed::Nothing
     }
 
     /// Returns the free capacity of the executors that can take new work.
@@ -188,6 +203,8 @@
         is_order_recent(ordered, now) && ordered.is_some_and(|&at| info.born <= at)
     }
 
+    /// Starts the tasks of a step that are due, while capacity lasts. Returns whether there is
+    /// capacity for a gang that is held back by the limit on unanswered starts.
     fn place_step(
         &mut self,
         now: Now,
@@ -196,16 +213,16 @@
         id: JobId,
         occurrence: u32,
         number: u32,
-    ) {
+    ) -> bool {
         let Some(entry) = self.state.jobs.get(&id) else {
-            return;
+            return false;
         };
         let job = entry.job.clone();
         let Some(step) = job.steps.get(number as usize) else {
-            return;
+            return false;
         };
         if !step.long_running && capacity.is_known_full(&job.service, &step.reserved()) {
-            return;
+            return false;
         }
         let step_id = StepId {
             job: id,
@@ -213,13 +230,13 @@
             step: number,
         };
         if self.is_advised(&job) && !self.consult(now, step_id, capacity.of(&job.service), step) {
-            return;
+            return false;
         }
-        let unanswered = self.unanswered_limit(step);
+        let unanswered = self.unanswered_limit(&job, step);
         let allowed = self.team_allowance(job.team.as_ref(), unknown_usage, &step.demand);
-        if allowed == 0 || unanswered == 0 {
+        if allowed == 0 || (unanswered == 0 && !step.gang) {
             self.throttled |= allowed > 0;
-            return;
+            return false;
         }
         let entry = &self.state.jobs[&id];
         let progress = &entry.occurrences[&occurrence][number as usize];
@@ -235,14 +252,17 @@
         let idle: Vec<IdleTask> = idle
             .map(|(index, task)| IdleTask::new(now.at, index as u32, task))
             .collect();
-        let limit = allowed.min(unanswered);
         let wanted = idle.len().min(allowed);
         let executors = capacity.of_mut(&job.service);
         let starts = if step.gang {
-            self.place_gang(executors, &mut placement, &idle, limit)
+            self.place_gang(executors, &mut placement, &idle, allowed)
         } else {
-            self.place_each(executors, &mut placement, &idle, limit)
+            self.place_each(executors, &mut placement, &idle, wanted.min(unanswered))
         };
+        if starts.len() > unanswered {
+            self.throttled = true;
+            return true;
+        }
         let left = wanted.min(unanswered).saturating_sub(starts.len());
         let has_room = left == 0
             || (placement.partitions != Partitions::ALL
@@ -259,6 +279,7 @@
         for (index, executor, run) in starts {
             self.start(now, &executor, step_id.task(index), run);
         }
+        false
     }
 
     /// Notes the hosts that long-running tasks of a step lack: one, unless the number of its tasks
@@ -276,15 +297,15 @@
 
     /// Returns how many more tasks of a step may be started before earlier starts are answered.
     /// The limit keeps tasks back to be ranked again with newer jobs, and leaves the owner the
-    /// processor time to read answers and records in time. A gang larger than the limit starts
-    /// alone.
-    fn unanswered_limit(&self, step: &Step) -> usize {
+    /// processor time to read answers and records in time. A gang for which too little of it is
+    /// left starts once no other start of its service is unanswered: other services may use up the
+    /// limit all the time.
+    fn unanswered_limit(&self, job: &Job, step: &Step) -> usize {
         let left = START_LIMIT.saturating_sub(self.starts.len());
-        let whole = if step.gang { step.count as usize } else { 1 };
-        if left >= whole {
-            return left;
+        if step.gang && self.starts.of(&job.service) == 0 {
+            return left.max(step.count as usize);
         }
-        if self.starts.is_empty() { whole } else { 0 }
+        left
     }
 
     /// Selects executors for the tasks of a step, one by one, while capacity lasts.
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -6,6 +6,7 @@
 mod entries;
 mod fake_executor;
 mod faults;
+mod gangs;
 mod handover;
 mod large;
 mod largest;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -23,6 +23,7 @@
 use mimosastep::batch::Pool;
 use mimosastep::batch::Record;
 use mimosastep::batch::RunOutcome;
+use mimosastep::batch::Start;
 use mimosastep::batch::TaskId;
 use mimosastep::batch::WaveState;
 use mimosastep::name::ExecutorId;
@@ -86,6 +87,8 @@
     pub odd_entries: BTreeMap<ExecutorId, (u64, SocketAddr)>,
     /// Number of further start orders whose answers are lost.
     pub lost_starts: usize,
+    /// Time until a start order is answered, in milliseconds.
+    pub start_time: fn(&Start) -> u64,
     /// Number of further stop orders whose answers are lost.
     pub lost_stops: usize,
     /// Successful starts in order: time, task, run and executor.
@@ -180,6 +183,7 @@
             draining: BTreeSet::new(),
             odd_entries: BTreeMap::new(),
             lost_starts: 0,
+            start_time: |_| ROUND_TRIP_MS,
             lost_stops: 0,
             starts: Vec::new(),
             done: BTreeSet::new(),
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -173,7 +173,7 @@
         let delay = if result == Err(OrderError::Silent) {
             ORDER_TIMEOUT_MS
         } else {
-            ROUND_TRIP_MS
+            (self.start_time)(&order)
         };
         owner.schedule(now, delay, Event::Started { order, result });
     }
