Need of a pool: without impossible hosts, and without tasks that no host has room for

Two numbers from outside bent what pools are given. One host's entry with the largest CPU capacity made the sum by which memory counts as CPU so large that a pool in need of four hosts took eight of ten. And tasks that need more than any host has counted in their pool's need, in its forecast and as lasting tasks that lack a host, so that hosts were fetched which can't help.

Now the capacity of the hosts (sum and largest) is computed when the list of hosts comes, and not at each balance. Tasks above the largest host add nothing to need, late work, spread, forecast and extra hosts; they still wait, as a larger host may come. When the largest host changes, the loads are computed anew.

Tests in tests/batch/needs.rs, in virtual time, on the code before: an_impossible_capacity_of_one_host_changes_no_need, "8 hosts where 4 and a margin are needed" with the largest CPU (largest memory and a possible capacity passed before too); jobs_that_fit_on_no_host_fetch_none, all three cases, "hosts moved, left: 6, right: 0". Now all pass, with the 166 of the batch suite.

--- a/src/batch/backlog_entry.rs
+++ b/src/batch/backlog_entry.rs
@@ -40,12 +40,13 @@
 
 impl BacklogEntry {
     /// Returns the entry of a job of `queue` at `unix` (in milliseconds), with executors with
-    /// unknown runs in these partitions; `None` if nothing of the job matters any more.
+    /// unknown runs in these partitions and no host above `largest`; `None` if nothing of the job matters any more.
     #[must_use]
     pub fn of(
         job_progress: &JobProgress,
         queue: Option<&Queue>,
         unknown: Partitions,
+        largest: &Resources,
         unix: u64,
     ) -> Option<Self> {
         let job = &job_progress.job;
@@ -59,7 +60,7 @@
         let ready = active && !job_progress.remaining().ready.is_empty();
         let startable = ready && !unseen_runs && !job_progress.partitions.is_empty();
         let load = if active {
-            JobLoad::of(job_progress, rank.is_too_late(), unseen_runs)
+            JobLoad::of(job_progress, rank.is_too_late(), unseen_runs, largest)
         } else {
             JobLoad::default()
         };
--- a/src/batch/demand_meter.rs
+++ b/src/batch/demand_meter.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::batch::Job;
+use crate::batch::Resources;
 use crate::name::ServiceName;
 
 /// Time over which arrivals are averaged, in milliseconds.
@@ -36,12 +37,13 @@
 }
 
 impl DemandMeter {
-    /// Notes a job that arrived.
-    pub fn note(&mut self, now: Instant, job: &Job) {
+    /// Notes a job that arrived. Tasks that need more than the `largest` host has don't count.
+    pub fn note(&mut self, now: Instant, job: &Job, largest: &Resources) {
         if job.is_long_running() || job.schedule.is_some() {
             return;
         }
         let steps = job.steps.iter();
+        let steps = steps.filter(|step| step.reserved().is_within(largest));
         let work = steps.map(|step| {
             let time = step.estimate.saturating_mul(u64::from(step.count));
             time.saturating_mul(step.demand.cpu)
--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -53,6 +53,7 @@
 use crate::batch::executor_state::ExecutorState;
 use crate::batch::executor_state::LEASE_MS;
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
+use crate::batch::host_capacity::HostCapacity;
 use crate::batch::pool_balancer::PoolBalancer;
 use crate::batch::sweep::Sweep;
 use crate::batch::turns::Turns;
@@ -119,8 +120,11 @@
     sweeps: BTreeMap<ServiceName, Sweep>,
     // Partitions of executors with unknown runs, as of the last update of the backlog.
     unknown: BTreeMap<ServiceName, Partitions>,
-    // Whether the configuration has changed since the last update of the backlog.
-    policy_changed: bool,
+    // Whether the configuration or the largest host has changed since the last update of the
+    // backlog.
+    limits_changed: bool,
+    // Capacity of the hosts of all pools.
+    capacity: HostCapacity,
     // When occurrences of jobs have to be opened, in Unix milliseconds.
     openings: BTreeSet<(u64, JobId)>,
     // Jobs that have ended and when, in Unix milliseconds, oldest first.
@@ -212,7 +216,8 @@
             backlog: Backlog::default(),
             sweeps: BTreeMap::new(),
             unknown: BTreeMap::new(),
-            policy_changed: false,
+            limits_changed: false,
+            capacity: HostCapacity::default(),
             openings,
             closed: VecDeque::new(),
             extra_hosts: BTreeMap::new(),
@@ -282,7 +287,7 @@
             Event::Directives(directives) => {
                 self.note_waves(now, &directives.waves);
                 self.directives = directives;
-                self.policy_changed = true;
+                self.limits_changed = true;
                 self.note_unlisted(now);
                 self.mark_usable(now);
                 self.dirty = true;
@@ -302,8 +307,7 @@
             } => self.on_heartbeat(now, &order, sent, result),
             Event::Started { order, result } => self.on_started(now, &order, result),
             Event::Hosts(hosts) => {
-                let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
-                self.hosts = hosts.collect();
+                self.update_hosts(hosts);
                 self.unassign_moved();
                 self.note_unlisted(now);
             }
--- a/src/batch/dispatcher/backlog.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -18,7 +18,7 @@
         let mut ids = self.state.jobs.take_changed();
         ids.extend(self.backlog.expired(now.unix));
         ids.extend(self.update_unknown());
-        if std::mem::take(&mut self.policy_changed) {
+        if std::mem::take(&mut self.limits_changed) {
             ids.extend(self.backlog.ids());
         }
         let mut blocked = Vec::new();
@@ -45,7 +45,13 @@
         let policy = self.directives.policy.as_ref();
         let queue = policy.and_then(|policy| policy.queue_named(&job.queue));
         let unknown = self.unknown.get(&job.service).copied().unwrap_or_default();
-        BacklogEntry::of(job_progress, queue, unknown, now.unix)
+        BacklogEntry::of(
+            job_progress,
+            queue,
+            unknown,
+            &self.capacity.largest,
+            now.unix,
+        )
     }
 
     /// Updates the backlog's entry of a job; returns whether it is newly blocked by unknown runs.
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -36,7 +36,7 @@
             "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted),
             "work" => entry.job.work(), "tasks" => entry.job.tasks());
         if entry.is_active() {
-            self.meter.note(now.at, &entry.job);
+            self.meter.note(now.at, &entry.job, &self.capacity.largest);
             self.active.insert(id);
             self.openings.insert((now.unix, id));
             if entry.partitions.is_empty() {
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -253,9 +253,10 @@
     /// Notes the hosts that long-running tasks of a step lack: one, unless the number of its tasks
     /// on one executor is limited. Without further hosts, the tasks would wait until others end, so
     /// hosts are moved to their pool. Steps that require a label are left out, as labels are known
-    /// only of hosts that are up.
+    /// only of hosts that are up, and so are those that fit on no host.
     fn note_extra_hosts(&mut self, job: &Job, step: &Step, left: usize) {
-        if left == 0 || !step.long_running || step.label.is_some() {
+        let fits = step.reserved().is_within(&self.capacity.largest);
+        if left == 0 || !step.long_running || step.label.is_some() || !fits {
             return;
         }
         let hosts = step.spread.map_or(1, |most| left.div_ceil(most as usize));
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -15,6 +15,7 @@
 use crate::batch::Transfer;
 use crate::batch::dispatcher::host_orders::HostOrder;
 use crate::batch::dispatcher::maintenance::is_order_recent;
+use crate::batch::host_capacity::HostCapacity;
 use crate::batch::pool_view::PoolHost;
 use crate::batch::pool_view::PoolView;
 use crate::batch::service_backlog::ServiceBacklog;
@@ -31,6 +32,16 @@
 const MIN_HOSTS: usize = 2;
 
 impl Dispatcher {
+    /// Applies the platform's list of hosts.
+    pub(super) fn update_hosts(&mut self, hosts: Vec<Host>) {
+        let capacities: Vec<Resources> = hosts.iter().map(|host| host.capacity).collect();
+        let capacity = HostCapacity::of(&capacities);
+        self.limits_changed |= capacity.largest != self.capacity.largest;
+        self.capacity = capacity;
+        let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
+        self.hosts = hosts.collect();
+    }
+
     /// Orders moves of hosts to the pools that need their capacity.
     pub(super) fn balance(&mut self, now: Now) {
         if now.at < self.last_balance + Duration::from_millis(BALANCE_INTERVAL_MS) {
@@ -102,7 +113,6 @@
             return Vec::new();
         };
         let no_load = ServiceLoad::default();
-        let total = self.total_capacity();
         let mut views = Vec::new();
         for (service, pool) in &policy.pools {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
@@ -118,7 +128,7 @@
             views.push(PoolView {
                 service: service.clone(),
                 spare: pool.spare,
-                need: load.need(&total).max(forecast),
+                need: load.need(&self.capacity.total).max(forecast),
                 late_cpu: load.late_work() / LATE_WORK_MS,
                 forecast,
                 extra_hosts: extra_hosts.map(|(_, hosts)| hosts).sum(),
@@ -133,15 +143,6 @@
         views
     }
 
-    /// Returns the capacity of all hosts together.
-    fn total_capacity(&self) -> Resources {
-        let mut total = Resources::default();
-        for host in self.hosts.values() {
-            total.add(&host.capacity);
-        }
-        total
-    }
-
     fn pool_host(&self, now: Now, host: &Host, spare: bool) -> PoolHost {
         let executor = self
             .executors_on(&host.name)
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -38,6 +38,7 @@
 mod executor_capacity;
 mod executor_state;
 mod gate;
+mod host_capacity;
 mod in_flight;
 mod inbox;
 mod job;
--- a/src/batch/service_load.rs
+++ b/src/batch/service_load.rs
@@ -21,13 +21,20 @@
 
 impl JobLoad {
     /// Returns the load of a job. If it is blocked by unknown runs, only the tasks that have been
-    /// placed count: no hosts are moved or kept for the others.
+    /// placed count: no hosts are moved or kept for the others. Nor do tasks count that need more
+    /// than the `largest` host has.
     #[must_use]
-    pub fn of(job_progress: &JobProgress, too_late: bool, blocked: bool) -> Self {
+    pub fn of(
+        job_progress: &JobProgress,
+        too_late: bool,
+        blocked: bool,
+        largest: &Resources,
+    ) -> Self {
         let mut load = Self::default();
         for steps in job_progress.occurrences.values() {
             for (progress, step) in steps.iter().zip(&job_progress.job.steps) {
-                if !step.after.iter().all(|&n| steps[n as usize].is_done()) {
+                let ready = step.after.iter().all(|&n| steps[n as usize].is_done());
+                if !ready || !step.reserved().is_within(largest) {
                     continue;
                 }
                 let left = if blocked {
--- a/tests/batch/needs.rs
+++ b/tests/batch/needs.rs
@@ -1,12 +1,19 @@
 //! Tests of how many hosts a pool needs.
 
+use mimosastep::batch::Host;
+use mimosastep::batch::HostPhase;
 use mimosastep::batch::Resources;
 use mimosastep::batch::RunOutcome;
 use mimosastep::batch::Step;
+use mimosastep::name::DcName;
+use mimosastep::name::HostName;
+use test_case::test_case;
 
+use crate::simulation::HOST_CPU;
 use crate::simulation::Simulation;
 use crate::simulation::job_id;
 use crate::simulation::long_running;
+use crate::simulation::service;
 use crate::simulation::step;
 
 /// A step of long-running tasks that need `memory` MB and little CPU.
@@ -77,3 +84,53 @@
         "overdue work was not completed"
     );
 }
+
+/// Guards against a need by memory that is distorted by a host's entry with an impossible capacity:
+/// a pool fetches all hosts, or lacks those that it needs.
+#[test_case(u64::MAX, 1; "largest CPU")]
+#[test_case(1, u64::MAX; "largest memory")]
+#[test_case(16_000, 64_000; "possible")]
+fn an_impossible_capacity_of_one_host_changes_no_need(cpu: u64, memory: u64) {
+    let mut sim = Simulation::new(&[("captions", 3), ("tags", 3), ("spare", 4)]);
+    sim.odd_hosts.push(Host {
+        name: HostName::new("odd-0").expect("invalid name"),
+        pool: service("captions"),
+        phase: HostPhase::Up,
+        dc: DcName::new("dc-a").expect("invalid name"),
+        capacity: Resources {
+            cpu,
+            memory,
+            gpu: 0,
+        },
+    });
+    sim.submit(1, "captions", vec![memory_step(12, 20_000)]);
+    sim.run(8_000);
+    assert_eq!(count_running(&sim, 1), 12);
+    let hosts = sim.executors_of("captions").count();
+    assert!(hosts <= 5, "{hosts} hosts where 4 and a margin are needed");
+}
+
+/// Guards against hosts that are fetched for jobs that fit on no host.
+#[test_case(step(4); "tasks that end")]
+#[test_case(long_running(4); "tasks that last")]
+#[test_case(Step { spread: Some(1), ..step(8) }; "tasks that are spread")]
+fn jobs_that_fit_on_no_host_fetch_none(fitting: Step) {
+    let mut sim = Simulation::new(&[("captions", 2), ("spare", 6)]);
+    let cpu = HOST_CPU * 2;
+    let demand = Resources {
+        cpu,
+        ..fitting.demand
+    };
+    for number in 0..20 {
+        let too_large = Step {
+            demand,
+            ..fitting.clone()
+        };
+        sim.submit(number, "captions", vec![too_large]);
+        sim.run(500);
+    }
+    assert_eq!(sim.moves, 0, "hosts moved");
+    sim.submit(100, "captions", vec![step(16)]);
+    sim.run(4_000);
+    assert_eq!(sim.done.len(), 16);
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -17,6 +17,7 @@
 use mimosastep::batch::Directives;
 use mimosastep::batch::Dispatcher;
 use mimosastep::batch::Event;
+use mimosastep::batch::Host;
 use mimosastep::batch::JobId;
 use mimosastep::batch::Now;
 use mimosastep::batch::Policy;
@@ -84,6 +85,8 @@
     pub draining: BTreeSet<ExecutorId>,
     /// Start and address that another writer's entries state for executors, in place of their own.
     pub odd_entries: BTreeMap<ExecutorId, (u64, SocketAddr)>,
+    /// Entries that another writer has added to the list of hosts.
+    pub odd_hosts: Vec<Host>,
     /// Number of further start orders whose answers are lost.
     pub lost_starts: usize,
     /// Number of further stop orders whose answers are lost.
@@ -179,6 +182,7 @@
             lists_paused: false,
             draining: BTreeSet::new(),
             odd_entries: BTreeMap::new(),
+            odd_hosts: Vec::new(),
             lost_starts: 0,
             lost_stops: 0,
             starts: Vec::new(),
--- a/tests/batch/simulation/hosts.rs
+++ b/tests/batch/simulation/hosts.rs
@@ -93,6 +93,7 @@
             let entry = executor_entry(id, host, service, &self.fakes[id]);
             executors.push(entry);
         }
+        hosts.extend(self.odd_hosts.iter().cloned());
         self.schedule(0, Event::Executors(executors));
         self.schedule(0, Event::Hosts(hosts));
     }
