--- a/src/batch/dispatcher/backlog.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -18,7 +18,7 @@
         let mut ids = self.state.jobs.take_changed();
         ids.extend(self.backlog.expired(now.unix));
         ids.extend(self.update_unknown());
-        if std::mem::take(&mut self.policy_changed) {
+        if std::mem::take(&mut self.limits_changed) {
             ids.extend(self.backlog.ids());
         }
         let mut blocked = Vec::new();
@@ -47,7 +47,14 @@
         let limited = policy.zip(job.team.as_ref());
         let limited = limited.is_some_and(|(policy, team)| policy.is_limited(team));
         let unknown = self.unknown.get(&job.service).copied().unwrap_or_default();
-        BacklogEntry::of(job_progress, queue, limited, unknown, now.unix)
+        BacklogEntry::of(
+            job_progress,
+            queue,
+            limited,
+            unknown,
+            &self.capacity.largest,
+            now.unix,
+        )
     }
 
     /// Updates the backlog's entry of a job; returns whether it is newly blocked by unknown runs.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -40,6 +40,7 @@
 mod executor_state;
 mod front;
 mod gate;
+mod host_capacity;
 mod in_flight;
 mod inbox;
 mod job;
