--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -119,6 +119,8 @@
     sweeps: BTreeMap<ServiceName, Sweep>,
     // Partitions of executors with unknown runs, as of the last update of the backlog.
     unknown: BTreeMap<ServiceName, Partitions>,
+    // The time of day at the last update of the backlog, in Unix milliseconds.
+    ranked_at: u64,
     // Whether the configuration has changed since the last update of the backlog.
     policy_changed: bool,
     // When the next occurrences of jobs are due, in Unix milliseconds.
@@ -214,6 +216,7 @@
             backlog: Backlog::default(),
             sweeps: BTreeMap::new(),
             unknown: BTreeMap::new(),
+            ranked_at: now.unix,
             policy_changed: false,
             openings,
             limited: BTreeSet::new(),
--- a/src/batch/dispatcher/backlog.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -18,7 +18,10 @@
         let mut ids = self.state.jobs.take_changed();
         ids.extend(self.backlog.expired(now.unix));
         ids.extend(self.update_unknown());
-        if std::mem::take(&mut self.policy_changed) {
+        // Jobs may have been ranked as later than they are.
+        let earlier = now.unix < self.ranked_at;
+        self.ranked_at = now.unix;
+        if std::mem::take(&mut self.policy_changed) || earlier {
             ids.extend(self.backlog.ids());
         }
         let mut blocked = Vec::new();
--- a/tests/batch/clock.rs
+++ b/tests/batch/clock.rs
@@ -74,3 +74,42 @@
     let pause = longest_pause(&sim, from);
     assert!(pause < PAUSE, "no start for {pause:?}");
 }
+
+/// Guards against jobs that counted as too late for good after the time of day was ahead for a moment.
+#[test]
+fn jobs_are_as_late_as_before_when_the_time_goes_forward_and_back() {
+    let mut sim = Simulation::new(&[("captions", 1)]);
+    for number in 0..20 {
+        sim.submit(number, "captions", vec![step(16)]);
+    }
+    sim.run(500);
+    sim.now.unix += 60_000;
+    sim.run(500);
+    sim.now.unix -= 60_000;
+    // At the end, the backlog is compared with one that is computed anew.
+    sim.run(500);
+}
+
+/// Returns how many jobs are ranked in a second.
+fn ranked_in_a_second(sim: &mut Simulation) -> u64 {
+    let before = sim.owner().dispatcher.effort();
+    sim.run(1_000);
+    sim.owner().dispatcher.effort().since(&before).ranked
+}
+
+#[test]
+fn jobs_are_ranked_once_more_when_the_time_goes_back() {
+    let mut sim = Simulation::new(&[("captions", 1)]);
+    for number in 0..4_000 {
+        sim.submit(number, "captions", vec![step(16)]);
+    }
+    // Then all are too late, and the time alone changes no rank any more.
+    sim.run(10_000);
+    let calm = ranked_in_a_second(&mut sim);
+    sim.now.unix -= 1_000;
+    let ranked = ranked_in_a_second(&mut sim);
+    assert!(
+        (3_000..5_000).contains(&(ranked - calm)),
+        "{ranked} jobs ranked, {calm} before"
+    );
+}
