--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -121,8 +121,8 @@
     unknown: BTreeMap<ServiceName, Partitions>,
     // The time of day at the last update of the backlog, in Unix milliseconds.
     ranked_at: u64,
-    // Whether the configuration has changed since the last update of the backlog.
-    policy_changed: bool,
+    // Whether the queues have changed since the last update of the backlog.
+    queues_changed: bool,
     // When the next occurrences of jobs are due, in Unix milliseconds.
     openings: BTreeSet<(u64, JobId)>,
     // Jobs with a due occurrence that waits until another has ended.
@@ -217,7 +217,7 @@
             sweeps: BTreeMap::new(),
             unknown: BTreeMap::new(),
             ranked_at: now.unix,
-            policy_changed: false,
+            queues_changed: false,
             openings,
             limited: BTreeSet::new(),
             closed: VecDeque::new(),
@@ -287,8 +287,8 @@
         match event {
             Event::Directives(directives) => {
                 self.note_waves(now, &directives.waves);
+                self.queues_changed |= directives.queues() != self.directives.queues();
                 self.directives = directives;
-                self.policy_changed = true;
                 self.note_unlisted(now);
                 self.mark_usable(now);
                 self.dirty = true;
--- a/src/batch/dispatcher/backlog.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -21,7 +21,7 @@
         // Jobs may have been ranked as later than they are.
         let earlier = now.unix < self.ranked_at;
         self.ranked_at = now.unix;
-        if std::mem::take(&mut self.policy_changed) || earlier {
+        if std::mem::take(&mut self.queues_changed) || earlier {
             ids.extend(self.backlog.ids());
         }
         let mut blocked = Vec::new();
--- a/src/batch/policy.rs
+++ b/src/batch/policy.rs
@@ -113,3 +113,12 @@
     /// Requested maintenance waves, by number.
     pub waves: BTreeMap<u64, Wave>,
 }
+
+impl Directives {
+    /// Returns the configured queues; none until operators have written a configuration.
+    #[must_use]
+    pub fn queues(&self) -> &[Queue] {
+        let policy = self.policy.as_ref();
+        policy.map_or(&[], |policy| policy.queues.as_slice())
+    }
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -7,6 +7,7 @@
 mod fake_executor;
 mod faults;
 mod handover;
+mod idle_work;
 mod large;
 mod largest;
 mod line;
