--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -125,8 +125,6 @@
     queues_changed: bool,
     // When the next occurrences of jobs are due, in Unix milliseconds.
     openings: BTreeSet<(u64, JobId)>,
-    // Jobs with a due occurrence that waits until another has ended.
-    limited: BTreeSet<JobId>,
     // Jobs that have ended and when, in Unix milliseconds, oldest first.
     closed: VecDeque<(u64, JobId)>,
     // Hosts that long-running tasks of a job lacked when they were last examined.
@@ -219,7 +217,6 @@
             ranked_at: now.unix,
             queues_changed: false,
             openings,
-            limited: BTreeSet::new(),
             closed: VecDeque::new(),
             extra_hosts: BTreeMap::new(),
             free_capacity: SiteCapacity::default(),
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -243,11 +243,14 @@
         info!(self.log, "run ended"; "task" => %end.task, "run" => end.run, "how" => ?end.outcome,
             "executor" => %id, "end" => end.number, "new" => is_new, "ran_ms" => ran);
         let over = !entry.is_active();
+        let makes_room = !entry.occurrences.contains_key(&end.task.occurrence);
         if end.outcome == RunOutcome::Done && is_new {
             self.stop_task(end.task);
         }
         if over {
             self.close(now, end.task.job);
+        } else if makes_room {
+            self.open_job(now, end.task.job);
         }
         true
     }
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -6,6 +6,7 @@
 
 use crate::batch::Dispatcher;
 use crate::batch::JobId;
+use crate::batch::JobProgress;
 use crate::batch::JobState;
 use crate::batch::Now;
 use crate::batch::Objective;
@@ -86,31 +87,27 @@
         self.last_opening = now.at;
         let due = self.openings.iter().take_while(|(at, _)| *at <= now.unix);
         let due: Vec<(u64, JobId)> = due.copied().collect();
-        let mut ids = std::mem::take(&mut self.limited);
         for opening in due {
             self.openings.remove(&opening);
-            ids.insert(opening.1);
-        }
-        for id in ids {
-            self.open_job(now, id);
+            self.open_job(now, opening.1);
         }
         self.drop_closed(now);
     }
 
-    /// Opens the occurrences of a job that are due, as far as the limit on tasks allows.
-    fn open_job(&mut self, now: Now, id: JobId) {
+    /// Opens the occurrences of a job that are due, as far as the limit on tasks allows. One that
+    /// is due and has no room is opened when another has ended.
+    pub(super) fn open_job(&mut self, now: Now, id: JobId) {
         self.effort.ranked += 1;
-        let Some(entry) = self.state.jobs.get_mut(&id) else {
-            return;
-        };
-        self.dirty |= entry.open_due(now.unix);
-        let Some(due) = entry.next_due() else {
-            return;
-        };
-        if due > now.unix {
+        let entry = self.state.jobs.get(&id);
+        if entry.is_some_and(|entry| entry.can_open(now.unix))
+            && let Some(entry) = self.state.jobs.get_mut(&id)
+        {
+            self.dirty |= entry.open_due(now.unix);
+        }
+        let entry = self.state.jobs.get(&id);
+        let due = entry.and_then(JobProgress::next_due);
+        if let Some(due) = due.filter(|&due| due > now.unix) {
             self.openings.insert((due, id));
-        } else {
-            self.limited.insert(id);
         }
     }
 
--- a/src/batch/job_progress.rs
+++ b/src/batch/job_progress.rs
@@ -128,13 +128,19 @@
     /// tasks allows; returns whether it opened any.
     pub fn open_due(&mut self, unix: u64) -> bool {
         let before = self.opened;
-        while self.abort.is_none() && self.is_due(unix) && self.has_room() {
+        while self.can_open(unix) {
             self.open(self.opened);
             self.opened += 1;
         }
         self.opened > before
     }
 
+    /// Whether another occurrence is due at `unix` (in milliseconds) and has room.
+    #[must_use]
+    pub fn can_open(&self, unix: u64) -> bool {
+        self.abort.is_none() && self.is_due(unix) && self.has_room()
+    }
+
     /// Returns when the next occurrence that is not open yet is due, in Unix milliseconds; `None` if
     /// there is none.
     #[must_use]
