--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -122,15 +122,16 @@
     rounds: BTreeMap<ServiceName, Round>,
     // Partitions of executors with unknown runs, as of the last update of the backlog.
     unknown: BTreeMap<ServiceName, Partitions>,
-    // Whether the configuration or the largest host has changed since the last update of the
-    // backlog.
-    limits_changed: bool,
+    // The time of day at the last update of the backlog, in Unix milliseconds.
+    ranked_at: u64,
+    // Whether the queues or the largest host have changed since the last update of the backlog.
+    ranks_changed: bool,
+    // Teams that have had a limit set or lifted since the last update of the backlog.
+    relimited: BTreeSet<TeamName>,
     // Capacity of the hosts of all pools.
     capacity: HostCapacity,
     // When the next occurrences of jobs are due, in Unix milliseconds.
     openings: BTreeSet<(u64, JobId)>,
-    // Jobs with a due occurrence that waits until another has ended.
-    limited: BTreeSet<JobId>,
     // Jobs that have ended and when, in Unix milliseconds, oldest first.
     closed: VecDeque<(u64, JobId)>,
     // Hosts that long-running tasks of a job lacked when they were last examined.
@@ -220,10 +221,11 @@
             backlog: Backlog::default(),
             rounds: BTreeMap::new(),
             unknown: BTreeMap::new(),
-            limits_changed: false,
+            ranked_at: now.unix,
+            ranks_changed: false,
+            relimited: BTreeSet::new(),
             capacity: HostCapacity::default(),
             openings,
-            limited: BTreeSet::new(),
             closed: VecDeque::new(),
             extra_hosts: BTreeMap::new(),
             free_capacity: SiteCapacity::default(),
@@ -291,8 +293,8 @@
         match event {
             Event::Directives(directives) => {
                 self.note_waves(now, &directives.waves);
+                self.note_changes(&directives);
                 self.directives = directives;
-                self.limits_changed = true;
                 self.note_unlisted(now);
                 self.mark_usable(now);
                 self.dirty = true;
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -38,7 +38,7 @@
     pub(super) fn update_hosts(&mut self, hosts: Vec<Host>) {
         let capacities: Vec<Resources> = hosts.iter().map(|host| host.capacity).collect();
         let capacity = HostCapacity::of(&capacities);
-        self.limits_changed |= capacity.largest != self.capacity.largest;
+        self.ranks_changed |= capacity.largest != self.capacity.largest;
         self.capacity = capacity;
         let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
         self.hosts = hosts.collect();
--- a/src/batch/policy.rs
+++ b/src/batch/policy.rs
@@ -120,3 +120,22 @@
     /// Requested maintenance waves, by number.
     pub waves: BTreeMap<u64, Wave>,
 }
+
+impl Directives {
+    /// Returns the configured queues; none until operators have written a configuration.
+    #[must_use]
+    pub fn queues(&self) -> &[Queue] {
+        let policy = self.policy.as_ref();
+        policy.map_or(&[], |policy| policy.queues.as_slice())
+    }
+
+    /// Returns the teams that have a limit.
+    #[must_use]
+    pub fn limited_teams(&self) -> BTreeSet<TeamName> {
+        let Some(policy) = &self.policy else {
+            return BTreeSet::new();
+        };
+        let teams = policy.teams.keys().filter(|team| policy.is_limited(team));
+        teams.cloned().collect()
+    }
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod gangs;
 mod handover;
+mod idle_work;
 mod large;
 mod largest;
 mod limits;
