--- a/src/batch/dispatcher/maintenance.rs
+++ b/src/batch/dispatcher/maintenance.rs
@@ -23,7 +23,7 @@
 use crate::batch::executor_capacity::StepPlacement;
 use crate::batch::run_state::Phase;
 use crate::batch::step_progress::StepProgress;
-use crate::batch::waves::HostAction;
+use crate::batch::waves;
 use crate::batch::waves::HostState;
 use crate::batch::waves::RunCounts;
 use crate::name::ExecutorId;
@@ -51,14 +51,13 @@
         let actions = waves.plan(now.at, |host| self.host_state(now, host));
         self.waves = waves;
         self.mark_usable(now);
-        let mut stops = Vec::new();
         for (wave, host, action) in actions {
             match action {
-                HostAction::TakeDown => self.take_down(now, wave, host),
-                action => stops.push((host, action)),
+                waves::HostAction::TakeDown => self.take_down(now, wave, host),
+                waves::HostAction::StopLongRunning => self.stop_runs(now, &host, false),
+                waves::HostAction::StopAll => self.stop_runs(now, &host, true),
             }
         }
-        self.stop_runs(now, &stops);
         for (wave, state) in self.waves.due_reports(now.at) {
             info!(self.log, "reporting wave state"; "wave" => wave, "state" => ?state);
             self.actions.push(Action::Report { wave, state });
@@ -167,67 +166,44 @@
         self.dirty = true;
     }
 
-    /// Stops runs on hosts, as far as their steps' limits on interrupted tasks allow.
-    fn stop_runs(&mut self, now: Now, hosts: &[(HostName, HostAction)]) {
-        if hosts.is_empty() {
-            return;
-        }
-        let capacity = self.free_capacity(now);
-        // Steps that had no room: their other tasks have none either.
-        let mut lacking = BTreeSet::new();
-        for &(ref host, action) in hosts {
-            for (id, task, run) in self.stoppable_runs(host, action) {
-                let step = (task.of_step(), action);
-                if lacking.contains(&step) || !self.may_interrupt(now, &task) {
-                    continue;
-                }
-                if self.has_room(&capacity, &task, action) {
-                    self.stop(&id, task, run);
-                } else {
-                    lacking.insert(step);
-                }
-            }
-        }
-    }
-
-    /// Returns the runs on a host that an action stops: all, or those of long-running tasks.
-    fn stoppable_runs(
-        &self,
-        host: &HostName,
-        action: HostAction,
-    ) -> Vec<(ExecutorId, TaskId, u64)> {
-        let all = action == HostAction::StopAll;
+    /// Stops runs on a host as far as their steps' limits on interrupted tasks allow: with `all`,
+    /// every run; otherwise those of long-running tasks that have room on another executor.
+    pub(super) fn stop_runs(&mut self, now: Now, host: &HostName, all: bool) {
         let runs = self.executors_on(host).flat_map(|(id, executor)| {
             let running = executor.runs.iter();
             let running =
                 running.filter(|(_, run_state)| matches!(run_state.phase, Phase::Running(_)));
-            let wanted = running.filter(move |(_, run_state)| all || run_state.long_running);
+            let wanted = running.filter(|(_, run_state)| all || run_state.long_running);
             wanted.map(|(&(task, run), _)| (id.clone(), task, run))
         });
-        runs.collect()
+        let runs: Vec<(ExecutorId, TaskId, u64)> = runs.collect();
+        if runs.is_empty() {
+            return;
+        }
+        let capacity = self.free_capacity(now);
+        for (id, task, run) in runs {
+            if self.may_interrupt(now, &task) && (all || self.can_run_elsewhere(&capacity, &task)) {
+                self.stop(&id, task, run);
+            }
+        }
     }
 
-    /// Whether another executor has the capacity for a task, as far as an action requires it.
-    fn has_room(&self, capacity: &SiteCapacity, id: &TaskId, action: HostAction) -> bool {
-        if action == HostAction::StopAll {
-            return true;
-        }
+    /// Whether another executor has the capacity for a task.
+    fn can_run_elsewhere(&self, capacity: &SiteCapacity, id: &TaskId) -> bool {
         let Some(entry) = self.state.jobs.get(&id.job) else {
             return true;
         };
         let Some(step) = entry.job.steps.get(id.step as usize) else {
             return true;
         };
-        if !capacity.may_fit(&entry.job.service, &step.reserved()) {
-            return false;
-        }
         let steps = entry.occurrences.get(&id.occurrence);
         let progress = steps.and_then(|steps| steps.get(id.step as usize));
         let placed = progress.into_iter().flat_map(StepProgress::placed);
         let executors = capacity.of(&entry.job.service);
         let tickets = self.advisor.tickets(&id.of_step());
-        let best = StepPlacement::new(step, tickets, executors, placed).best(executors);
-        best.is_some_and(|at| action == HostAction::StopLongRunning || !executors[at].is_due())
+        StepPlacement::new(step, tickets, executors, placed)
+            .best(executors)
+            .is_some()
     }
 
     /// Whether a task may be interrupted without exceeding its step's limit on interrupted tasks.
--- a/src/batch/executor_capacity.rs
+++ b/src/batch/executor_capacity.rs
@@ -49,12 +49,6 @@
         self.partition
     }
 
-    /// Whether its host is due for maintenance.
-    #[must_use]
-    pub const fn is_due(&self) -> bool {
-        self.due
-    }
-
     /// Returns the id of the executor.
     #[must_use]
     pub fn id(&self) -> &ExecutorId {
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -42,12 +42,10 @@
 }
 
 /// Next step of a host's maintenance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HostAction {
     /// Take the host down: nothing runs there, or an order for it got no answer.
     TakeDown,
-    /// Stop the long-running tasks on the host that have room on a host that is not due.
-    MoveLongRunning,
     /// Stop the long-running tasks on the host that have room elsewhere.
     StopLongRunning,
     /// Stop all tasks on the host, as far as their steps' limits allow.
@@ -283,12 +281,8 @@
         let mut free = limit.saturating_sub(busy);
         let mut actions = Vec::new();
         self.blocked.clear();
-        for (at, (host, counts)) in left.into_iter().enumerate() {
-            if at >= limit || (counts.finite > 0 && !urgent) {
-                // Tasks of one step leave their hosts one by one, so they don't wait for the rest.
-                if counts.long_running > 0 {
-                    actions.push((host, HostAction::MoveLongRunning));
-                }
+        for (host, counts) in left.into_iter().take(limit) {
+            if counts.finite > 0 && !urgent {
                 continue;
             }
             // An empty host that can't be taken down yet goes on taking work.
