Tests: a wave whose tasks leave its hosts one by one, known red

Hosts that other work keeps busy are drained only from 6 s before the last moment, as if all could be emptied side by side; tasks of one long-running step leave one by one, so the last hosts are late. The test prints left: 7, right: 10 hosts maintained in time.

--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -247,6 +247,27 @@
     }
 }
 
+/// Guards against late waves: the tasks of one long-running step leave their hosts one by one. If
+/// they stay as long as other work keeps the hosts busy, the last hosts are taken down after the
+/// end of the wave.
+#[test]
+fn a_wave_is_done_in_time_though_tasks_leave_its_hosts_one_by_one() {
+    let mut sim = Simulation::new(&[("captions", 24)]);
+    sim.script = Box::new(|_, _| (3_000, RunOutcome::Done));
+    sim.submit(0, "captions", vec![long_running(12)]);
+    sim.run(2_000);
+    let hosts: Vec<String> = sim.starts.iter().map(host_of).collect();
+    let hosts: Vec<&str> = hosts.iter().take(10).map(String::as_str).collect();
+    for number in 1..=75 {
+        sim.submit(number, "captions", vec![step(24)]);
+        sim.run(400);
+        if number == 10 {
+            sim.request_wave(&hosts, 26_000, 10);
+        }
+    }
+    assert_eq!(sim.maintained.len(), 10);
+}
+
 /// Guards against late waves: a task that makes way for maintenance moves to a host that is due
 /// itself, and has to move once more.
 #[test]
