--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -10,12 +10,14 @@
 mod measurement;
 mod pacing;
 mod partition_grants;
+mod placed;
 mod placement;
 mod polling;
 mod rebalancing;
 mod reconciliation;
 mod rewriting;
 mod runs;
+mod team_limits;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -53,8 +55,9 @@
 use crate::batch::executor_state::ExecutorState;
 use crate::batch::executor_state::LEASE_MS;
 use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
+use crate::batch::host_capacity::HostCapacity;
 use crate::batch::pool_balancer::PoolBalancer;
-use crate::batch::sweep::Sweep;
+use crate::batch::round::Round;
 use crate::batch::turns::Turns;
 use crate::batch::unanswered_starts::UnansweredStarts;
 use crate::batch::waves::Waves;
@@ -115,13 +118,19 @@
     widening: Widening,
     // Jobs that have work left.
     backlog: Backlog,
-    // How far placements have come behind the front of each service.
-    sweeps: BTreeMap<ServiceName, Sweep>,
+    // What is left to examine behind the front of each service.
+    rounds: BTreeMap<ServiceName, Round>,
     // Partitions of executors with unknown runs, as of the last update of the backlog.
     unknown: BTreeMap<ServiceName, Partitions>,
-    // Whether the configuration has changed since the last update of the backlog.
-    policy_changed: bool,
-    // When occurrences of jobs have to be opened, in Unix milliseconds.
+    // The time of day at the last update of the backlog, in Unix milliseconds.
+    ranked_at: u64,
+    // Whether the queues or the largest host have changed since the last update of the backlog.
+    ranks_changed: bool,
+    // Teams that have had a limit set or lifted since the last update of the backlog.
+    relimited: BTreeSet<TeamName>,
+    // Capacity of the hosts of all pools.
+    capacity: HostCapacity,
+    // When the next occurrences of jobs are due, in Unix milliseconds.
     openings: BTreeSet<(u64, JobId)>,
     // Jobs that have ended and when, in Unix milliseconds, oldest first.
     closed: VecDeque<(u64, JobId)>,
@@ -210,9 +219,12 @@
             pending_grants: BTreeMap::new(),
             widening: Widening::default(),
             backlog: Backlog::default(),
-            sweeps: BTreeMap::new(),
+            rounds: BTreeMap::new(),
             unknown: BTreeMap::new(),
-            policy_changed: false,
+            ranked_at: now.unix,
+            ranks_changed: false,
+            relimited: BTreeSet::new(),
+            capacity: HostCapacity::default(),
             openings,
             closed: VecDeque::new(),
             extra_hosts: BTreeMap::new(),
@@ -281,8 +293,8 @@
         match event {
             Event::Directives(directives) => {
                 self.note_waves(now, &directives.waves);
+                self.note_changes(&directives);
                 self.directives = directives;
-                self.policy_changed = true;
                 self.note_unlisted(now);
                 self.mark_usable(now);
                 self.dirty = true;
@@ -302,8 +314,7 @@
             } => self.on_heartbeat(now, &order, sent, result),
             Event::Started { order, result } => self.on_started(now, &order, result),
             Event::Hosts(hosts) => {
-                let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
-                self.hosts = hosts.collect();
+                self.update_hosts(hosts);
                 self.unassign_moved();
                 self.note_unlisted(now);
             }
--- a/src/batch/dispatcher/backlog.rs
+++ b/src/batch/dispatcher/backlog.rs
@@ -4,6 +4,7 @@
 
 use slog::info;
 
+use crate::batch::Directives;
 use crate::batch::Dispatcher;
 use crate::batch::JobId;
 use crate::batch::JobProgress;
@@ -18,7 +19,11 @@
         let mut ids = self.state.jobs.take_changed();
         ids.extend(self.backlog.expired(now.unix));
         ids.extend(self.update_unknown());
-        if std::mem::take(&mut self.policy_changed) {
+        ids.extend(self.relimited_jobs());
+        // Jobs may have been ranked as later than they are.
+        let earlier = now.unix < self.ranked_at;
+        self.ranked_at = now.unix;
+        if std::mem::take(&mut self.ranks_changed) || earlier {
             ids.extend(self.backlog.ids());
         }
         let mut blocked = Vec::new();
@@ -44,8 +49,39 @@
         let job = &job_progress.job;
         let policy = self.directives.policy.as_ref();
         let queue = policy.and_then(|policy| policy.queue_named(&job.queue));
+        let limited = policy.zip(job.team.as_ref());
+        let limited = limited.is_some_and(|(policy, team)| policy.is_limited(team));
         let unknown = self.unknown.get(&job.service).copied().unwrap_or_default();
-        BacklogEntry::of(job_progress, queue, unknown, now.unix)
+        BacklogEntry::of(
+            job_progress,
+            queue,
+            limited,
+            unknown,
+            &self.capacity.largest,
+            now.unix,
+        )
+    }
+
+    /// Notes what differs in new directives that the backlog depends on.
+    pub(super) fn note_changes(&mut self, directives: &Directives) {
+        self.ranks_changed |= directives.queues() != self.directives.queues();
+        let limited = directives.limited_teams();
+        let changed = &limited ^ &self.directives.limited_teams();
+        self.relimited.extend(changed);
+    }
+
+    /// Returns the jobs of teams that have had a limit set or lifted since the last call.
+    fn relimited_jobs(&mut self) -> Vec<JobId> {
+        let teams = std::mem::take(&mut self.relimited);
+        if teams.is_empty() {
+            return Vec::new();
+        }
+        let of_teams = |id: &JobId| {
+            let entry = self.state.jobs.get(id);
+            let team = entry.and_then(|entry| entry.job.team.as_ref());
+            team.is_some_and(|team| teams.contains(team))
+        };
+        self.backlog.ids().filter(of_teams).collect()
     }
 
     /// Updates the backlog's entry of a job; returns whether it is newly blocked by unknown runs.
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -6,6 +6,7 @@
 
 use crate::batch::Dispatcher;
 use crate::batch::JobId;
+use crate::batch::JobProgress;
 use crate::batch::JobState;
 use crate::batch::Now;
 use crate::batch::Objective;
@@ -36,13 +37,13 @@
             "state" => ?entry.state(), "age_ms" => now.unix.saturating_sub(entry.job.accepted),
             "work" => entry.job.work(), "tasks" => entry.job.tasks());
         if entry.is_active() {
-            self.meter.note(now.at, &entry.job);
+            self.meter.note(now.at, &entry.job, &self.capacity.largest);
             self.active.insert(id);
-            self.openings.insert((now.unix, id));
             if entry.partitions.is_empty() {
                 self.ungranted.push(id);
             }
             self.unchecked.push(id);
+            self.open_job(now, id);
         } else {
             self.close(now, id);
         }
@@ -86,7 +87,6 @@
         self.last_opening = now.at;
         let due = self.openings.iter().take_while(|(at, _)| *at <= now.unix);
         let due: Vec<(u64, JobId)> = due.copied().collect();
-        self.effort.ranked += due.len() as u64;
         for opening in due {
             self.openings.remove(&opening);
             self.open_job(now, opening.1);
@@ -94,15 +94,20 @@
         self.drop_closed(now);
     }
 
-    fn open_job(&mut self, now: Now, id: JobId) {
-        let Some(entry) = self.state.jobs.get_mut(&id) else {
-            return;
-        };
-        self.dirty |= entry.open_due(now.unix);
-        if let Some(due) = entry.next_due() {
-            // One that is due already waits until another occurrence has ended.
-            let soon = now.unix.saturating_add(OPEN_INTERVAL_MS);
-            self.openings.insert((due.max(soon), id));
+    /// Opens the occurrences of a job that are due, as far as the limit on tasks allows. One that
+    /// is due and has no room is opened when another has ended.
+    pub(super) fn open_job(&mut self, now: Now, id: JobId) {
+        self.effort.ranked += 1;
+        let entry = self.state.jobs.get(&id);
+        if entry.is_some_and(|entry| entry.can_open(now.unix))
+            && let Some(entry) = self.state.jobs.get_mut(&id)
+        {
+            self.dirty |= entry.open_due(now.unix);
+        }
+        let entry = self.state.jobs.get(&id);
+        let due = entry.and_then(JobProgress::next_due);
+        if let Some(due) = due.filter(|&due| due > now.unix) {
+            self.openings.insert((due, id));
         }
     }
 
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -15,10 +15,11 @@
 use crate::batch::StepId;
 use crate::batch::dispatcher::idle_task::IdleTask;
 use crate::batch::dispatcher::maintenance::is_order_recent;
+use crate::batch::dispatcher::placed::Placed;
 use crate::batch::executor_capacity::ExecutorCapacity;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_capacity::StepPlacement;
-use crate::batch::service_order::Position;
+use crate::batch::position::Position;
 use crate::batch::service_order::ServiceOrder;
 use crate::name::ExecutorId;
 use crate::name::TeamName;
@@ -53,6 +54,14 @@
         self.dirty || self.unfinished
     }
 
+    /// Begins a new round through the jobs of each service: after a change, those that have been
+    /// examined may start as well.
+    pub(super) fn restart_rounds(&mut self) {
+        for round in self.rounds.values_mut() {
+            *round = round.restarted();
+        }
+    }
+
     /// Whether the reader of the log lags too far: jobs that look due may have been cancelled.
     /// Starts are suspended then, which also leaves the reader the processor time to catch up.
     fn is_lagging(&self, now: Now) -> bool {
@@ -78,53 +87,68 @@
         let unknown_usage = self.unknown_usage();
         let mut capacity = self.free_capacity(now);
         let backlog = std::mem::take(&mut self.backlog);
-        let mut orders = backlog.orders(&self.turns, &self.sweeps, &self.starts);
+        let is_open = |team: &TeamName, demand: &_| !self.is_at_limit(team, &unknown_usage, demand);
+        let mut orders = backlog.orders(&self.turns, &self.rounds, &self.starts, is_open);
         while let Some((order, position)) = next_order(&mut orders) {
             if self.starts.len() >= START_LIMIT {
                 self.throttled = true;
                 break;
             }
-            if capacity.is_full_for(order.service(), &order.smallest()) {
+            if capacity.is_full_for(order.service(), &order.least_reserved()) {
                 order.finish();
                 continue;
             }
             self.effort.candidates += 1;
-            let served = self.place_job(now, &mut capacity, &unknown_usage, position.id);
+            let placed = self.place_job(now, &mut capacity, &unknown_usage, position.id);
+            if placed == Placed::HeldBack {
+                order.finish();
+                continue;
+            }
+            self.close_team(order, &unknown_usage, &position.id);
+            let served = placed == Placed::Started;
             order.pass(served, self.starts.of(order.service()));
         }
-        self.unfinished = orders.iter().any(|order| !order.is_complete());
-        let sweeps = orders
+        let left = orders.iter().any(|order| !order.is_complete());
+        // After the limit on unanswered starts was reached, the next answer sets `dirty`.
+        self.unfinished = left && !self.throttled;
+        let rounds = orders
             .iter()
-            .map(|order| (order.service().clone(), order.sweep()));
-        let sweeps = sweeps.collect();
+            .map(|order| (order.service().clone(), order.round()));
+        self.rounds = rounds.collect();
         drop(orders);
-        self.sweeps = sweeps;
         self.backlog = backlog;
         self.free_capacity = capacity;
         self.grant_further();
     }
 
-    /// Starts the tasks of a job that are due, while capacity lasts; returns whether any started.
+    /// Starts the tasks of a job that are due, while capacity lasts.
     fn place_job(
         &mut self,
         now: Now,
         capacity: &mut SiteCapacity,
         unknown_usage: &BTreeMap<TeamName, Resources>,
         id: JobId,
-    ) -> bool {
+    ) -> Placed {
         let Some(entry) = self.state.jobs.get(&id) else {
-            return false;
+            return Placed::Nothing;
         };
         self.extra_hosts.remove(&id);
         let remaining = entry.remaining();
-        if !capacity.may_fit(&entry.job.service, &remaining.least) {
-            return false;
+        if !capacity.may_fit(&entry.job.service, &remaining.least_reserved) {
+            return Placed::Nothing;
         }
         let before = self.starts.len();
+        let mut held_back = false;
         for &(occurrence, step) in &remaining.ready {
-            self.place_step(now, capacity, unknown_usage, id, occurrence, step);
+            held_back |= self.place_step(now, capacity, unknown_usage, id, occurrence, step);
+        }
+        if held_back {
+            return Placed::HeldBack;
         }
-        self.starts.len() > before
+        if self.starts.len() > before {
+            return Placed::Started;
+        }
+        Placed::Nothing
     }
 
     /// Returns the free capacity of the executors that can take new work.
@@ -141,19 +165,21 @@
                     executor.partition,
                     executor.used,
                     executor.long_running,
+                    executor.due,
                 ));
             }
         }
         capacity
     }
 
-    /// Updates which executors are usable. Must be called after every change to the plans for hosts
-    /// or to the list of closed data centres.
+    /// Updates which executors are usable and which are on hosts that are due for maintenance. Must
+    /// be called after every change to the plans for hosts or to the list of closed data centres.
     pub(super) fn mark_usable(&mut self, now: Now) {
         let mut executors = std::mem::take(&mut self.executors);
         for executor in executors.values_mut() {
             let info = executor.info.as_ref();
             executor.usable = info.is_some_and(|info| self.is_usable(now, info));
+            executor.due = info.is_some_and(|info| self.waves.is_due(info.host.as_ref()));
         }
         self.executors = executors;
     }
@@ -177,6 +203,8 @@
         is_order_recent(ordered, now) && ordered.is_some_and(|&at| info.born <= at)
     }
 
+    /// Starts the tasks of a step that are due, while capacity lasts. Returns whether there is
+    /// capacity for a gang that is held back by the limit on unanswered starts.
     fn place_step(
         &mut self,
         now: Now,
@@ -185,16 +213,16 @@
         id: JobId,
         occurrence: u32,
         number: u32,
-    ) {
+    ) -> bool {
         let Some(entry) = self.state.jobs.get(&id) else {
-            return;
+            return false;
         };
         let job = entry.job.clone();
         let Some(step) = job.steps.get(number as usize) else {
-            return;
+            return false;
         };
         if !step.long_running && capacity.is_known_full(&job.service, &step.reserved()) {
-            return;
+            return false;
         }
         let step_id = StepId {
             job: id,
@@ -202,13 +230,13 @@
             step: number,
         };
         if self.is_advised(&job) && !self.consult(now, step_id, capacity.of(&job.service), step) {
-            return;
+            return false;
         }
-        let unanswered = self.unanswered_limit(step);
+        let unanswered = self.unanswered_limit(&job, step);
         let allowed = self.team_allowance(job.team.as_ref(), unknown_usage, &step.demand);
-        if allowed == 0 || unanswered == 0 {
+        if allowed == 0 || (unanswered == 0 && !step.gang) {
             self.throttled |= allowed > 0;
-            return;
+            return false;
         }
         let entry = &self.state.jobs[&id];
         let progress = &entry.occurrences[&occurrence][number as usize];
@@ -224,14 +252,17 @@
         let idle: Vec<IdleTask> = idle
             .map(|(index, task)| IdleTask::new(now.at, index as u32, task))
             .collect();
-        let limit = allowed.min(unanswered);
         let wanted = idle.len().min(allowed);
         let executors = capacity.of_mut(&job.service);
         let starts = if step.gang {
-            self.place_gang(executors, &mut placement, &idle, limit)
+            self.place_gang(executors, &mut placement, &idle, allowed)
         } else {
-            self.place_each(executors, &mut placement, &idle, limit)
+            self.place_each(executors, &mut placement, &idle, wanted.min(unanswered))
         };
+        if starts.len() > unanswered {
+            self.throttled = true;
+            return true;
+        }
         let left = wanted.min(unanswered).saturating_sub(starts.len());
         let has_room = left == 0
             || (placement.partitions != Partitions::ALL
@@ -248,14 +279,16 @@
         for (index, executor, run) in starts {
             self.start(now, &executor, step_id.task(index), run);
         }
+        false
     }
 
     /// Notes the hosts that long-running tasks of a step lack: one, unless the number of its tasks
     /// on one executor is limited. Without further hosts, the tasks would wait until others end, so
     /// hosts are moved to their pool. Steps that require a label are left out, as labels are known
-    /// only of hosts that are up.
+    /// only of hosts that are up, and so are those that fit on no host.
     fn note_extra_hosts(&mut self, job: &Job, step: &Step, left: usize) {
-        if left == 0 || !step.long_running || step.label.is_some() {
+        let fits = step.reserved().is_within(&self.capacity.largest);
+        if left == 0 || !step.long_running || step.label.is_some() || !fits {
             return;
         }
         let hosts = step.spread.map_or(1, |most| left.div_ceil(most as usize));
@@ -265,15 +298,15 @@
 
     /// Returns how many more tasks of a step may be started before earlier starts are answered.
     /// The limit keeps tasks back to be ranked again with newer jobs, and leaves the owner the
-    /// processor time to read answers and records in time. A gang larger than the limit starts
-    /// alone.
-    fn unanswered_limit(&self, step: &Step) -> usize {
+    /// processor time to read answers and records in time. A gang for which too little of it is
+    /// left starts once no other start of its service is unanswered: other services may use up the
+    /// limit all the time.
+    fn unanswered_limit(&self, job: &Job, step: &Step) -> usize {
         let left = START_LIMIT.saturating_sub(self.starts.len());
-        let whole = if step.gang { step.count as usize } else { 1 };
-        if left >= whole {
-            return left;
+        if step.gang && self.starts.of(&job.service) == 0 {
+            return left.max(step.count as usize);
         }
-        if self.starts.is_empty() { whole } else { 0 }
+        left
     }
 
     /// Selects executors for the tasks of a step, one by one, while capacity lasts.
@@ -346,26 +379,6 @@
         }
         false
     }
-
-    /// Returns how many more tasks of a demand a team may run under its limit.
-    fn team_allowance(
-        &self,
-        team: Option<&TeamName>,
-        unknown_usage: &BTreeMap<TeamName, Resources>,
-        demand: &Resources,
-    ) -> usize {
-        let policy = self.directives.policy.as_ref();
-        let limits = policy.and_then(|policy| policy.teams.get(team?));
-        let Some(limits) = limits else {
-            return usize::MAX;
-        };
-        let unknown_usage = team.and_then(|team| unknown_usage.get(team));
-        let mut used = unknown_usage.copied().unwrap_or_default();
-        if let Some(own) = team.and_then(|team| self.usage.get(team)) {
-            used.add(own);
-        }
-        usize::try_from(limits.limit.max_count(&used, demand)).unwrap_or(usize::MAX)
-    }
 }
 
 /// Returns the order of the service with the fewest unanswered starts, and the position of its next
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -1,5 +1,6 @@
 //! Moves hosts between pools as demand changes.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slog::info;
@@ -15,11 +16,13 @@
 use crate::batch::Transfer;
 use crate::batch::dispatcher::host_orders::HostOrder;
 use crate::batch::dispatcher::maintenance::is_order_recent;
+use crate::batch::host_capacity::HostCapacity;
 use crate::batch::pool_view::PoolHost;
 use crate::batch::pool_view::PoolView;
 use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::service_load::ServiceLoad;
 use crate::batch::waves::RunCounts;
+use crate::name::ServiceName;
 
 /// Time between two rounds of balancing, in milliseconds.
 const BALANCE_INTERVAL_MS: u64 = 150;
@@ -31,6 +34,16 @@
 const MIN_HOSTS: usize = 2;
 
 impl Dispatcher {
+    /// Applies the platform's list of hosts.
+    pub(super) fn update_hosts(&mut self, hosts: Vec<Host>) {
+        let capacities: Vec<Resources> = hosts.iter().map(|host| host.capacity).collect();
+        let capacity = HostCapacity::of(&capacities);
+        self.ranks_changed |= capacity.largest != self.capacity.largest;
+        self.capacity = capacity;
+        let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
+        self.hosts = hosts.collect();
+    }
+
     /// Orders moves of hosts to the pools that need their capacity.
     pub(super) fn balance(&mut self, now: Now) {
         if now.at < self.last_balance + Duration::from_millis(BALANCE_INTERVAL_MS) {
@@ -102,15 +115,13 @@
             return Vec::new();
         };
         let no_load = ServiceLoad::default();
-        let total = self.total_capacity();
+        let extra_hosts = self.extra_hosts();
         let mut views = Vec::new();
         for (service, pool) in &policy.pools {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
             let forecast = self.meter.forecast(now.at, service);
             let backlog = self.backlog.of(service);
             let load = backlog.map_or(&no_load, ServiceBacklog::load);
-            let extra_hosts = self.extra_hosts.values();
-            let extra_hosts = extra_hosts.filter(|(lacking, _)| lacking == service);
             let hosts = self.hosts.values().filter(|host| host.pool == *service);
             let hosts = hosts
                 .map(|host| self.pool_host(now, host, pool.spare))
@@ -118,10 +129,10 @@
             views.push(PoolView {
                 service: service.clone(),
                 spare: pool.spare,
-                need: load.need(&total).max(forecast),
+                need: load.need(&self.capacity.total).max(forecast),
                 late_cpu: load.late_work() / LATE_WORK_MS,
                 forecast,
-                extra_hosts: extra_hosts.map(|(_, hosts)| hosts).sum(),
+                extra_hosts: extra_hosts.get(service).copied().unwrap_or(0),
                 min_hosts: if used {
                     MIN_HOSTS.max(load.min_hosts())
                 } else {
@@ -133,13 +144,25 @@
         views
     }
 
-    /// Returns the capacity of all hosts together.
-    fn total_capacity(&self) -> Resources {
-        let mut total = Resources::default();
-        for host in self.hosts.values() {
-            total.add(&host.capacity);
+    /// Returns the number of hosts that long-running tasks of each service lack. Those of teams at
+    /// their limits lack none: they could not start on them.
+    fn extra_hosts(&self) -> BTreeMap<ServiceName, usize> {
+        let mut extra_hosts = BTreeMap::new();
+        if self.extra_hosts.is_empty() {
+            return extra_hosts;
+        }
+        let unknown_usage = self.unknown_usage();
+        for (id, (service, hosts)) in &self.extra_hosts {
+            let Some(entry) = self.state.jobs.get(id) else {
+                continue;
+            };
+            let demand = entry.remaining().least_demand;
+            let team = entry.job.team.as_ref();
+            if team.is_none_or(|team| !self.is_at_limit(team, &unknown_usage, &demand)) {
+                *extra_hosts.entry(service.clone()).or_default() += hosts;
+            }
         }
-        total
+        extra_hosts
     }
 
     fn pool_host(&self, now: Now, host: &Host, spare: bool) -> PoolHost {
@@ -159,7 +182,7 @@
         PoolHost {
             host: host.name.clone(),
             cpu: host.capacity.cpu,
-            used: executor.map_or(0, |executor| executor.used.cpu),
+            ends: executor.map_or(now.at, |executor| executor.expected_end(now.at)),
             idle: counts == RunCounts::default(),
             long_running: counts.long_running > 0,
             available: host.phase == HostPhase::Up && (spare || here) && !closed && !due,
--- a/src/batch/unanswered_starts.rs
+++ b/src/batch/unanswered_starts.rs
@@ -46,10 +46,4 @@
     pub fn len(&self) -> usize {
         self.services.values().map(InFlight::len).sum()
     }
-
-    /// Whether the count is 0; a few overdue orders may remain.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -2,12 +2,16 @@
 
 mod backlog;
 mod candidacy;
+mod clock;
 mod entries;
 mod fake_executor;
 mod faults;
+mod gangs;
 mod handover;
+mod idle_work;
 mod large;
 mod largest;
+mod limits;
 mod line;
 mod load;
 mod needs;
@@ -16,6 +20,7 @@
 mod pacing;
 mod pause;
 mod peaks;
+mod restarts;
 mod rules;
 mod simulation;
 mod sizes;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -1,6 +1,6 @@
 //! An in-memory site in virtual time: owners, executors, hosts and the log.
 
-mod actions;
+pub mod actions;
 mod hosts;
 mod jobs;
 mod operators;
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,12 +17,14 @@
 use mimosastep::batch::Directives;
 use mimosastep::batch::Dispatcher;
 use mimosastep::batch::Event;
+use mimosastep::batch::Host;
 use mimosastep::batch::JobId;
 use mimosastep::batch::Now;
 use mimosastep::batch::Policy;
 use mimosastep::batch::Pool;
 use mimosastep::batch::Record;
 use mimosastep::batch::RunOutcome;
+use mimosastep::batch::Start;
 use mimosastep::batch::TaskId;
 use mimosastep::batch::WaveState;
 use mimosastep::name::ExecutorId;
@@ -81,8 +84,14 @@
     pub lists_paused: bool,
     /// Executors listed as draining.
     pub draining: BTreeSet<ExecutorId>,
+    /// Start and address that another writer's entries state for executors, in place of their own.
+    pub odd_entries: BTreeMap<ExecutorId, (u64, SocketAddr)>,
+    /// Entries that another writer has added to the list of hosts.
+    pub odd_hosts: Vec<Host>,
     /// Number of further start orders whose answers are lost.
     pub lost_starts: usize,
+    /// Time until a start order is answered, in milliseconds.
+    pub start_time: fn(&Start) -> u64,
     /// Number of further stop orders whose answers are lost.
     pub lost_stops: usize,
     /// Successful starts in order: time, task, run and executor.
@@ -175,7 +184,10 @@
             log_backlog: false,
             lists_paused: false,
             draining: BTreeSet::new(),
+            odd_entries: BTreeMap::new(),
+            odd_hosts: Vec::new(),
             lost_starts: 0,
+            start_time: |_| ROUND_TRIP_MS,
             lost_stops: 0,
             starts: Vec::new(),
             done: BTreeSet::new(),
--- a/tests/net_links.rs
+++ b/tests/net_links/main.rs
@@ -1,28 +1,19 @@
 //! Links: authentication, message delivery, and detection of closed links.
 
-#[path = "common/certs.rs"]
+#[path = "../common/certs.rs"]
 mod certs;
+mod raw;
+mod relay;
 
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use certs::Authority;
-use certs::NodeFiles;
-use compio::net::UdpSocket;
-use compio::runtime::JoinHandle;
-use compio::runtime::spawn;
 use compio::time::timeout;
-use compio_quic::ClientConfig;
-use compio_quic::Connection;
 use compio_quic::ConnectionError;
-use compio_quic::Endpoint;
-use compio_quic::EndpointConfig;
 use compio_quic::ServerConfig;
-use compio_quic::crypto::rustls::QuicClientConfig;
 use compio_quic::crypto::rustls::QuicServerConfig;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
@@ -32,24 +23,24 @@
 use mimosastep::net::Link;
 use mimosastep::net::LinkId;
 use mimosastep::net::Mesh;
-use mimosastep::net::NODE_DOMAIN;
 use mimosastep::net::NetEvent;
 use mimosastep::net::encode;
 use mimosastep::record::Role;
 use mimosastep::wire::Hello;
 use mimosastep::wire::Message;
-use rustls::RootCertStore;
+use raw::load_pair;
+use raw::loopback;
+use raw::raw_client;
+use raw::raw_connect;
+use raw::raw_endpoint;
+use raw::with_timeout;
+use relay::UdpRelay;
 use rustls::crypto::ring;
-use rustls_pki_types::CertificateDer;
-use rustls_pki_types::PrivateKeyDer;
-use rustls_pki_types::pem::PemObject;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
 use test_case::test_case;
 
-const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
-
 type Receiver = UnboundedReceiver<NetEvent>;
 
 fn report() -> Message {
@@ -81,14 +72,6 @@
     bind_at(loopback(), authority, name).await
 }
 
-fn loopback() -> SocketAddr {
-    ([127, 0, 0, 1], 0).into()
-}
-
-async fn with_timeout<T>(work: impl Future<Output = T>) -> T {
-    timeout(EVENT_TIMEOUT, work).await.expect("in time")
-}
-
 async fn next_event(events: &mut Receiver) -> NetEvent {
     with_timeout(events.next()).await.expect("an event")
 }
@@ -118,46 +101,6 @@
     Message::Probe { nonce, offset: 3 }
 }
 
-/// QUIC client configuration that trusts `authority` and presents `own`, if given.
-fn raw_client(authority: &NodeFiles, own: Option<&NodeFiles>) -> ClientConfig {
-    let mut roots = RootCertStore::empty();
-    let ca = CertificateDer::from_pem_file(&authority.ca).expect("a certificate");
-    roots.add(ca).expect("an authority");
-    let builder = rustls::ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .expect("TLS 1.3")
-        .with_root_certificates(roots);
-    let mut tls = match own {
-        None => builder.with_no_client_auth(),
-        Some(own) => {
-            let (chain, key) = load_pair(own);
-            builder.with_client_auth_cert(chain, key).expect("a pair")
-        }
-    };
-    tls.alpn_protocols = vec![b"mimosa/1".to_vec()];
-    ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls).expect("QUIC")))
-}
-
-fn load_pair(files: &NodeFiles) -> (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>) {
-    let cert = CertificateDer::from_pem_file(&files.cert).expect("a certificate");
-    let key = PrivateKeyDer::from_pem_file(&files.key).expect("a key");
-    (vec![cert], key)
-}
-
-async fn raw_endpoint(server: Option<ServerConfig>) -> Endpoint {
-    let socket = UdpSocket::bind(loopback()).await.expect("a socket");
-    Endpoint::new(socket, EndpointConfig::default(), server, None).expect("an endpoint")
-}
-
-async fn raw_connect(
-    endpoint: &Endpoint,
-    addr: SocketAddr,
-    config: ClientConfig,
-) -> Result<Connection, ConnectionError> {
-    let connecting = endpoint.connect(addr, NODE_DOMAIN, Some(config));
-    with_timeout(connecting.expect("a connection")).await
-}
-
 #[compio::test]
 async fn messages_go_both_ways() {
     let fleet = Authority::new();
@@ -344,51 +287,6 @@
     next_down(&mut b_events.dispatch).await;
 }
 
-/// Forwards datagrams between the peer that connects to its address and `target`, until dropped.
-struct UdpRelay {
-    addr: SocketAddr,
-    _tasks: [JoinHandle<()>; 2],
-}
-
-impl UdpRelay {
-    async fn open(target: SocketAddr) -> Self {
-        let front = UdpSocket::bind(loopback()).await.expect("a socket");
-        let back = UdpSocket::bind(loopback()).await.expect("a socket");
-        let addr = front.local_addr().expect("an address");
-        let client = Rc::new(Cell::new(loopback()));
-        let target = Rc::new(Cell::new(target));
-        let outbound = forward(
-            front.clone(),
-            back.clone(),
-            Rc::clone(&client),
-            Rc::clone(&target),
-        );
-        let inbound = forward(back, front, target, client);
-        Self {
-            addr,
-            _tasks: [spawn(outbound), spawn(inbound)],
-        }
-    }
-}
-
-async fn forward(
-    from: UdpSocket,
-    to: UdpSocket,
-    sender: Rc<Cell<SocketAddr>>,
-    receiver: Rc<Cell<SocketAddr>>,
-) {
-    let mut buffer = Vec::with_capacity(1 << 16);
-    loop {
-        buffer.clear();
-        let received = from.recv_from(buffer).await;
-        let (_, addr) = received.0.expect("a datagram");
-        sender.set(addr);
-        let sent = to.send_to(received.1, receiver.get()).await;
-        sent.0.expect("sent");
-        buffer = sent.1;
-    }
-}
-
 #[compio::test]
 async fn a_silent_peer_is_gone_after_the_idle_timeout() {
     let fleet = Authority::new();
