--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -10,6 +10,7 @@
 mod measurement;
 mod pacing;
 mod partition_grants;
+mod pending_ends;
 mod placed;
 mod placement;
 mod polling;
@@ -51,6 +52,7 @@
 use crate::batch::batch_state::BatchState;
 use crate::batch::demand_meter::DemandMeter;
 use crate::batch::dispatcher::host_orders::PendingOrder;
+use crate::batch::dispatcher::pending_ends::PendingEnds;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_state::ExecutorState;
 use crate::batch::executor_state::LEASE_MS;
@@ -73,14 +75,6 @@
 const EXCLUSIVE_MS: u64 = 900;
 /// Shortest lease that is granted, in milliseconds.
 const MIN_LEASE_MS: u64 = 500;
-/// Ends of runs on an executor whose append to the log is pending.
-struct PendingEnds {
-    executor: ExecutorId,
-    // Highest number of these ends.
-    number: u64,
-    // Jobs of these ends, one entry per end.
-    jobs: Vec<JobId>,
-}
 
 /// The state machine of one owner's term. It takes events and returns actions, reads no clock and
 /// does no I/O.
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -17,7 +17,7 @@
 use crate::batch::RunEnd;
 use crate::batch::RunOutcome;
 use crate::batch::Target;
-use crate::batch::dispatcher::PendingEnds;
+use crate::batch::dispatcher::pending_ends::PendingEnds;
 use crate::batch::executor_state::Assignment;
 use crate::batch::executor_state::HeartbeatState;
 use crate::batch::task_progress::Avoided;
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -91,6 +91,7 @@
         let mut orders = backlog.orders(&self.turns, &self.rounds, &self.starts, is_open);
         while let Some((order, position)) = next_order(&mut orders) {
             if self.starts.len() >= START_LIMIT {
+                self.effort.limited += 1;
                 self.throttled = true;
                 break;
             }
--- a/src/batch/load_summary.rs
+++ b/src/batch/load_summary.rs
@@ -53,6 +53,7 @@
             "lag_ms" => self.lag.as_millis() as u64, "messages" => self.messages,
             "most_messages" => self.most_messages, "busy_percent" => self.busy_percent(),
             "spent_ms" => spent.join(" "), "placements" => effort.placements,
+            "limited" => effort.limited,
             "candidates" => effort.candidates, "ranked" => effort.ranked, "active" => active,
             "starts" => effort.starts, "ends" => effort.ends);
     }
--- a/tests/batch/load.rs
+++ b/tests/batch/load.rs
@@ -127,3 +127,18 @@
     );
     assert!(effort.ranked >= effort.candidates, "{effort:?}");
 }
+
+/// Guards against a limit on unanswered starts that holds work back and shows nowhere.
+#[test]
+fn placements_that_the_limit_on_starts_ended_are_counted() {
+    let mut sim = Simulation::new(&[("captions", 20)]);
+    sim.submit(1, "captions", vec![step(100)]);
+    sim.run(500);
+    let before = sim.owner().dispatcher.effort();
+    assert_eq!(before.limited, 0);
+    sim.submit(2, "captions", vec![step(100)]);
+    sim.submit(3, "captions", vec![step(100)]);
+    sim.run(500);
+    let effort = sim.owner().dispatcher.effort().since(&before);
+    assert_eq!((effort.starts, effort.limited), (200, 1), "{effort:?}");
+}
