--- a/tests/batch/clock.rs
+++ b/tests/batch/clock.rs
@@ -75,7 +75,8 @@
     assert!(pause < PAUSE, "no start for {pause:?}");
 }
 
-/// Guards against jobs that counted as too late for good after the time of day was ahead for a moment.
+/// Guards against jobs that stay too late, behind all newer ones, after the time of day was ahead for
+/// a moment.
 #[test]
 fn jobs_are_as_late_as_before_when_the_time_goes_forward_and_back() {
     let mut sim = Simulation::new(&[("captions", 1)]);
