--- a/src/batch/dispatcher/placed.rs
+++ b/src/batch/dispatcher/placed.rs
@@ -1,6 +1,6 @@
-//! What came of the examination of a job.
+//! Outcome of trying to start a job's tasks.
 
-/// What came of the examination of a job that has tasks to start.
+/// Outcome of trying to start the tasks of a job that are due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Placed {
     /// Tasks were started.
