--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -216,6 +216,7 @@
             ("capacity", table(capacity)),
             ("labels", vec!["a", traits.rack.as_str()].into()),
             ("born", self.born_ms.into()),
+            ("clock_ms", self.clock().into()),
             ("sequence", sequence.into()),
         ])
     }
