--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -48,7 +48,7 @@
             let HeartbeatState::Due(due) = executor.heartbeat else {
                 continue;
             };
-            if due > now.at || !executor.is_heartbeat_needed() {
+            if due > now.at || !executor.is_heartbeat_needed(now.at) {
                 continue;
             }
             let settled =
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -27,6 +27,11 @@
 /// Longest time until all leases of earlier owners have expired on executors whose clocks are 2%
 /// slow, counted from the election of the next owner, with a margin, in milliseconds.
 pub const SUCCESSION_MS: u64 = 6_300;
+/// Rate of the slowest clock that an executor may have, in percent of this process's.
+const MIN_CLOCK_PERCENT: u64 = 98;
+/// Age at which the last reading of an executor's clock is replaced by a new one, in milliseconds. Leases get
+/// shorter as it ages.
+const CLOCK_REFRESH_MS: u64 = 30_000;
 
 /// Whether the log lists an executor as one that may have work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -222,13 +227,21 @@
         !entry.due
     }
 
-    /// Returns the time on its clock, in milliseconds, `ahead` milliseconds after `now`; `None`
-    /// before its first report.
+    /// Returns the end on its clock, in milliseconds, of a lease of `lease` milliseconds that begins
+    /// at `now`; `None` before its first report. The lease is never longer on its clock, whatever the
+    /// clock's rate: its clock shows at least the time reckoned here.
     #[must_use]
-    pub fn deadline(&self, now: Instant, ahead: u64) -> Option<u64> {
+    pub fn deadline(&self, now: Instant, lease: u64) -> Option<u64> {
         let (clock, at) = self.clock?;
         let since = u64::try_from(now.saturating_duration_since(at).as_millis()).ok()?;
-        Some(clock.saturating_add(since).saturating_add(ahead))
+        let passed = since.saturating_mul(MIN_CLOCK_PERCENT) / 100;
+        Some(clock.saturating_add(passed).saturating_add(lease))
+    }
+
+    /// Whether its clock was last read so long ago that it is to be read again.
+    fn is_clock_old(&self, now: Instant) -> bool {
+        let limit = Duration::from_millis(CLOCK_REFRESH_MS);
+        self.clock.is_some_and(|(_, at)| now >= at + limit)
     }
 
     /// Notes that an order sent at `now` renews its leases.
@@ -281,10 +294,11 @@
 
     /// Whether there is a reason to send it a heartbeat.
     #[must_use]
-    pub fn is_heartbeat_needed(&self) -> bool {
+    pub fn is_heartbeat_needed(&self, now: Instant) -> bool {
         let pending = matches!(self.assignment, Assignment::Pending(_));
         let known = !pending && !self.is_retired();
-        known && (!self.reported || !self.runs.is_empty() || self.seen > self.acked)
+        let unsettled = !self.reported || !self.runs.is_empty() || self.seen > self.acked;
+        known && (unsettled || self.is_clock_old(now))
     }
 
     /// Whether it may have runs of an earlier owner that this owner does not know of.
--- a/tests/batch/fake_executor.rs
+++ b/tests/batch/fake_executor.rs
@@ -73,6 +73,8 @@
     pub down: bool,
     /// Tail latency of the tasks that serve requests there, in milliseconds.
     pub tail_latency: u64,
+    /// Rate of its clock, in percent.
+    pub clock_percent: u32,
 }
 
 impl FakeExecutor {
@@ -90,16 +92,18 @@
             highest_runs: BTreeMap::new(),
             down: false,
             tail_latency: 0,
+            clock_percent: 100,
         }
     }
 
     /// Its own clock, in milliseconds.
     pub fn clock(&self, now: Instant) -> u64 {
-        u64::try_from((now - self.started_at).as_millis()).expect("milliseconds exceed u64")
+        let elapsed = (now - self.started_at) * self.clock_percent / 100;
+        u64::try_from(elapsed.as_millis()).expect("milliseconds exceed u64")
     }
 
     fn instant_at(&self, clock: u64) -> Instant {
-        self.started_at + Duration::from_millis(clock)
+        self.started_at + Duration::from_millis(clock) * 100 / self.clock_percent
     }
 
     pub fn used(&self) -> Resources {
--- /dev/null
+++ b/tests/batch/leases.rs
@@ -0,0 +1,71 @@
+//! Tests that no lease outlasts the time that its owner waits for it.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use mimosastep::batch::JobState;
+use mimosastep::batch::RunOutcome;
+use mimosastep::name::ExecutorId;
+
+use crate::simulation::Simulation;
+use crate::simulation::job_id;
+use crate::simulation::step;
+
+/// A site whose executors' clocks have a rate of `percent`.
+fn site(percent: u32) -> Simulation {
+    let mut sim = Simulation::new(&[("captions", 3)]);
+    for fake in sim.fakes.values_mut() {
+        fake.clock_percent = percent;
+    }
+    sim
+}
+
+/// Submits a job with one task and waits until it runs; returns its executor.
+fn start_task(sim: &mut Simulation) -> ExecutorId {
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.run(400);
+    sim.starts.last().expect("no start").3.clone()
+}
+
+/// Guards against a task that runs on two executors: the first lease after a time without work was
+/// reckoned from an old reading of a clock that is 2% slow, and outlasted what the owner waits.
+#[test_case(15_000)]
+#[test_case(75_000)]
+#[test_case(600_000)]
+fn a_task_does_not_run_twice_when_its_executor_was_idle_for_long(idle: u64) {
+    let mut sim = site(98);
+    sim.script = Box::new(|_, _| (12_000, RunOutcome::Done));
+    sim.run(idle);
+    let unreachable = start_task(&mut sim);
+    sim.owner().unreachable.insert(unreachable);
+    // The simulation checks at all times that no task runs on two executors.
+    sim.run(8_000);
+    assert_eq!(sim.starts.len(), 2);
+}
+
+/// Guards against a lease after a time without work that outlasts what the next owner waits.
+#[test]
+fn a_task_does_not_run_twice_when_a_long_idle_site_loses_its_owner() {
+    let mut sim = site(98);
+    sim.script = Box::new(|_, _| (12_000, RunOutcome::Done));
+    sim.run(75_000);
+    let unreachable = start_task(&mut sim);
+    sim.owner().unreachable.insert(unreachable);
+    sim.replace_owner(2);
+    sim.run(8_000);
+    assert_eq!(sim.starts.len(), 2);
+}
+
+/// Guards against leases that are too short to start anything after a time without work.
+#[test_case(98)]
+#[test_case(100)]
+fn a_task_starts_at_once_however_long_its_executor_was_idle(percent: u32) {
+    let mut sim = site(percent);
+    sim.run(900_000);
+    let executor = start_task(&mut sim);
+    let lease = sim.fakes[&executor].lease.expect("no lease");
+    assert!(lease > sim.now.at + Duration::from_secs(3));
+    sim.run(1_000);
+    assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -11,6 +11,7 @@
 mod idle_work;
 mod large;
 mod largest;
+mod leases;
 mod limits;
 mod line;
 mod load;
