--- a/src/batch/batch_state.rs
+++ b/src/batch/batch_state.rs
@@ -110,6 +110,7 @@
             Record::WaveRequested { wave, at } => {
                 self.wave_requests.entry(wave).or_insert(at);
             }
+            Record::TermContinued { .. } => {}
         }
         None
     }
--- a/src/batch/election.rs
+++ b/src/batch/election.rs
@@ -18,6 +18,7 @@
 use crate::batch::OwnerResponse;
 use crate::batch::Platform;
 use crate::batch::Strength;
+use crate::batch::contact::Confirmation;
 use crate::batch::contact::Contact;
 use crate::batch::directives_cache::DirectivesCache;
 use crate::batch::owner::Owner;
@@ -119,7 +120,8 @@
                     reachable = true;
                     generation = membership.generation;
                     if membership.leads {
-                        self.contact.record_confirmation(asked);
+                        self.contact
+                            .record_confirmation(Confirmation { asked, generation });
                     }
                     self.apply_membership(membership.leads, generation);
                 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -87,6 +87,7 @@
 mod task_id;
 mod task_progress;
 mod team_backlog;
+mod tenure;
 mod term;
 mod turns;
 mod unanswered_starts;
--- a/src/batch/owner.rs
+++ b/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! Handle to the running owner of all jobs.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -17,6 +18,7 @@
 use crate::batch::directives_cache::DirectivesCache;
 use crate::batch::inbox::Inbox;
 use crate::batch::inbox::Message;
+use crate::batch::tenure::Tenure;
 use crate::batch::term::Term;
 use crate::name::NodeName;
 
@@ -48,6 +50,10 @@
             metrics,
             inbox: inbox.clone(),
             last_read: Rc::new(Cell::new(Instant::now())),
+            tenure: Rc::new(RefCell::new(Tenure::new(
+                fence,
+                contact.confirmation().asked,
+            ))),
             contact,
         };
         let task = compio::runtime::spawn(term.run(received));
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -135,6 +135,12 @@
         /// When an owner first saw the request, in Unix milliseconds.
         at: u64,
     },
+    /// The owner went on after a change of the election's group. Tells nothing else: that it is in the
+    /// log shows the owner that no later one had begun.
+    TermContinued {
+        /// Number of the group's change.
+        generation: Fence,
+    },
 }
 
 impl Record {
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -1,6 +1,7 @@
 //! An owner's term: runs the dispatcher and carries out its actions.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,6 +36,7 @@
 use crate::batch::inbox::Inbox;
 use crate::batch::inbox::Message;
 use crate::batch::takeover::Takeover;
+use crate::batch::tenure::Tenure;
 use crate::batch::watchers;
 use crate::log::AppendError;
 use crate::name::NodeName;
@@ -62,6 +64,8 @@
     /// Times of the last exchanges with the election, which ends the term if it names another
     /// process.
     pub contact: Rc<Contact>,
+    /// Which of the election's confirmations count.
+    pub tenure: Rc<RefCell<Tenure>>,
 }
 
 impl<P: Platform> Term<P> {
@@ -161,7 +165,8 @@
                 warn!(self.log, "process paused; no orders until the election is asked again";
                     "fence" => self.fence);
             }
-            let confirmed = self.contact.confirmed();
+            self.check_tenure(appender);
+            let confirmed = self.tenure.borrow().confirmed();
             if !pause_detector.may_act(self.contact.asked(), confirmed) {
                 dispatcher.update_backlog(now());
                 continue;
@@ -217,6 +222,25 @@
         continues
     }
 
+    /// Takes note of the election's last confirmation. If the group has changed, appends the record
+    /// without which it doesn't count.
+    fn check_tenure(&self, appender: &Appender) {
+        let confirmation = self.contact.confirmation();
+        let Some(generation) = self.tenure.borrow_mut().observe(confirmation) else {
+            return;
+        };
+        info!(self.log, "election changed; the log is to show that no later owner has begun";
+            "fence" => self.fence, "generation" => generation);
+        let inbox = self.inbox.clone();
+        let tenure = self.tenure.clone();
+        let on_result = move |result: Result<(), _>| match result {
+            Ok(()) => tenure.borrow_mut().complete_check(),
+            Err(_) => inbox.send(Message::Superseded),
+        };
+        let record = Record::TermContinued { generation };
+        appender.append(&[record], None, Box::new(on_result));
+    }
+
     /// Answers a gate: at once, or when the append that it asks for has ended.
     fn answer(
         &self,
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -40,6 +40,8 @@
 const MAX_CONNECTIONS: usize = 256;
 /// Limit on the keys in a page of newest values.
 const PAGE_ITEMS: usize = 500;
+/// Name of the group member that does nothing with its partitions.
+const OTHER_MEMBER: &str = "other";
 /// Limit on the size of a read that names none, in KB.
 const READ_KB: u64 = 1_024;
 
@@ -75,6 +77,8 @@
     pub odd_items: RefCell<Vec<Value>>,
     /// Number of coming appends that take effect but get no response.
     pub unanswered_appends: Cell<u64>,
+    /// Whether calls that join or leave a group are answered with status 503.
+    pub group_down: Cell<bool>,
 }
 
 impl Store {
@@ -93,6 +97,7 @@
             full: Cell::new(false),
             odd_items: RefCell::default(),
             unanswered_appends: Cell::new(0),
+            group_down: Cell::new(false),
         })
     }
 
@@ -299,17 +304,45 @@
         owner.map(|member| member.name.clone())
     }
 
-    /// Assigns all partitions to a member that does nothing with them.
-    pub fn reassign_partitions(&self) {
+    /// Assigns all partitions to a member that does nothing with them. Returns the number of that
+    /// change.
+    pub fn reassign_partitions(&self) -> u64 {
         let mut members = self.members.borrow_mut();
         for member in members.iter_mut() {
             member.partitions.clear();
         }
         members.push(Member {
-            name: "other".to_owned(),
+            name: OTHER_MEMBER.to_owned(),
             partitions: (0..PARTITIONS).collect(),
         });
         self.generation.set(self.generation.get() + 1);
+        self.generation.get()
+    }
+
+    /// Removes the member that [`Self::reassign_partitions`] added; the others get its partitions.
+    pub fn return_partitions(&self) {
+        self.remove_member(OTHER_MEMBER);
+    }
+
+    /// Appends records to a partition as the producer of its last append, under a later epoch, which
+    /// shuts out the earlier one.
+    pub fn take_over(&self, topic: &str, partition: u64, epoch: u64, contents: Vec<Vec<u8>>) {
+        let mut partitions = self.partitions.borrow_mut();
+        let partition = partitions.entry((topic.to_owned(), partition)).or_default();
+        for producer in partition.producers.values_mut() {
+            producer.advance(epoch);
+        }
+        partition.records.extend(contents);
+    }
+
+    fn remove_member(&self, name: &str) {
+        let mut members = self.members.borrow_mut();
+        let before = members.len();
+        members.retain(|member| name != member.name);
+        if members.len() < before {
+            self.generation.set(self.generation.get() + 1);
+            rebalance(&mut members);
+        }
     }
 
     fn owners(&self) -> HttpResponse {
@@ -327,13 +360,7 @@
 
     fn leave(&self, body: &[u8]) -> HttpResponse {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
-        let mut members = self.members.borrow_mut();
-        let before = members.len();
-        members.retain(|member| body["member"] != *member.name);
-        if members.len() < before {
-            self.generation.set(self.generation.get() + 1);
-            rebalance(&mut members);
-        }
+        self.remove_member(body["member"].as_str().unwrap_or_default());
         plain(StatusCode::OK, "")
     }
 }
@@ -367,6 +394,9 @@
             }
             "/api/log-read" => self.read(uri).await,
             "/api/log-newest" => self.newest(uri),
+            "/api/log-join" | "/api/log-leave" if self.group_down.get() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "")
+            }
             "/api/log-join" => self.join(request.body()),
             "/api/log-leave" => self.leave(request.body()),
             "/api/log-owners" => self.owners(),
--- a/standins/src/store/producer.rs
+++ b/standins/src/store/producer.rs
@@ -25,12 +25,7 @@
         if epoch < self.epoch {
             return Err(json!({ "reason": "fenced" }));
         }
-        if epoch > self.epoch {
-            *self = Self {
-                epoch,
-                ..Self::default()
-            };
-        }
+        self.advance(epoch);
         if let Some((_, offset)) = self.recent.iter().find(|(number, _)| *number == sequence) {
             return Ok(Some(*offset));
         }
@@ -40,6 +35,16 @@
         }
     }
 
+    /// Begins a new numbering if the epoch is later than the one that it has.
+    pub(super) fn advance(&mut self, epoch: u64) {
+        if epoch > self.epoch {
+            *self = Self {
+                epoch,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Notes an append and its offset.
     pub(super) fn record(&mut self, sequence: u64, offset: u64) {
         self.next = Some(sequence + 1);
