--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -270,7 +270,8 @@
 
     /// Whether no other owner can have been elected. If so, no other owner can have started a run
     /// or recorded an end that this one does not know of.
-    fn is_exclusive(&self, now: Instant) -> bool {
+    #[must_use]
+    pub fn is_exclusive(&self, now: Instant) -> bool {
         now < self.confirmed + Duration::from_millis(EXCLUSIVE_MS)
     }
 
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -25,6 +25,12 @@
         (entry.job.queue == *queue).then(|| entry.state())
     }
 
+    /// Whether there is a job with this id, whatever its queue.
+    #[must_use]
+    pub fn knows(&self, id: &JobId) -> bool {
+        self.state.jobs.contains(id)
+    }
+
     pub(super) fn waiting_jobs(&self, queue: &QueueName) -> u64 {
         self.backlog.waiting(queue)
     }
@@ -123,6 +129,7 @@
                 self.closed.push_back((now.unix, id));
                 return;
             }
+            info!(self.log, "ended job forgotten"; "job" => %id);
             self.state.jobs.remove(&id);
         }
     }
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -46,8 +46,8 @@
 const TICK_MS: u64 = 40;
 /// Time between two polls while tasks may be waiting to be started, in milliseconds.
 const DIRTY_TICK_MS: u64 = 5;
-/// Age of the last complete read of the gates' stream from which on a job that is not found is
-/// answered with `Unknown` instead of as nonexistent, in milliseconds.
+/// Age of the last complete read of the gates' stream from which on a job that is not found may be
+/// in it, in milliseconds.
 const STALE_MS: u64 = 2_000;
 
 /// State shared by the tasks of a term.
@@ -250,7 +250,7 @@
         reply: oneshot::Sender<OwnerResponse>,
     ) {
         let answer = dispatcher.answer(&request);
-        let stale = self.last_read.get().elapsed() > Duration::from_millis(STALE_MS);
+        let answer = self.without_doubt(dispatcher, &request, answer);
         let (records, wait) = match (request, answer) {
             (OwnerRequest::Accept(job, wait), OwnerResponse::Unknown) => {
                 let grant = (job.id, dispatcher.initial_partitions(&job));
@@ -259,13 +259,8 @@
             }
             (OwnerRequest::Cancel(id, wait), _) => (vec![Record::Cancelled(id)], wait),
             (_, answer) => {
-                let is_unknown = stale && answer == OwnerResponse::State(None);
                 // The receiver is gone if the gate has timed out.
-                let _ = reply.send(if is_unknown {
-                    OwnerResponse::Unknown
-                } else {
-                    answer
-                });
+                let _ = reply.send(answer);
                 return;
             }
         };
@@ -288,6 +283,32 @@
         appender.append(&records, Some(deadline), Box::new(on_result));
     }
 
+    /// Returns an answer, or `Unknown` in place of one that says that there is no such job, if there
+    /// may be one: in a part of the gates' stream that was not read yet, or accepted by a later owner
+    /// that this one has not heard of.
+    fn without_doubt(
+        &self,
+        dispatcher: &Dispatcher,
+        request: &OwnerRequest,
+        answer: OwnerResponse,
+    ) -> OwnerResponse {
+        if answer != OwnerResponse::State(None) {
+            return answer;
+        }
+        let read_age = self.last_read.get().elapsed();
+        let current = dispatcher.is_exclusive(Instant::now());
+        let doubtful = !current || read_age > Duration::from_millis(STALE_MS);
+        if let OwnerRequest::State(queue, id) = request {
+            info!(self.log, "job unknown to the owner"; "job" => %id, "queue" => %queue, "fence" => self.fence,
+                "read_age_ms" => millis(read_age), "exclusive" => current, "other_queue" => dispatcher.knows(id),
+                "confirmed_age_ms" => millis(self.tenure.borrow().confirmed().elapsed()));
+        }
+        if doubtful {
+            return OwnerResponse::Unknown;
+        }
+        answer
+    }
+
     /// Appends records that the dispatcher asked for.
     fn append(&self, appender: &Appender, append_id: u64, records: &[Record]) {
         let inbox = self.inbox.clone();
