--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -254,6 +254,7 @@
         };
         executor.seen = 0;
         executor.acked = 0;
+        executor.more_ends = false;
         executor.clock = None;
         executor.reported = false;
         executor.runs_known = true;
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -146,25 +146,39 @@
             self.dirty = true;
         }
         let first = !executor.reported;
-        let unassigned = executor.wait_recorded || executor.assignment == Assignment::None;
         executor.heartbeat_failed = false;
         executor.missed = 0;
         executor.unanswered_since = executor.unanswered_since.filter(|&since| since > sent);
-        executor.wait_recorded = false;
-        executor.reported = true;
-        executor.runs_known = true;
         executor.clock = Some((report.clock, now.at));
-        if unassigned {
-            self.assign(id);
+        executor.more_ends = report.more_ends;
+        if !report.more_ends || executor.runs_known {
+            self.note_reported(id);
         }
         self.dirty |= first;
         let has_ends = self.apply_ends(now, id, &report.ended);
-        self.reconcile(now, id, sent, &report.running);
-        self.stop_stalled(now, id);
+        self.apply_runs(now, id, &report.running);
+        if !report.more_ends {
+            self.reconcile(id, sent, &report.running);
+            self.stop_stalled(now, id);
+        }
         self.pace(id);
         self.schedule_heartbeat(now, id, sent, first, has_ends);
     }
 
+    /// Notes that an executor has reported all runs that earlier owners may have started there.
+    fn note_reported(&mut self, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let unassigned = executor.wait_recorded || executor.assignment == Assignment::None;
+        executor.wait_recorded = false;
+        executor.reported = true;
+        executor.runs_known = true;
+        if unassigned {
+            self.assign(id);
+        }
+    }
+
     /// Notes when the process started that answered an order, if it states that.
     fn note_start(&mut self, now: Now, target: &Target, born: Option<u64>) {
         let id = &target.executor;
--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -18,17 +18,16 @@
 const STALLED_BACKOFF_MS: u64 = 3_000;
 
 impl Dispatcher {
-    /// Compares the runs that an executor reports with those that it should have.
-    pub(super) fn reconcile(
-        &mut self,
-        now: Now,
-        id: &ExecutorId,
-        sent: Instant,
-        running: &[Running],
-    ) {
+    /// Applies the runs that an executor reports.
+    pub(super) fn apply_runs(&mut self, now: Now, id: &ExecutorId, running: &[Running]) {
         for run in running {
             self.update_run(now, id, run);
         }
+    }
+
+    /// Looks for runs that an executor should have and does not report, neither as running nor as
+    /// ended. The report must list all ends.
+    pub(super) fn reconcile(&mut self, id: &ExecutorId, sent: Instant, running: &[Running]) {
         let Some(executor) = self.executors.get(id) else {
             return;
         };
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -108,6 +108,8 @@
     pub seen: u64,
     /// Highest number of its run ends that are in the log.
     pub acked: u64,
+    /// Its last report did not list all of its ends.
+    pub more_ends: bool,
     /// Runs by task and number.
     pub runs: BTreeMap<(TaskId, u64), RunState>,
     /// Resources that its runs take.
@@ -162,6 +164,7 @@
             heartbeat: HeartbeatState::Due(now),
             seen: 0,
             acked: 0,
+            more_ends: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
             long_running: 0,
@@ -297,7 +300,8 @@
     pub fn is_heartbeat_needed(&self, now: Instant) -> bool {
         let pending = matches!(self.assignment, Assignment::Pending(_));
         let known = !pending && !self.is_retired();
-        let unsettled = !self.reported || !self.runs.is_empty() || self.seen > self.acked;
+        let has_ends = self.seen > self.acked || self.more_ends;
+        let unsettled = !self.reported || !self.runs.is_empty() || has_ends;
         known && (unsettled || self.is_clock_old(now))
     }
 
@@ -329,6 +333,7 @@
         self.reported = false;
         self.wait_recorded = false;
         self.seen = self.acked;
+        self.more_ends = false;
         self.assignment = Assignment::None;
     }
 
@@ -354,7 +359,7 @@
     /// Whether it has no runs, known or unknown, and no unacknowledged ends.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.runs_known && self.runs.is_empty() && self.seen == self.acked
+        self.runs_known && self.runs.is_empty() && self.seen == self.acked && !self.more_ends
     }
 
     /// Returns the share of its CPU that is in use, in thousandths.
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -170,6 +170,8 @@
     pub running: Vec<Running>,
     /// Ends that are not acknowledged yet.
     pub ended: Vec<RunEnd>,
+    /// There may be further ends that it doesn't list: a run that it doesn't name may have ended.
+    pub more_ends: bool,
 }
 
 quick_error! {
--- a/tests/batch/fake_executor.rs
+++ b/tests/batch/fake_executor.rs
@@ -20,6 +20,9 @@
 /// Time from a stop order to the end of the run, in milliseconds.
 const STOP_MS: u64 = 900;
 
+/// Most ends in a report.
+const ENDS_LIMIT: usize = 500;
+
 /// Start-up time of a long-running task, in milliseconds.
 const STARTUP_MS: u64 = 700;
 
@@ -186,7 +189,8 @@
             clock: self.clock(now),
             born: Some(self.born),
             running: running.collect(),
-            ended: self.unacked_ends.clone(),
+            ended: self.unacked_ends.iter().take(ENDS_LIMIT).cloned().collect(),
+            more_ends: self.unacked_ends.len() >= ENDS_LIMIT,
         }
     }
 
