--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -133,6 +133,8 @@
     // Capacity that the last placement left over.
     free_capacity: SiteCapacity,
     pending_orders: BTreeMap<u64, PendingOrder>,
+    // Hosts for which an order of this or an earlier owner may have been carried out unnoticed.
+    unsettled: BTreeSet<HostName>,
     last_append: u64,
     // How long the log keeps a record, in milliseconds.
     retention: u64,
@@ -193,6 +195,7 @@
             log,
             advisor: Advisor::default(),
             waves: Waves::new(&state.maintained),
+            unsettled: state.ordered.keys().cloned().collect(),
             pools: PoolBalancer::default(),
             hosts: BTreeMap::new(),
             unlisted: BTreeMap::new(),
--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -183,6 +183,20 @@
         self.note_unlisted(now);
     }
 
+    /// Asks the executors of a host what they run. They get no work until they have answered; their
+    /// runs count as running until then or until their leases are over.
+    pub(super) fn ask_executors(&mut self, now: Now, host: &HostName) {
+        for id in self.by_host.get(host).into_iter().flatten() {
+            let Some(executor) = self.executors.get_mut(id) else {
+                continue;
+            };
+            executor.reported = false;
+            if !matches!(executor.heartbeat, HeartbeatState::Sent(_)) {
+                executor.heartbeat = HeartbeatState::Due(now.at);
+            }
+        }
+    }
+
     /// Unassigns executors with unknown runs whose hosts have been taken down or moved to another
     /// pool: such an order ends the executor.
     pub(super) fn unassign_moved(&mut self) {
--- a/src/batch/dispatcher/host_orders.rs
+++ b/src/batch/dispatcher/host_orders.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use slog::info;
 use slog::warn;
 
 use crate::batch::Action;
@@ -77,6 +78,32 @@
         });
     }
 
+    /// Handles the answer that an order for a host is carried out, now or earlier. If an earlier order
+    /// may have been, the executor that is listed may have started since then, so it's asked; else it
+    /// has ended.
+    pub(super) fn on_order_done(&mut self, now: Now, host: &HostName) {
+        if self.unsettled.contains(host) {
+            info!(self.log, "order for a host may have been carried out earlier; asking its executor";
+                "host" => %host);
+            return self.ask_executors(now, host);
+        }
+        self.retire_executors(now, host);
+    }
+
+    /// Notes whether an order for a host may have been carried out unnoticed.
+    pub(super) fn note_order_result(&mut self, host: &HostName, result: &Result<(), OrderError>) {
+        match result {
+            Err(OrderError::Silent) => {
+                self.unsettled.insert(host.clone());
+            }
+            Ok(()) | Err(OrderError::Gone) => {
+                self.unsettled.remove(host);
+            }
+            // Other refusals tell nothing of earlier orders.
+            Err(_) => {}
+        }
+    }
+
     fn drop_order(&mut self, now: Now, order: HostOrder) {
         match order {
             HostOrder::Transfer(order) => {
--- a/src/batch/dispatcher/maintenance.rs
+++ b/src/batch/dispatcher/maintenance.rs
@@ -149,7 +149,7 @@
         match result {
             Ok(()) => {
                 info!(self.log, "maintenance begun"; "host" => %host, "wave" => wave);
-                self.retire_executors(now, host);
+                self.on_order_done(now, host);
             }
             Err(OrderError::Fenced) => {
                 warn!(self.log, "order fenced by a later owner; ending the term";
@@ -158,6 +158,7 @@
             }
             Err(err) => warn!(self.log, "maintenance order failed"; "host" => %host, "why" => %err),
         }
+        self.note_order_result(host, &result);
         if self.waves.on_answer(now.at, *wave, host, result) {
             let (wave, host) = (*wave, host.clone());
             self.append(vec![Record::HostMaintained { wave, host }]);
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -96,7 +96,7 @@
         match &result {
             Ok(()) => {
                 info!(self.log, "move begun"; "host" => %host, "pool" => %pool);
-                self.retire_executors(now, host);
+                self.on_order_done(now, host);
             }
             Err(OrderError::Fenced) => {
                 warn!(self.log, "order fenced by a later owner; ending the term";
@@ -105,6 +105,7 @@
             }
             Err(err) => warn!(self.log, "move order failed"; "host" => %host, "why" => %err),
         }
+        self.note_order_result(host, &result);
         self.pools.on_answer(now.at, host, result);
         self.mark_usable(now);
         self.dirty = true;
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod gangs;
 mod handover;
+mod host_answers;
 mod idle_work;
 mod large;
 mod largest;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -56,6 +56,9 @@
 /// Duration (in milliseconds) and outcome of a run, by task and run number.
 pub type Script = Box<dyn Fn(&TaskId, u64) -> (u64, RunOutcome)>;
 
+/// Whether a step may run on an executor.
+pub type AdvicePolicy = Box<dyn Fn(&StepId, &ExecutorId) -> bool>;
+
 /// A host and the executor that runs on it, if any.
 struct HostState {
     pool: ServiceName,
@@ -102,6 +105,8 @@
     pub wave_states: BTreeMap<u64, WaveState>,
     /// Hosts taken down for maintenance, in order.
     pub maintained: Vec<HostName>,
+    /// Waves and hosts taken down for them.
+    pub maintained_in: BTreeSet<(u64, HostName)>,
     /// Pace orders in order: task and pace in percent.
     pub pace_orders: Vec<(TaskId, u64)>,
     /// Executors on which every run fails after 20 ms.
@@ -111,7 +116,9 @@
     /// Number of requests to the advice service.
     pub consultations: usize,
     /// Whether the advice service permits a step on an executor.
-    pub permits: Box<dyn Fn(&StepId, &ExecutorId) -> bool>,
+    pub permits: AdvicePolicy,
+    /// Orders for hosts are carried out, but their answers are lost.
+    pub host_answers_lost: bool,
     /// The advice service answers no requests.
     pub advice_down: bool,
     /// Executors refuse starts without a ticket.
@@ -199,11 +206,13 @@
             done: BTreeSet::new(),
             wave_states: BTreeMap::new(),
             maintained: Vec::new(),
+            maintained_in: BTreeSet::new(),
             pace_orders: Vec::new(),
             failing: BTreeSet::new(),
             moves: 0,
             consultations: 0,
             permits: Box::new(|_, _| true),
+            host_answers_lost: false,
             advice_down: false,
             needs_ticket: false,
             host_ms: 0,
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -89,24 +89,28 @@
             }
             Action::Maintain(order) => {
                 let known = self.hosts.contains_key(&order.host);
-                let result = if known { Ok(()) } else { Err(OrderError::Gone) };
-                if known {
+                let mut result = if known { Ok(()) } else { Err(OrderError::Gone) };
+                // An order that is repeated finds the host away or maintained.
+                if self.is_away(&order.host) {
+                    result = Err(OrderError::Away);
+                } else if known && self.maintained_in.insert((order.wave, order.host.clone())) {
                     self.maintained.push(order.host.clone());
                     self.take_down(&order.host.clone(), None);
                 }
-                owner.schedule(now, ROUND_TRIP_MS, Event::Maintained { order, result });
+                let delay = self.lose_host_answer(&mut result);
+                owner.schedule(now, delay, Event::Maintained { order, result });
             }
             Action::Transfer(order) => {
                 self.moves += 1;
-                self.take_down(&order.host.clone(), Some(order.pool.clone()));
-                owner.schedule(
-                    now,
-                    ROUND_TRIP_MS,
-                    Event::Transferred {
-                        order,
-                        result: Ok(()),
-                    },
-                );
+                let mut result = Ok(());
+                // An order that is repeated finds the host away or moved.
+                if self.is_away(&order.host) {
+                    result = Err(OrderError::Away);
+                } else if self.pool_of(&order.host) != Some(&order.pool) {
+                    self.take_down(&order.host.clone(), Some(order.pool.clone()));
+                }
+                let delay = self.lose_host_answer(&mut result);
+                owner.schedule(now, delay, Event::Transferred { order, result });
             }
             Action::Report { wave, state } => {
                 self.wave_states.insert(wave, state);
@@ -125,6 +129,16 @@
         }
     }
 
+    /// Replaces the answer to an order for a host if answers are lost; returns the time until it
+    /// arrives, in milliseconds.
+    fn lose_host_answer(&self, result: &mut Result<(), OrderError>) -> u64 {
+        if !self.host_answers_lost {
+            return ROUND_TRIP_MS;
+        }
+        *result = Err(OrderError::Silent);
+        ORDER_TIMEOUT_MS
+    }
+
     /// An executor; [`OrderError::Silent`] if the owner doesn't reach it or it is down, and
     /// [`OrderError::Reborn`] if another one takes orders at that address.
     fn reachable_executor(
--- a/tests/batch/simulation/hosts.rs
+++ b/tests/batch/simulation/hosts.rs
@@ -139,6 +139,17 @@
         *previous = host_state;
     }
 
+    /// Pool of a host.
+    pub(super) fn pool_of(&self, host: &HostName) -> Option<&ServiceName> {
+        self.hosts.get(host).map(|host_state| &host_state.pool)
+    }
+
+    /// Whether a host is down for a move or for maintenance.
+    pub(super) fn is_away(&self, host: &HostName) -> bool {
+        let host_state = self.hosts.get(host);
+        host_state.is_some_and(|host_state| host_state.back_at.is_some())
+    }
+
     /// Executors of a pool that are up and don't drain.
     pub fn executors_of(&self, pool: &str) -> impl Iterator<Item = &FakeExecutor> {
         let pool = service(pool);
