--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -11,6 +11,7 @@
 use crate::batch::Host;
 use crate::batch::HostPhase;
 use crate::batch::Now;
+use crate::batch::Obstacle;
 use crate::batch::OrderError;
 use crate::batch::Resources;
 use crate::batch::Transfer;
@@ -75,14 +76,23 @@
         for view in views {
             let idle = view.hosts.iter().filter(|member| member.idle).count();
             let executors = self.executors.values();
+            let executors: Vec<_> = executors
+                .filter(|executor| executor.service == view.service)
+                .collect();
             let unknown = executors
-                .filter(|executor| executor.has_unknown_runs() && executor.service == view.service);
-            let blocked = self.backlog.of(&view.service);
-            let blocked = blocked.map_or(0, ServiceBacklog::blocked);
+                .iter()
+                .filter(|executor| executor.has_unknown_runs());
+            let obstacles = executors
+                .iter()
+                .filter_map(|executor| executor.obstacle(now.at));
+            let backlog = self.backlog.of(&view.service);
+            let blocked = backlog.map_or(0, ServiceBacklog::blocked);
             info!(self.log, "pool summary"; "service" => %view.service, "hosts" => view.hosts.len(),
                 "idle" => idle, "need" => view.need, "late" => view.late_cpu,
                 "forecast" => view.forecast, "floor" => view.min_hosts,
-                "lacking" => view.extra_hosts, "unheard" => unknown.count(), "held" => blocked);
+                "lacking" => view.extra_hosts, "unheard" => unknown.count(), "held" => blocked,
+                "jobs" => backlog.map_or(0, ServiceBacklog::len), "executors" => executors.len(),
+                "without_work" => Obstacle::summary(obstacles));
         }
     }
 
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use crate::batch::Executor;
+use crate::batch::Obstacle;
 use crate::batch::Partitions;
 use crate::batch::Resources;
 use crate::batch::TaskId;
@@ -255,17 +256,31 @@
     /// Whether it can be given work now.
     #[must_use]
     pub fn can_take_work(&self, now: Instant) -> bool {
+        self.obstacle(now).is_none()
+    }
+
+    /// Why it can't be given work now; `None` if it can.
+    #[must_use]
+    pub fn obstacle(&self, now: Instant) -> Option<Obstacle> {
         let backing_off = self.backoff_until.is_some_and(|until| now < until);
-        let known = self.reported && self.assignment == Assignment::Recorded;
-        let stays = self.info.as_ref().is_some_and(|info| !info.draining);
-        known
-            && stays
-            && self.usable
-            && !self.is_retired()
-            && !self.heartbeat_failed
-            && !self.is_confirmation_due()
-            && !backing_off
-            && !self.is_overdue(now)
+        let draining = self.info.as_ref().is_some_and(|info| info.draining);
+        let obstacles = [
+            (self.info.is_none(), Obstacle::Unlisted),
+            (draining, Obstacle::Draining),
+            (!self.usable, Obstacle::Unusable),
+            (self.is_retired(), Obstacle::Retired),
+            (
+                self.assignment != Assignment::Recorded,
+                Obstacle::Unassigned,
+            ),
+            (!self.reported, Obstacle::Unreported),
+            (self.heartbeat_failed, Obstacle::Silent),
+            (self.is_confirmation_due(), Obstacle::Unconfirmed),
+            (backing_off, Obstacle::BackingOff),
+            (self.is_overdue(now), Obstacle::Overdue),
+        ];
+        let found = obstacles.into_iter().find(|(applies, _)| *applies);
+        found.map(|(_, obstacle)| obstacle)
     }
 
     /// Returns when its runs are expected to have ended.
--- a/src/batch/service_backlog.rs
+++ b/src/batch/service_backlog.rs
@@ -50,6 +50,12 @@
         self.jobs == 0
     }
 
+    /// Returns the number of jobs.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.jobs
+    }
+
     /// Returns the load of all jobs.
     #[must_use]
     pub const fn load(&self) -> &ServiceLoad {
