--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -337,7 +337,7 @@
     #[must_use]
     pub fn answer(&self, request: &OwnerRequest) -> OwnerResponse {
         match request {
-            OwnerRequest::State(queue, id) => OwnerResponse::State(self.job_state(queue, *id)),
+            OwnerRequest::State(_, id) => OwnerResponse::State(self.job_state(*id)),
             OwnerRequest::Waiting(queue) => OwnerResponse::Waiting(self.waiting_jobs(queue)),
             OwnerRequest::Accept(job, _) if self.state.jobs.contains(&job.id) => {
                 OwnerResponse::Stored
--- a/src/batch/dispatcher/jobs.rs
+++ b/src/batch/dispatcher/jobs.rs
@@ -20,15 +20,10 @@
 const CLOSED_RETENTION_MS: u64 = 150_000;
 
 impl Dispatcher {
-    pub(super) fn job_state(&self, queue: &QueueName, id: JobId) -> Option<JobState> {
-        let entry = self.state.jobs.get(&id)?;
-        (entry.job.queue == *queue).then(|| entry.state())
-    }
-
-    /// Whether there is a job with this id, whatever its queue.
-    #[must_use]
-    pub fn knows(&self, id: &JobId) -> bool {
-        self.state.jobs.contains(id)
+    /// Returns the state of a job, whatever its queue: a configuration may have given the queue another
+    /// name.
+    pub(super) fn job_state(&self, id: JobId) -> Option<JobState> {
+        self.state.jobs.get(&id).map(JobProgress::state)
     }
 
     pub(super) fn waiting_jobs(&self, queue: &QueueName) -> u64 {
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -300,7 +300,7 @@
         let doubtful = !current || read_age > Duration::from_millis(STALE_MS);
         if let OwnerRequest::State(queue, id) = request {
             info!(self.log, "job unknown to the owner"; "job" => %id, "queue" => %queue, "fence" => self.fence,
-                "read_age_ms" => millis(read_age), "exclusive" => current, "other_queue" => dispatcher.knows(id),
+                "read_age_ms" => millis(read_age), "exclusive" => current,
                 "confirmed_age_ms" => millis(self.tenure.borrow().confirmed().elapsed()));
         }
         if doubtful {
