--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -37,6 +37,9 @@
 const WAITS_INTERVAL_MS: u64 = 500;
 /// Time for which a task is not started again on the executor where it failed, in milliseconds.
 const AVOID_MS: u64 = 1_000;
+/// Time after which an executor gets the next heartbeat though its ends are not in the log yet, in
+/// milliseconds.
+const LOG_WAIT_MS: u64 = 1_500;
 /// Shortest time between two heartbeats to an executor that reports no new ends, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 150;
 
@@ -45,7 +48,8 @@
     pub(super) fn send_heartbeats(&mut self, now: Now) {
         let lease = self.lease(now.at);
         for (id, executor) in &mut self.executors {
-            let HeartbeatState::Due(due) = executor.heartbeat else {
+            let (HeartbeatState::Due(due) | HeartbeatState::AwaitingLog(due)) = executor.heartbeat
+            else {
                 continue;
             };
             if due > now.at || !executor.is_heartbeat_needed(now.at) {
@@ -155,14 +159,14 @@
             self.note_reported(id);
         }
         self.dirty |= first;
-        let has_ends = self.apply_ends(now, id, &report.ended);
+        self.apply_ends(now, id, &report.ended);
         self.apply_runs(now, id, &report.running);
         if !report.more_ends {
             self.reconcile(id, sent, &report.running);
             self.stop_stalled(now, id);
         }
         self.pace(id);
-        self.schedule_heartbeat(now, id, sent, first, has_ends);
+        self.schedule_heartbeat(now, id, sent, first);
     }
 
     /// Notes that an executor has reported all runs that earlier owners may have started there.
@@ -203,19 +207,13 @@
         }
     }
 
-    fn schedule_heartbeat(
-        &mut self,
-        now: Now,
-        id: &ExecutorId,
-        sent: Instant,
-        first: bool,
-        has_ends: bool,
-    ) {
+    fn schedule_heartbeat(&mut self, now: Now, id: &ExecutorId, sent: Instant, first: bool) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        if has_ends {
-            executor.heartbeat = HeartbeatState::AwaitingLog;
+        if executor.seen > executor.acked {
+            let latest = now.at + Duration::from_millis(LOG_WAIT_MS);
+            executor.heartbeat = HeartbeatState::AwaitingLog(latest);
             return;
         }
         // After an early answer without new ends, the next heartbeat waits for the interval.
@@ -224,10 +222,10 @@
         executor.heartbeat = HeartbeatState::Due(next.max(now.at));
     }
 
-    /// Applies the ends that were not reported before; returns whether there were any.
-    fn apply_ends(&mut self, now: Now, id: &ExecutorId, ends: &[RunEnd]) -> bool {
+    /// Applies the ends that were not reported before.
+    fn apply_ends(&mut self, now: Now, id: &ExecutorId, ends: &[RunEnd]) {
         let Some(executor) = self.executors.get_mut(id) else {
-            return false;
+            return;
         };
         let seen = executor.seen;
         let new_ends: Vec<RunEnd> = ends
@@ -236,7 +234,7 @@
             .cloned()
             .collect();
         let Some(highest) = new_ends.iter().map(|end| end.number).max() else {
-            return false;
+            return;
         };
         executor.seen = highest;
         self.dirty = true;
@@ -260,7 +258,6 @@
                 jobs,
             },
         );
-        true
     }
 
     /// Applies the end of a run; returns whether its job is known, so that the end must be logged.
@@ -310,7 +307,7 @@
             if executor.seen >= ends.number {
                 executor.acked = executor.acked.max(ends.number);
             }
-            if executor.heartbeat == HeartbeatState::AwaitingLog {
+            if matches!(executor.heartbeat, HeartbeatState::AwaitingLog(_)) {
                 executor.heartbeat = HeartbeatState::Due(now.at);
             }
         }
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -53,8 +53,8 @@
     Due(Instant),
     /// Not before the heartbeat that was sent at this time is answered.
     Sent(Instant),
-    /// Once the ends that it reported are in the log.
-    AwaitingLog,
+    /// Once the ends that it reported are in the log; at this time at the latest, to renew its leases.
+    AwaitingLog(Instant),
 }
 
 /// An executor, its leases and its runs.
--- a/tests/batch/leases.rs
+++ b/tests/batch/leases.rs
@@ -57,6 +57,27 @@
     assert_eq!(sim.starts.len(), 2);
 }
 
+/// Guards against runs that end in an outage of the store which is shorter than their owner may go on without
+/// it: no lease was renewed on an executor with ends that were not in the log yet.
+#[test]
+fn leases_go_on_while_ends_wait_for_the_log() {
+    let mut sim = site(100);
+    sim.script = Box::new(|task, _| {
+        let ms = if task.index % 2 == 0 { 600 } else { 12_000 };
+        (ms, RunOutcome::Done)
+    });
+    sim.submit(1, "captions", vec![step(12)]);
+    sim.run(300);
+    sim.owner().store_down = true;
+    sim.run(5_500);
+    let running: usize = sim.fakes.values().map(|fake| fake.runs.len()).sum();
+    sim.restore_store();
+    assert_eq!(running, 6, "some runs lapsed");
+    sim.run(8_000);
+    assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
+    assert_eq!(sim.starts.len(), 12);
+}
+
 /// Guards against leases that are too short to start anything after a time without work.
 #[test_case(98)]
 #[test_case(100)]
