--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -102,6 +102,21 @@
     assert_eq!(sim.done.len() as u64, JOBS * 16);
 }
 
+/// Guards against a job that stands still for longer than the users bear: 3 s, from 4 s after the last
+/// disruption on. The owner and the executor of its only task are lost at the same moment, and until a
+/// next owner is elected 1.5 s may pass.
+#[test]
+fn a_job_whose_executor_and_owner_are_lost_goes_on_within_seven_seconds() {
+    let mut sim = Simulation::new(&[("captions", 9)]);
+    sim.script = Box::new(|_, _| (20_000, RunOutcome::Done));
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.run(1_500);
+    silence_executor(&mut sim, Silence::Dead);
+    sim.replace_owner(2);
+    sim.run(7_000 - 1_500);
+    assert_eq!(sim.starts.len(), 2, "nothing runs of the job");
+}
+
 /// An executor becomes unreachable long before the owner crashes.
 #[test]
 fn an_owner_does_not_wait_for_executors_whose_leases_an_earlier_one_saw_lapse() {
