--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The scheduler of a site: assigns tasks to executors and hosts to pools.
 
 mod backlog;
+mod confirmation;
 mod executors;
 mod heartbeats;
 mod host_orders;
@@ -55,8 +56,6 @@
 use crate::batch::dispatcher::pending_ends::PendingEnds;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_state::ExecutorState;
-use crate::batch::executor_state::LEASE_MS;
-use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
 use crate::batch::host_capacity::HostCapacity;
 use crate::batch::pool_balancer::PoolBalancer;
 use crate::batch::round::Round;
@@ -70,12 +69,6 @@
 use crate::name::ServiceName;
 use crate::name::TeamName;
 
-/// Time after a request to the election that named this process in which no other process can be
-/// elected, unless this one leaves, in milliseconds.
-const EXCLUSIVE_MS: u64 = 900;
-/// Shortest lease that is granted, in milliseconds.
-const MIN_LEASE_MS: u64 = 500;
-
 /// The state machine of one owner's term. It takes events and returns actions, reads no clock and
 /// does no I/O.
 pub struct Dispatcher {
@@ -264,28 +257,6 @@
         self.stop_deadline = now.at + Duration::from_millis(stop);
     }
 
-    /// Notes that the election confirmed this owner in answer to a request sent at `asked`.
-    pub fn confirm(&mut self, asked: Instant) {
-        // Tasks may have waited for the confirmation.
-        self.dirty |= !self.is_exclusive(asked);
-        self.confirmed = asked;
-    }
-
-    /// Whether no other owner can have been elected. If so, no other owner can have started a run
-    /// or recorded an end that this one does not know of.
-    #[must_use]
-    pub fn is_exclusive(&self, now: Instant) -> bool {
-        now < self.confirmed + Duration::from_millis(EXCLUSIVE_MS)
-    }
-
-    /// Length of a lease granted now, in milliseconds; `None` if too little of the term is left.
-    fn lease(&self, now: Instant) -> Option<u64> {
-        let end = self.confirmed + Duration::from_millis(MAX_UNCONFIRMED_MS);
-        let left = end.saturating_duration_since(now).as_millis();
-        let lease = LEASE_MS.min(left as u64);
-        (lease >= MIN_LEASE_MS).then_some(lease)
-    }
-
     /// Applies an event. [`Self::poll`] returns the resulting actions.
     pub fn handle(&mut self, now: Now, event: Event) {
         match event {
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -1,5 +1,7 @@
 //! An owner's term: runs the dispatcher and carries out its actions.
 
+mod answers;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -7,7 +9,6 @@
 use std::time::Instant;
 
 use futures_channel::mpsc::UnboundedReceiver;
-use futures_channel::oneshot;
 use futures_util::StreamExt;
 use slog::Logger;
 use slog::info;
@@ -21,8 +22,6 @@
 use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::OwnerLoad;
-use crate::batch::OwnerRequest;
-use crate::batch::OwnerResponse;
 use crate::batch::OwnerTask;
 use crate::batch::PauseDetector;
 use crate::batch::Platform;
@@ -38,7 +37,6 @@
 use crate::batch::takeover::Takeover;
 use crate::batch::tenure::Tenure;
 use crate::batch::watchers;
-use crate::log::AppendError;
 use crate::name::NodeName;
 use crate::observe::unix_millis;
 
@@ -46,10 +44,6 @@
 const TICK_MS: u64 = 40;
 /// Time between two polls while tasks may be waiting to be started, in milliseconds.
 const DIRTY_TICK_MS: u64 = 5;
-/// Age of the last complete read of the gates' stream from which on a job that is not found may be
-/// in it, in milliseconds.
-const STALE_MS: u64 = 2_000;
-
 /// State shared by the tasks of a term.
 pub(super) struct Term<P> {
     pub platform: Rc<P>,
@@ -241,74 +235,6 @@
         appender.append(&[record], None, Box::new(on_result));
     }
 
-    /// Answers a gate: at once, or when the append that it asks for has ended.
-    fn answer(
-        &self,
-        dispatcher: &mut Dispatcher,
-        appender: &Appender,
-        request: OwnerRequest,
-        reply: oneshot::Sender<OwnerResponse>,
-    ) {
-        let answer = dispatcher.answer(&request);
-        let answer = self.without_doubt(dispatcher, &request, answer);
-        let (records, wait) = match (request, answer) {
-            (OwnerRequest::Accept(job, wait), OwnerResponse::Unknown) => {
-                let grant = (job.id, dispatcher.initial_partitions(&job));
-                let grant = Record::Granted(vec![grant]);
-                (vec![Record::Accepted(job), grant], wait)
-            }
-            (OwnerRequest::Cancel(id, wait), _) => (vec![Record::Cancelled(id)], wait),
-            (_, answer) => {
-                // The receiver is gone if the gate has timed out.
-                let _ = reply.send(answer);
-                return;
-            }
-        };
-        let deadline = Instant::now() + Duration::from_millis(wait);
-        let inbox = self.inbox.clone();
-        let stored = records.clone();
-        let on_result = move |result| {
-            let answer = match result {
-                Ok(()) => {
-                    // The dispatcher has to know of the records before the client does.
-                    inbox.send(Message::Event(Event::Stored(stored)));
-                    OwnerResponse::Stored
-                }
-                Err(AppendError::NotAppended(_)) => OwnerResponse::NotAppended,
-                Err(AppendError::Unknown(_)) => OwnerResponse::Unknown,
-                Err(AppendError::Fenced) => OwnerResponse::Superseded,
-            };
-            let _ = reply.send(answer);
-        };
-        appender.append(&records, Some(deadline), Box::new(on_result));
-    }
-
-    /// Returns an answer, or `Unknown` in place of one that says that there is no such job, if there
-    /// may be one: in a part of the gates' stream that was not read yet, or accepted by a later owner
-    /// that this one has not heard of.
-    fn without_doubt(
-        &self,
-        dispatcher: &Dispatcher,
-        request: &OwnerRequest,
-        answer: OwnerResponse,
-    ) -> OwnerResponse {
-        if answer != OwnerResponse::State(None) {
-            return answer;
-        }
-        let read_age = self.last_read.get().elapsed();
-        let current = dispatcher.is_exclusive(Instant::now());
-        let doubtful = !current || read_age > Duration::from_millis(STALE_MS);
-        if let OwnerRequest::State(queue, id) = request {
-            info!(self.log, "job unknown to the owner"; "job" => %id, "queue" => %queue, "fence" => self.fence,
-                "read_age_ms" => millis(read_age), "exclusive" => current,
-                "confirmed_age_ms" => millis(self.tenure.borrow().confirmed().elapsed()));
-        }
-        if doubtful {
-            return OwnerResponse::Unknown;
-        }
-        answer
-    }
-
     /// Appends records that the dispatcher asked for.
     fn append(&self, appender: &Appender, append_id: u64, records: &[Record]) {
         let inbox = self.inbox.clone();
--- a/tests/batch/host_answers.rs
+++ b/tests/batch/host_answers.rs
@@ -16,7 +16,7 @@
 #[test_case(true; "another owner repeats the orders")]
 fn executors_that_come_up_after_a_lost_answer_get_work(lost_owner: bool) {
     let mut sim = Simulation::new(&[("captions", 3), ("plaques", 2)]);
-    sim.host_answers_lost = true;
+    sim.answers_lost = true;
     sim.request_wave(&["captions-0", "captions-1", "captions-2"], 20_000, 3);
     sim.run(1_000);
     assert_eq!(sim.maintained.len(), 3);
@@ -24,7 +24,7 @@
         sim.replace_owner(2);
     }
     sim.run(3_000);
-    sim.host_answers_lost = false;
+    sim.answers_lost = false;
     sim.run(12_000);
     let job = sim.submit(1, "captions", vec![step(30)]);
     sim.run(3_000);
@@ -37,12 +37,12 @@
 fn runs_on_an_executor_that_came_up_after_a_lost_answer_go_on() {
     let mut sim = Simulation::new(&[("captions", 2), ("plaques", 2)]);
     sim.script = Box::new(|_, _| (6_000, RunOutcome::Done));
-    sim.host_answers_lost = true;
+    sim.answers_lost = true;
     sim.request_wave(&["captions-0", "captions-1"], 20_000, 2);
     sim.run(2_600);
     let job = sim.submit(1, "captions", vec![step(20)]);
     sim.run(1_000);
-    sim.host_answers_lost = false;
+    sim.answers_lost = false;
     sim.run(14_000);
     assert_eq!(sim.job_state("captions", job), JobState::Completed);
     let tasks: BTreeSet<_> = sim.starts.iter().map(|start| start.1).collect();
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -118,7 +118,7 @@
     /// Whether the advice service permits a step on an executor.
     pub permits: AdvicePolicy,
     /// Orders for hosts are carried out, but their answers are lost.
-    pub host_answers_lost: bool,
+    pub answers_lost: bool,
     /// The advice service answers no requests.
     pub advice_down: bool,
     /// Executors refuse starts without a ticket.
@@ -212,7 +212,7 @@
             moves: 0,
             consultations: 0,
             permits: Box::new(|_, _| true),
-            host_answers_lost: false,
+            answers_lost: false,
             advice_down: false,
             needs_ticket: false,
             host_ms: 0,
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -132,7 +132,7 @@
     /// Replaces the answer to an order for a host if answers are lost; returns the time until it
     /// arrives, in milliseconds.
     fn lose_host_answer(&self, result: &mut Result<(), OrderError>) -> u64 {
-        if !self.host_answers_lost {
+        if !self.answers_lost {
             return ROUND_TRIP_MS;
         }
         *result = Err(OrderError::Silent);
