--- a/review/standin-2/sim.py
+++ b/review/standin-2/sim.py
@@ -25,6 +25,8 @@
 APPEND_S = 0.002
 # A case takes 120 s at most.
 LONGEST_S = 118
+# Status by which a case says that the rule was broken. Python itself ends with 1 after any error.
+BROKEN_STATUS = 10
 
 
 class CannotRun(Exception):
@@ -901,7 +903,7 @@
 
 
 def main(folder, play):
-    """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    """Plays a case; exits with `BROKEN_STATUS` if the rule was broken, 0 if it held, 2 if it couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
@@ -928,4 +930,4 @@
         print(f"could not run: {err}")
         sys.exit(2)
     print(("broken: " if broken else "held: ") + why)
-    sys.exit(1 if broken else 0)
+    sys.exit(BROKEN_STATUS if broken else 0)
