A task no longer runs twice after its idle executor has restarted unnoticed

Seen by callers: a task of theirs runs on two executors for 0.9 s.

Cause: a deadline is a time on the executor's clock, and the owner reckoned it from the clock that the executor's earlier process had stated. On the new process's clock it lay far ahead, so the lease was as long as hold_max_ms allows (6 s, or 10 s) and not 4.5 s, and the owner's wait of 4.8 s was too short. Ruled out: a lost stop, a lease renewed behind the cut.

Change: an executor is given work only if its process has just answered; otherwise it is asked first. The clock in the answer to a start is compared with the last reading. A lease that another process took counts until hold_max_ms is over. The look every 30 s at idle executors is needless now.

Tests: leases::a_task_does_not_run_twice_when_its_executor_restarted_unnoticed (five cases) and .._and (answer lost) failed before, 6 of 7, and hold now. The fake executors shorten leases as real ones do. load::placements_that_the_limit_on_starts_ended_are_counted expects two placements in place of one: the first asks the idle executors and starts what fits on the others, and meets the limit as well. The count had left out a placement whose last step was cut short by the limit; it is counted now, and the test is as exact as before.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -56,6 +56,7 @@
 use crate::batch::dispatcher::pending_ends::PendingEnds;
 use crate::batch::executor_capacity::SiteCapacity;
 use crate::batch::executor_state::ExecutorState;
+use crate::batch::executor_state::longest_expiry;
 use crate::batch::host_capacity::HostCapacity;
 use crate::batch::pool_balancer::PoolBalancer;
 use crate::batch::round::Round;
@@ -69,6 +70,9 @@
 use crate::name::ServiceName;
 use crate::name::TeamName;
 
+/// Longest lease that an executor grants unless the platform says otherwise, in milliseconds.
+const LEASE_LIMIT_MS: u64 = 10_000;
+
 /// The state machine of one owner's term. It takes events and returns actions, reads no clock and
 /// does no I/O.
 pub struct Dispatcher {
@@ -133,6 +137,9 @@
     retention: u64,
     // When the last request was sent in answer to which the election confirmed this owner.
     confirmed: Instant,
+    // Longest time until a lease has expired that an executor has shortened to the longest that it
+    // grants.
+    longest_lease: Duration,
     // Until then, runs that an earlier owner stopped may be reported as running.
     stop_deadline: Instant,
     // When the log was last checked for records to rewrite.
@@ -223,6 +230,7 @@
             last_append: 0,
             retention: u64::MAX,
             confirmed: now.at,
+            longest_lease: longest_expiry(LEASE_LIMIT_MS),
             stop_deadline: now.at,
             last_check: now.at,
             last_rewrite: now.unix,
@@ -251,6 +259,11 @@
         self.retention = retention;
     }
 
+    /// Sets the longest lease that an executor grants, in milliseconds on its clock.
+    pub fn set_lease_limit(&mut self, limit: u64) {
+        self.longest_lease = longest_expiry(limit);
+    }
+
     /// Sets how long an executor takes to stop a run, in milliseconds. For that long, executors may
     /// report runs as running that an earlier owner stopped.
     pub fn set_stop_time(&mut self, now: Now, stop: u64) {
--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -258,7 +258,8 @@
         }
     }
 
-    /// Drops all runs of an executor that has restarted.
+    /// Drops all runs of an executor that has restarted. Leases that were meant for its earlier
+    /// process may be as long as any on the new one.
     pub(super) fn reset(&mut self, now: Now, id: &ExecutorId) {
         info!(self.log, "executor restarted"; "executor" => %id);
         self.remove_runs(id);
@@ -270,9 +271,11 @@
         executor.acked = 0;
         executor.more_ends = false;
         executor.clock = None;
+        executor.verified = None;
         executor.reported = false;
         executor.runs_known = true;
         executor.expires = now.at;
+        executor.extend_expiry(self.longest_lease);
         if !matches!(executor.heartbeat, HeartbeatState::Sent(_)) {
             executor.heartbeat = HeartbeatState::Due(now.at);
         }
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -17,6 +17,7 @@
 use crate::batch::RunEnd;
 use crate::batch::RunOutcome;
 use crate::batch::Target;
+use crate::batch::clock_reading::ClockReading;
 use crate::batch::dispatcher::pending_ends::PendingEnds;
 use crate::batch::executor_state::Assignment;
 use crate::batch::executor_state::HeartbeatState;
@@ -52,12 +53,10 @@
             else {
                 continue;
             };
-            if due > now.at || !executor.is_heartbeat_needed(now.at) {
+            if due > now.at || !executor.is_heartbeat_needed() {
                 continue;
             }
-            let settled =
-                executor.reported && !executor.heartbeat_failed && !executor.is_confirmation_due();
-            let renewed = lease.filter(|_| settled);
+            let renewed = lease.filter(|_| executor.is_settled());
             let deadline = renewed.and_then(|lease| {
                 executor.renew(now.at);
                 executor.deadline(now.at, lease)
@@ -153,7 +152,13 @@
         executor.heartbeat_failed = false;
         executor.missed = 0;
         executor.unanswered_since = executor.unanswered_since.filter(|&since| since > sent);
-        executor.clock = Some((report.clock, now.at));
+        // Tasks may have waited for the answer.
+        self.dirty |= executor.asked.is_some();
+        executor.note_clock(ClockReading {
+            clock: report.clock,
+            sent,
+            received: now.at,
+        });
         executor.more_ends = report.more_ends;
         if !report.more_ends || executor.runs_known {
             self.note_reported(id);
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -82,6 +82,7 @@
             return;
         }
         self.effort.placements += 1;
+        let throttled = std::mem::take(&mut self.throttled);
         self.mark_excess();
         self.update_backlog(now);
         let unknown_usage = self.unknown_usage();
@@ -91,7 +92,6 @@
         let mut orders = backlog.orders(&self.turns, &self.rounds, &self.starts, is_open);
         while let Some((order, position)) = next_order(&mut orders) {
             if self.starts.len() >= START_LIMIT {
-                self.effort.limited += 1;
                 self.throttled = true;
                 break;
             }
@@ -112,6 +112,8 @@
         let left = orders.iter().any(|order| !order.is_complete());
         // After the limit on unanswered starts was reached, the next answer sets `dirty`.
         self.unfinished = left && !self.throttled;
+        self.effort.limited += u64::from(self.throttled);
+        self.throttled |= throttled;
         let rounds = orders
             .iter()
             .map(|order| (order.service().clone(), order.round()));
@@ -285,12 +287,38 @@
         if !asking {
             self.note_extra_hosts(&job, step, left);
         }
-        for (index, executor, run) in starts {
+        let all = step.gang;
+        for (index, executor, run) in self.verified_only(now, all, starts) {
             self.start(now, &executor, step_id.task(index), run);
         }
         false
     }
 
+    /// Returns the starts on executors that can't have restarted since they last answered, and asks the
+    /// others whether they have. Returns none if `all` are wanted and some are left out.
+    fn verified_only(
+        &mut self,
+        now: Now,
+        all: bool,
+        mut starts: Vec<(u32, ExecutorId, u64)>,
+    ) -> Vec<(u32, ExecutorId, u64)> {
+        let planned = starts.len();
+        starts.retain(|(_, id, _)| {
+            let Some(executor) = self.executors.get_mut(id) else {
+                return false;
+            };
+            let verified = executor.is_verified(now.at);
+            if !verified {
+                executor.ask(now.at);
+            }
+            verified
+        });
+        if all && starts.len() < planned {
+            starts.clear();
+        }
+        starts
+    }
+
     /// Notes the hosts that long-running tasks of a step lack: one, unless the number of its tasks
     /// on one executor is limited. Without further hosts, the tasks would wait until others end, so
     /// hosts are moved to their pool. Steps that require a label are left out, as labels are known
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -11,9 +11,12 @@
 use crate::batch::Now;
 use crate::batch::OrderError;
 use crate::batch::Start;
+use crate::batch::StartAnswer;
 use crate::batch::Stop;
 use crate::batch::Target;
 use crate::batch::TaskId;
+use crate::batch::clock_reading::ClockReading;
+use crate::batch::clock_reading::Continuity;
 use crate::batch::executor_state::HeartbeatState;
 use crate::batch::record::RUNS_PER_FENCE;
 use crate::batch::run_state::Phase;
@@ -96,10 +99,18 @@
         }
     }
 
-    pub(super) fn on_started(&mut self, now: Now, order: &Start, result: Result<(), OrderError>) {
+    pub(super) fn on_started(
+        &mut self,
+        now: Now,
+        order: &Start,
+        result: Result<StartAnswer, OrderError>,
+    ) {
         self.starts.complete(&order.service, order.decided);
         self.dirty |= std::mem::take(&mut self.throttled);
         let id = &order.target.executor;
+        if let Ok(answer) = &result {
+            self.check_process(now, order, answer);
+        }
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -141,6 +152,36 @@
         }
     }
 
+    /// Learns from the clock in the answer to a start whether the order was carried out by the process
+    /// that it was meant for. If that isn't sure, asks the executor.
+    fn check_process(&mut self, now: Now, order: &Start, answer: &StartAnswer) {
+        let id = &order.target.executor;
+        let executor = self.executors.get_mut(id);
+        let (Some(executor), Some(clock)) = (executor, answer.clock) else {
+            return;
+        };
+        let reading = ClockReading {
+            clock,
+            sent: order.decided,
+            received: now.at,
+        };
+        match executor.continuity(&reading) {
+            None => return,
+            Some(Continuity::Same) => return executor.note_clock(reading),
+            Some(Continuity::Unknown) => {}
+            Some(Continuity::Restarted) => {
+                warn!(self.log, "clock behind in the answer to a start; the executor has restarted";
+                    "executor" => %id, "clock_ms" => clock,
+                    "expected_ms" => executor.clock.map(|last| last.reached(reading.sent)));
+            }
+        }
+        executor.extend_expiry(self.longest_lease);
+        executor.verified = None;
+        executor.asked.get_or_insert(now.at);
+        // A heartbeat that was sent before may have gone to the earlier process.
+        executor.heartbeat = HeartbeatState::Due(now.at);
+    }
+
     fn note_started(&mut self, order: &Start) {
         if let Some(entry) = self.state.jobs.get_mut(&order.task.job) {
             entry.started = true;
--- a/src/batch/event.rs
+++ b/src/batch/event.rs
@@ -20,6 +20,7 @@
 use crate::batch::Record;
 use crate::batch::Report;
 use crate::batch::Start;
+use crate::batch::StartAnswer;
 use crate::batch::Stop;
 use crate::batch::Transfer;
 use crate::batch::WaveState;
@@ -67,7 +68,7 @@
         /// The order.
         order: Start,
         /// The answer, or why the order was not carried out.
-        result: Result<(), OrderError>,
+        result: Result<StartAnswer, OrderError>,
     },
     /// Result of a request to the advice service.
     Advised {
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -11,6 +11,9 @@
 use crate::batch::Partitions;
 use crate::batch::Resources;
 use crate::batch::TaskId;
+use crate::batch::clock_reading::ClockReading;
+use crate::batch::clock_reading::Continuity;
+use crate::batch::clock_reading::MIN_CLOCK_PERCENT;
 use crate::batch::in_flight::OVERDUE_MS;
 use crate::batch::run_state::Phase;
 use crate::batch::run_state::RunState;
@@ -28,11 +31,24 @@
 /// Longest time until all leases of earlier owners have expired on executors whose clocks are 2%
 /// slow, counted from the election of the next owner, with a margin, in milliseconds.
 pub const SUCCESSION_MS: u64 = 6_300;
-/// Rate of the slowest clock that an executor may have, in percent of this process's.
-const MIN_CLOCK_PERCENT: u64 = 98;
-/// Age at which the last reading of an executor's clock is replaced by a new one, in milliseconds. Leases get
-/// shorter as it ages.
-const CLOCK_REFRESH_MS: u64 = 30_000;
+/// Time for which an executor counts as the process that answered last, in milliseconds. It must be
+/// shorter than an executor takes to restart.
+const SAME_PROCESS_MS: u64 = 200;
+/// The same while a heartbeat is unanswered that was sent within that time. If the process ends, so
+/// does the heartbeat's connection.
+const AWAITED_PROCESS_MS: u64 = 1_250;
+/// Time after which an answer to a heartbeat says too little about the present, in milliseconds.
+const LATE_ANSWER: Duration = Duration::from_millis(1_500);
+
+/// Margin in the time that is waited for a lease of the longest length to expire, in milliseconds.
+const EXPIRY_MARGIN_MS: u64 = 200;
+
+/// Returns the longest time from the order for a lease until it has expired on an executor whose
+/// clock is 2% slow and which grants at most `limit` milliseconds on its clock.
+#[must_use]
+pub fn longest_expiry(limit: u64) -> Duration {
+    Duration::from_millis(limit.saturating_mul(100) / MIN_CLOCK_PERCENT + EXPIRY_MARGIN_MS)
+}
 
 /// Whether the log lists an executor as one that may have work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,10 +115,16 @@
     pub unanswered_since: Option<Instant>,
     /// It gets no new work before this time.
     pub backoff_until: Option<Instant>,
-    /// Its clock in its last report, in milliseconds, and when the report came.
-    pub clock: Option<(u64, Instant)>,
+    /// The last reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// When its process last answered, unless that answer was late.
+    pub verified: Option<Instant>,
+    /// Since when work waits for it to tell whether it has restarted.
+    pub asked: Option<Instant>,
     /// When all leases on it have expired, even if its clock is slow.
     pub expires: Instant,
+    /// When an order was last sent that grants or renews a lease.
+    pub renewed: Option<Instant>,
     /// When its next heartbeat is due.
     pub heartbeat: HeartbeatState,
     /// Highest number of the run ends that it reported.
@@ -161,7 +183,10 @@
             unanswered_since: None,
             backoff_until: None,
             clock: None,
+            verified: None,
+            asked: None,
             expires: now + Duration::from_millis(SUCCESSION_MS),
+            renewed: None,
             heartbeat: HeartbeatState::Due(now),
             seen: 0,
             acked: 0,
@@ -236,21 +261,62 @@
     /// clock's rate: its clock shows at least the time reckoned here.
     #[must_use]
     pub fn deadline(&self, now: Instant, lease: u64) -> Option<u64> {
-        let (clock, at) = self.clock?;
-        let since = u64::try_from(now.saturating_duration_since(at).as_millis()).ok()?;
-        let passed = since.saturating_mul(MIN_CLOCK_PERCENT) / 100;
-        Some(clock.saturating_add(passed).saturating_add(lease))
-    }
-
-    /// Whether its clock was last read so long ago that it is to be read again.
-    fn is_clock_old(&self, now: Instant) -> bool {
-        let limit = Duration::from_millis(CLOCK_REFRESH_MS);
-        self.clock.is_some_and(|(_, at)| now >= at + limit)
+        let clock = self.clock?.reached(now);
+        Some(clock.saturating_add(lease))
     }
 
     /// Notes that an order sent at `now` renews its leases.
     pub fn renew(&mut self, now: Instant) {
-        self.expires = now + Duration::from_millis(EXPIRY_MS);
+        self.renewed = Some(now);
+        self.expires = self.expires.max(now + Duration::from_millis(EXPIRY_MS));
+    }
+
+    /// Notes that the process that took the last order for a lease may be another one than the order
+    /// was meant for: the lease may be as long as an executor grants any, which takes `longest`.
+    pub fn extend_expiry(&mut self, longest: Duration) {
+        if let Some(renewed) = self.renewed {
+            self.expires = self.expires.max(renewed + longest);
+        }
+    }
+
+    /// Notes a reading of the clock of the process that is known.
+    pub fn note_clock(&mut self, reading: ClockReading) {
+        self.clock = Some(reading);
+        self.asked = None;
+        self.verified = (!reading.is_late(LATE_ANSWER)).then_some(reading.received);
+    }
+
+    /// Compares a reading in the answer to an order with the last one; `None` if the last one is more
+    /// recent than the order.
+    #[must_use]
+    pub fn continuity(&self, reading: &ClockReading) -> Option<Continuity> {
+        let last = self.clock.filter(|last| last.received <= reading.sent)?;
+        Some(last.continuity(reading))
+    }
+
+    /// Whether it answered so recently that it can't have restarted since. An order that another
+    /// process takes in its place does harm: its deadline is on another clock.
+    #[must_use]
+    pub fn is_verified(&self, now: Instant) -> bool {
+        let Some(verified) = self.verified else {
+            return false;
+        };
+        let until = verified + Duration::from_millis(SAME_PROCESS_MS);
+        let until = match self.heartbeat {
+            HeartbeatState::Sent(at) if at < until => {
+                verified + Duration::from_millis(AWAITED_PROCESS_MS)
+            }
+            _ => until,
+        };
+        now < until
+    }
+
+    /// Asks it whether it has restarted, before it is given work.
+    pub fn ask(&mut self, now: Instant) {
+        self.asked.get_or_insert(now);
+        if !matches!(self.heartbeat, HeartbeatState::Sent(_)) {
+            self.heartbeat = HeartbeatState::Due(now);
+        }
     }
 
     /// Whether it can be given work now.
@@ -290,11 +356,11 @@
         ends.max().unwrap_or(now)
     }
 
-    /// Whether an order to start is overdue for an answer.
+    /// Whether an order to start, or a heartbeat that work waits for, is overdue for an answer.
     fn is_overdue(&self, now: Instant) -> bool {
         let limit = Duration::from_millis(OVERDUE_MS);
-        self.unanswered_since
-            .is_some_and(|since| now >= since + limit)
+        let waiting = [self.unanswered_since, self.asked].into_iter().flatten();
+        waiting.min().is_some_and(|since| now >= since + limit)
     }
 
     /// Whether an order has ended it and it has not started again.
@@ -312,12 +378,12 @@
 
     /// Whether there is a reason to send it a heartbeat.
     #[must_use]
-    pub fn is_heartbeat_needed(&self, now: Instant) -> bool {
+    pub fn is_heartbeat_needed(&self) -> bool {
         let pending = matches!(self.assignment, Assignment::Pending(_));
         let known = !pending && !self.is_retired();
         let has_ends = self.seen > self.acked || self.more_ends;
         let unsettled = !self.reported || !self.runs.is_empty() || has_ends;
-        known && (unsettled || self.is_clock_old(now))
+        known && (unsettled || self.asked.is_some())
     }
 
     /// Whether it may have runs of an earlier owner that this owner does not know of.
@@ -346,20 +412,28 @@
     pub const fn unassign(&mut self) {
         self.runs_known = true;
         self.reported = false;
+        self.verified = None;
         self.wait_recorded = false;
         self.seen = self.acked;
         self.more_ends = false;
         self.assignment = Assignment::None;
     }
 
+    /// Whether its process is known: it has reported, answers, and nothing says that another one has
+    /// taken its place.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let doubtful = self.heartbeat_failed || self.asked.is_some() || self.is_confirmation_due();
+        self.reported && !doubtful
+    }
+
     /// Whether the executor should answer at once instead of waiting for a run to end.
     #[must_use]
     pub fn is_urgent(&self) -> bool {
         let uncertain = |run_state: &RunState| {
             matches!(run_state.phase, Phase::Unconfirmed(_) | Phase::Stopped(_))
         };
-        let unsettled = !self.reported || self.heartbeat_failed || self.is_confirmation_due();
-        unsettled || self.runs.values().any(uncertain)
+        !self.is_settled() || self.runs.values().any(uncertain)
     }
 
     /// Whether its leases have expired and it is still to be unassigned: it has unknown runs, or it
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -66,6 +66,13 @@
     pub decided: Instant,
 }
 
+/// Answer of an executor that has carried out a [`Start`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StartAnswer {
+    /// Clock of the executor, in milliseconds, if it tells.
+    pub clock: Option<u64>,
+}
+
 /// A question to the advice service: which executors may run a step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Consult {
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -17,6 +17,7 @@
 use crate::batch::Pace;
 use crate::batch::Report;
 use crate::batch::Start;
+use crate::batch::StartAnswer;
 use crate::batch::Stop;
 use crate::batch::Transfer;
 use crate::batch::WaveState;
@@ -147,7 +148,7 @@
     ///
     /// # Errors
     /// An [`OrderError`].
-    async fn start(&self, order: &Start) -> Result<(), OrderError>;
+    async fn start(&self, order: &Start) -> Result<StartAnswer, OrderError>;
 
     /// Asks the advice service which executors may run a step.
     ///
@@ -161,6 +162,9 @@
     /// An [`OrderError`].
     async fn pace(&self, order: &Pace) -> Result<(), OrderError>;
 
+    /// Longest lease that an executor grants, in milliseconds on its clock.
+    fn lease_limit(&self) -> u64;
+
     /// Maximum time until an executor has stopped a run, in milliseconds; includes the time that
     /// orders are in transit.
     fn stop_time(&self) -> u64;
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -86,6 +86,7 @@
             self.log.clone(),
         );
         dispatcher.set_retention(self.platform.retention());
+        dispatcher.set_lease_limit(self.platform.lease_limit());
         dispatcher.set_stop_time(now(), self.platform.stop_time());
         dispatcher.begin(now());
         // The takeover made the first append of the term, with sequence number 0.
--- a/tests/batch/leases.rs
+++ b/tests/batch/leases.rs
@@ -90,3 +90,66 @@
     sim.run(1_000);
     assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
 }
+
+/// Makes the executor of the last start unreachable for `ms` milliseconds.
+fn cut_off(sim: &mut Simulation, ms: u64) {
+    let unreachable = sim.starts.last().expect("no start").3.clone();
+    sim.owner().unreachable.insert(unreachable);
+    sim.run(ms);
+    sim.owner().unreachable.clear();
+}
+
+/// Guards against a task that runs on two executors: its executor had restarted without being listed,
+/// took an order with a deadline on the clock of its earlier process for one of the longest lease, and
+/// then could not be reached.
+#[test_case(100, 6_000, 100; "just idle")]
+#[test_case(1_000, 6_000, 100; "idle for a moment")]
+#[test_case(7_000, 6_000, 100; "idle")]
+#[test_case(7_000, 6_000, 98; "idle with a slow clock")]
+#[test_case(45_000, 10_000, 98; "idle for long, longer leases")]
+fn a_task_does_not_run_twice_when_its_executor_restarted_unnoticed(
+    idle: u64,
+    limit: u64,
+    percent: u32,
+) {
+    let mut sim = site(percent);
+    for fake in sim.fakes.values_mut() {
+        fake.lease_limit = limit;
+    }
+    sim.set_lease_limit(limit);
+    sim.run(8_000);
+    start_task(&mut sim);
+    sim.run(1_200 + idle);
+    sim.script = Box::new(|_, _| (14_000, RunOutcome::Done));
+    sim.restart_unlisted();
+    sim.run(50);
+    sim.submit(2, "captions", vec![step(1)]);
+    sim.run(200);
+    cut_off(&mut sim, limit + 3_000);
+    sim.run(20_000);
+    assert_eq!(sim.starts.len(), 3);
+    assert_eq!(sim.job_state("captions", job_id(2)), JobState::Completed);
+}
+
+/// Guards against the same where the answer to the order is lost as well, or the owner is lost next.
+#[test_case(false; "answer lost")]
+#[test_case(true; "owner lost")]
+fn a_task_does_not_run_twice_when_its_executor_restarted_unnoticed_and(owner_lost: bool) {
+    let mut sim = site(98);
+    sim.run(10_000);
+    sim.script = Box::new(|_, _| (14_000, RunOutcome::Done));
+    sim.restart_unlisted();
+    sim.run(50);
+    sim.lost_starts = usize::from(!owner_lost);
+    sim.submit(1, "captions", vec![step(1)]);
+    while sim.starts.is_empty() {
+        sim.run(5);
+    }
+    let unreachable = sim.starts[0].3.clone();
+    sim.owner().unreachable.insert(unreachable);
+    if owner_lost {
+        sim.replace_owner(2);
+    }
+    sim.run(9_000);
+    assert_eq!(sim.starts.len(), 2);
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -243,6 +243,11 @@
         sim
     }
 
+    /// Sets the longest lease that owners expect executors to grant, in milliseconds.
+    pub fn set_lease_limit(&mut self, limit: u64) {
+        self.owner().dispatcher.set_lease_limit(limit);
+    }
+
     /// The elected owner.
     pub fn owner(&mut self) -> &mut SimulatedOwner {
         self.owners.last_mut().expect("no owner")
--- a/tests/batch/simulation/hosts.rs
+++ b/tests/batch/simulation/hosts.rs
@@ -120,10 +120,23 @@
     /// Ends an executor and starts it anew under the same id, at another address if `port` differs.
     pub fn restart_executor(&mut self, id: &ExecutorId, port: u16) {
         let fake = self.fakes.get_mut(id).expect("unknown executor");
-        *fake = FakeExecutor::new(CAPACITY, self.now);
+        let earlier = std::mem::replace(fake, FakeExecutor::new(CAPACITY, self.now));
+        fake.clock_percent = earlier.clock_percent;
+        fake.lease_limit = earlier.lease_limit;
         fake.addr.set_port(port);
     }
 
+    /// Ends all executors and starts them anew, each under its id and at its address, before the
+    /// platform lists that: its lists don't change from now on.
+    pub fn restart_unlisted(&mut self) {
+        self.lists_paused = true;
+        let ids: Vec<ExecutorId> = self.fakes.keys().cloned().collect();
+        for id in ids {
+            let port = self.fakes[&id].addr.port();
+            self.restart_executor(&id, port);
+        }
+    }
+
     /// Moves the host of `executor` to another pool without an answer to any owner. The platform
     /// keeps listing the executor.
     pub fn relocate_host(&mut self, executor: &ExecutorId, pool: &str) {
