Signals are handled from the first line of a process to its last

Seen by callers: calls in progress are cut when a machine's settings change while it shuts down as planned.

Cause: a signal had a handler only while a task waited for it; when the last such task was dropped, the signal's default effect was back, which ends the process. So SIGHUP ended a process from the first SIGTERM on, between a SIGHUP and the next wait, and before it served; a second SIGTERM did too.

Change: mimosastep::signals::Signals puts the handlers in place first and never takes them away.

The scenario language has the steps terminate and reload.

Conclusion: what a signal does no longer depends on who waits.

--- a/scenarios/src/bin/demo.rs
+++ b/scenarios/src/bin/demo.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 use serde_json::Value;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -28,7 +29,7 @@
 const CALLERS: u64 = 90;
 /// Time until the data centre is taken out, and how long it stays out, in milliseconds.
 const AWAY_MS: u64 = 1_500;
-/// Exit status after SIGINT or SIGTERM.
+/// Exit status after SIGHUP, SIGINT or SIGTERM.
 const EXIT_INTERRUPTED: i32 = 130;
 
 fn main() -> ExitCode {
@@ -91,7 +92,7 @@
 
 /// Kills all processes of the site, by id, when the demo is interrupted.
 fn kill_on_signal(ids: Vec<u32>) -> Result<(), Box<dyn Error>> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     thread::spawn(move || {
         if signals.forever().next().is_some() {
             for id in ids {
--- a/scenarios/src/bin/site.rs
+++ b/scenarios/src/bin/site.rs
@@ -4,6 +4,7 @@
 use std::fs;
 
 use argh::FromArgs;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -25,7 +26,7 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let args: Args = argh::from_env();
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     let layout = Layout {
         entries: args.entries,
         ..Layout::today()
--- a/scenarios/src/runner.rs
+++ b/scenarios/src/runner.rs
@@ -58,6 +58,8 @@
             Step::Start(node) => self.start(node),
             Step::Kill(node) => self.end(node, Signal::SIGKILL).map(drop),
             Step::Stop(node) => self.stop(node),
+            Step::Terminate(node) => self.signal(node, Signal::SIGTERM),
+            Step::Reload(node) => self.signal(node, Signal::SIGHUP),
             Step::Freeze(node) => self.signal(node, Signal::SIGSTOP),
             Step::Thaw(node) => self.signal(node, Signal::SIGCONT),
             Step::Cut(node, direction) => self.site()?.cut(node, direction),
--- a/scenarios/src/script.rs
+++ b/scenarios/src/script.rs
@@ -92,6 +92,8 @@
         preceded("start", next_word).map(Step::Start),
         preceded("kill", next_word).map(Step::Kill),
         preceded("stop", next_word).map(Step::Stop),
+        preceded("terminate", next_word).map(Step::Terminate),
+        preceded("reload", next_word).map(Step::Reload),
         preceded("freeze", next_word).map(Step::Freeze),
         preceded("thaw", next_word).map(Step::Thaw),
         preceded("cut", (next_word, next_word)).map(|(node, direction)| Step::Cut(node, direction)),
--- a/scenarios/src/step.rs
+++ b/scenarios/src/step.rs
@@ -58,6 +58,10 @@
     Kill(String),
     /// Stops a process with SIGTERM and expects exit status 0: `stop entry-0-gate`.
     Stop(String),
+    /// Requests a process to stop with SIGTERM, without waiting for its end: `terminate entry-0-gate`.
+    Terminate(String),
+    /// Tells a process with SIGHUP that its settings have changed: `reload entry-0-gate`.
+    Reload(String),
     /// Suspends a process with SIGSTOP: `freeze entry-0-gate`.
     Freeze(String),
     /// Resumes a suspended process with SIGCONT: `thaw entry-0-gate`.
--- a/scenarios/tests/scripts.rs
+++ b/scenarios/tests/scripts.rs
@@ -24,6 +24,7 @@
 #[test_case("scheduler_frozen")]
 #[test_case("scheduler_killed")]
 #[test_case("served")]
+#[test_case("signals_in_shutdown")]
 #[test_case("voter_restarts")]
 fn scenario_holds(name: &str) {
     let _alone = ALONE
@@ -36,6 +37,8 @@
 }
 
 #[test_case("kill entry-0-gate", &Step::Kill("entry-0-gate".into()))]
+#[test_case("terminate entry-0-gate", &Step::Terminate("entry-0-gate".into()))]
+#[test_case("reload entry-0-gate", &Step::Reload("entry-0-gate".into()))]
 #[test_case("pause 500 # comment", &Step::Pause(500))]
 #[test_case("ctl dc out x", &Step::Ctl(vec!["dc".into(), "out".into(), "x".into()]))]
 #[test_case("expect answered a >= 5", &Step::Expect {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod sched;
 pub mod settings;
+pub mod signals;
 pub mod table;
 pub mod upkeep;
 pub mod wire;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -3,21 +3,22 @@
 use std::future::Future;
 use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use compio::runtime::Runtime;
+use compio::runtime::spawn;
 use futures_util::FutureExt;
 use futures_util::future::Either;
-use futures_util::future::Shared;
 use futures_util::future::select;
+use slog::Logger;
+use slog::warn;
 
 use crate::node::Args;
 use crate::node::MembershipEnd;
 use crate::node::NodeError;
 use crate::node::NodeProcess;
 use crate::settings::SettingsError;
-
-/// Signal that requests a graceful stop.
-const SIGTERM: i32 = 15;
+use crate::signals::Signals;
 
 /// Why an incarnation of a process ended.
 enum ExitReason {
@@ -42,6 +43,10 @@
     Stop: Fn(P) -> StopFut,
     StopFut: Future<Output = ()>,
 {
+    let signals = match Signals::open() {
+        Ok(signals) => Rc::new(signals),
+        Err(err) => return fail(&err.to_string()),
+    };
     let args: Args = argh::from_env();
     loop {
         let settings = match open(&args.settings) {
@@ -57,7 +62,7 @@
             Ok(runtime) => runtime,
             Err(err) => return fail(&err.to_string()),
         };
-        match runtime.block_on(run_incarnation(spawn(settings), &stop)) {
+        match runtime.block_on(run_incarnation(spawn(settings), &stop, &signals)) {
             Ok(ExitReason::Stopped) => return ExitCode::SUCCESS,
             Ok(ExitReason::MembershipEnd(MembershipEnd::Suspected)) => {}
             Ok(ExitReason::MembershipEnd(MembershipEnd::Replaced)) => {
@@ -71,32 +76,37 @@
 async fn run_incarnation<P: NodeProcess, StopFut: Future<Output = ()>>(
     spawning: impl Future<Output = Result<P, NodeError>>,
     stop: impl Fn(P) -> StopFut,
+    signals: &Rc<Signals>,
 ) -> Result<ExitReason, NodeError> {
     let process = spawning.await?;
-    let signal = stop_signal().boxed_local().shared();
-    let exit = wait_for_exit(&process, signal.clone()).await;
+    let log = process.node().log().clone();
+    // Ends with the runtime.
+    spawn(refuse_reloads(signals.clone(), log)).detach();
+    let exit = wait_for_exit(&process, signals).await?;
     stop(process).await;
     match exit {
-        ExitReason::MembershipEnd(_) if signal.now_or_never().is_some() => Ok(ExitReason::Stopped),
+        ExitReason::MembershipEnd(_) if signals.is_stop_requested() => Ok(ExitReason::Stopped),
         exit => Ok(exit),
     }
 }
 
 async fn wait_for_exit(
     process: &impl NodeProcess,
-    signal: Shared<impl Future<Output = ()>>,
-) -> ExitReason {
+    signals: &Signals,
+) -> Result<ExitReason, NodeError> {
+    let stopped = signals.stop_requested().boxed_local();
     let ended = process.node().ended().boxed_local();
-    match select(signal, ended).await {
-        Either::Left(_) => ExitReason::Stopped,
-        Either::Right((ended, _)) => ExitReason::MembershipEnd(ended),
+    match select(stopped, ended).await {
+        Either::Left((stopped, _)) => Ok(stopped.map(|()| ExitReason::Stopped)?),
+        Either::Right((ended, _)) => Ok(ExitReason::MembershipEnd(ended)),
     }
 }
 
-async fn stop_signal() {
-    let terminate = compio::signal::unix::signal(SIGTERM).boxed_local();
-    let interrupt = compio::signal::ctrl_c().boxed_local();
-    select(terminate, interrupt).await;
+/// Logs requests to reload the settings, which these processes read only when they start.
+async fn refuse_reloads(signals: Rc<Signals>, log: Logger) {
+    while signals.reload_requested().await.is_ok() {
+        warn!(log, "settings are not reloaded; a restart applies them");
+    }
 }
 
 fn fail(message: &str) -> ExitCode {
