Ends are acknowledged only to the process that reported them

Seen by callers: a task that was done is done a second time.

Cause: each heartbeat carried the number of the last end in the log. A process of the executor that had restarted unnoticed counts its ends from 1 and forgot one that it had never reported. In the same way an append with an end of one process acknowledged the end of the same number of the next one.

Change: a heartbeat acknowledges only what no answered one has, and nothing after a failed heartbeat or while a start is overdue. A pending append knows which process reported its ends.

Ruled out: to withhold acknowledgements while any start is unanswered. Conclusion: the number alone says nothing; it counts together with the process.

--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -269,6 +269,7 @@
         };
         executor.seen = 0;
         executor.acked = 0;
+        executor.released = 0;
         executor.more_ends = false;
         executor.clock = None;
         executor.verified = None;
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -69,7 +69,7 @@
                     fence: self.fence,
                 },
                 deadline,
-                acked: executor.acked,
+                acked: executor.acknowledgement(now.at),
                 wait: if executor.is_urgent() {
                     0
                 } else {
@@ -98,7 +98,10 @@
             return;
         }
         match result {
-            Ok(report) => self.on_report(now, target, sent, report),
+            Ok(report) => {
+                self.note_released(order);
+                self.on_report(now, target, sent, report);
+            }
             Err(err) => {
                 if err == OrderError::Reborn {
                     self.on_reborn(now, target);
@@ -108,6 +111,13 @@
         }
     }
 
+    /// Notes that the ends that a heartbeat acknowledged are forgotten, whichever process answered it.
+    fn note_released(&mut self, order: &Heartbeat) {
+        if let Some(executor) = self.executors.get_mut(&order.target.executor) {
+            executor.released = executor.released.max(order.acked);
+        }
+    }
+
     pub(super) fn on_fenced(&mut self, id: &ExecutorId) {
         warn!(self.log, "order fenced by a later owner; ending the term";
             "executor" => %id, "fence" => self.fence);
@@ -254,11 +264,13 @@
         // append.
         let records = Some(known).filter(|known| !known.is_empty());
         let append_id = self.append(records.map(Record::Ended).into_iter().collect());
+        let born = self.executors.get(id).and_then(|executor| executor.born);
         let executor = id.clone();
         self.pending_ends.insert(
             append_id,
             PendingEnds {
                 executor,
+                born,
                 number: highest,
                 jobs,
             },
@@ -267,6 +279,9 @@
 
     /// Applies the end of a run; returns whether its job is known, so that the end must be logged.
     fn apply_end(&mut self, now: Now, id: &ExecutorId, end: &RunEnd) -> bool {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.unanswered.remove(&(end.task, end.run));
+        }
         let run_state = self.remove_run(id, end.task, end.run);
         let ran = run_state.map(|run_state| {
             now.at
@@ -309,7 +324,7 @@
     pub(super) fn on_ends_logged(&mut self, now: Now, ends: PendingEnds) {
         if let Some(executor) = self.executors.get_mut(&ends.executor) {
             // After a restart, an executor begins a new numbering of its ends.
-            if executor.seen >= ends.number {
+            if executor.born == ends.born && executor.seen >= ends.number {
                 executor.acked = executor.acked.max(ends.number);
             }
             if matches!(executor.heartbeat, HeartbeatState::AwaitingLog(_)) {
--- a/src/batch/dispatcher/pending_ends.rs
+++ b/src/batch/dispatcher/pending_ends.rs
@@ -7,6 +7,8 @@
 pub struct PendingEnds {
     /// The executor.
     pub executor: ExecutorId,
+    /// When the process started that reported them, in Unix milliseconds.
+    pub born: Option<u64>,
     /// Highest number of these ends.
     pub number: u64,
     /// Jobs of these ends, one entry per end.
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -57,6 +57,7 @@
         entry.last_start = Some(now.unix);
         executor.renew(now.at);
         executor.unanswered_since.get_or_insert(now.at);
+        executor.unanswered.insert((task, run), now.at);
         let target = Target {
             executor: id.clone(),
             addr: executor.addr,
@@ -116,6 +117,7 @@
         };
         if result != Err(OrderError::Silent) {
             executor.unanswered_since = None;
+            executor.unanswered.remove(&(order.task, order.run));
         }
         let Some(run_state) = executor.runs.get_mut(&(order.task, order.run)) else {
             return;
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -131,6 +131,10 @@
     pub seen: u64,
     /// Highest number of its run ends that are in the log.
     pub acked: u64,
+    /// Highest number up to which it has answered an acknowledgement.
+    pub released: u64,
+    /// Orders to start that it has not answered, and when they were sent.
+    pub unanswered: BTreeMap<(TaskId, u64), Instant>,
     /// Its last report did not list all of its ends.
     pub more_ends: bool,
     /// Runs by task and number.
@@ -190,6 +194,8 @@
             heartbeat: HeartbeatState::Due(now),
             seen: 0,
             acked: 0,
+            released: 0,
+            unanswered: BTreeMap::new(),
             more_ends: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
@@ -419,6 +425,25 @@
         self.assignment = Assignment::None;
     }
 
+    /// Returns the number of the last end that the next heartbeat is to acknowledge; 0 for none. Another
+    /// process that took the heartbeat would forget ends of its own that it hasn't reported. It has
+    /// some only if it took a start as well, so none is acknowledged while one is overdue for an answer
+    /// that no report has settled.
+    #[must_use]
+    pub fn acknowledgement(&self, now: Instant) -> u64 {
+        let answers = !self.heartbeat_failed && !self.is_confirmation_due();
+        let is_pending = answers && self.acked > self.released;
+        let Some(last) = self.clock.filter(|_| is_pending) else {
+            return 0;
+        };
+        let limit = Duration::from_millis(OVERDUE_MS);
+        let is_open = |sent: Instant| sent >= last.sent && now >= sent + limit;
+        if self.unanswered.values().any(|&sent| is_open(sent)) {
+            return 0;
+        }
+        self.acked
+    }
+
     /// Whether its process is known: it has reported, answers, and nothing says that another one has
     /// taken its place.
     #[must_use]
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -33,4 +33,5 @@
 mod starvation;
 mod takeover;
 mod teams;
+mod unnoticed;
 mod upkeep;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -94,6 +94,11 @@
     pub odd_hosts: Vec<Host>,
     /// Number of further start orders whose answers are lost.
     pub lost_starts: usize,
+    /// Time after which further start orders arrive, in milliseconds, if they get no answer and arrive
+    /// late.
+    pub late_starts: Option<u64>,
+    // Start orders on their way, and when they arrive.
+    late_orders: Vec<(Instant, Start)>,
     /// Time until a start order is answered, in milliseconds.
     pub start_time: fn(&Start) -> u64,
     /// Number of further stop orders whose answers are lost.
@@ -200,6 +205,8 @@
             odd_entries: BTreeMap::new(),
             odd_hosts: Vec::new(),
             lost_starts: 0,
+            late_starts: None,
+            late_orders: Vec::new(),
             start_time: |_| ROUND_TRIP_MS,
             lost_stops: 0,
             starts: Vec::new(),
@@ -339,6 +346,7 @@
             }
         }
         self.start_executors();
+        self.deliver_late_starts();
         if !self.lists_paused && self.now.at >= self.listed_at + Duration::from_millis(200) {
             self.publish_listing();
         }
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use mimosastep::batch::Action;
 use mimosastep::batch::Advice;
@@ -10,7 +11,9 @@
 use mimosastep::batch::Record;
 use mimosastep::batch::RunOutcome;
 use mimosastep::batch::Start;
+use mimosastep::batch::Step;
 use mimosastep::batch::Target;
+use mimosastep::name::ExecutorId;
 
 use crate::fake_executor::FakeExecutor;
 use crate::simulation::ROUND_TRIP_MS;
@@ -160,20 +163,58 @@
         Ok(fake)
     }
 
-    fn start(&mut self, owner: &mut SimulatedOwner, order: Start) {
+    /// Carries out the start orders that arrive late, on whichever process takes orders there now.
+    pub(super) fn deliver_late_starts(&mut self) {
         let now = self.now.at;
+        let orders = std::mem::take(&mut self.late_orders);
+        let (due, rest): (Vec<_>, Vec<_>) = orders.into_iter().partition(|(at, _)| *at <= now);
+        self.late_orders = rest;
+        for (_, order) in due {
+            let (step, planned_end) = self.plan_run(&order);
+            let Some(fake) = self.fakes.get_mut(&order.target.executor) else {
+                continue;
+            };
+            let started = fake.start(now, &order, step.reserved(), planned_end);
+            if started.is_ok() {
+                self.starts
+                    .push((now, order.task, order.run, order.target.executor));
+            }
+        }
+    }
+
+    /// The executor at which the first of the late start orders will arrive.
+    pub fn late_target(&self) -> Option<ExecutorId> {
+        let order = self.late_orders.first();
+        order.map(|(_, order)| order.target.executor.clone())
+    }
+
+    /// The step of a task that is to start, and when and how its run will end.
+    fn plan_run(&self, order: &Start) -> (Step, Option<(Instant, RunOutcome)>) {
         let job = self.records.iter().find_map(|record| match record {
             Record::Accepted(job) if job.id == order.task.job => Some(job.clone()),
             _ => None,
         });
         let step = job.expect("job is not in the log").steps[order.task.step as usize].clone();
-        let id = order.target.executor.clone();
-        let (ms, outcome) = if self.failing.contains(&id) {
+        let (ms, outcome) = if self.failing.contains(&order.target.executor) {
             (FAILURE_MS, RunOutcome::Failed)
         } else {
             (self.script)(&order.task, order.run)
         };
-        let planned_end = (!step.long_running).then(|| (now + Duration::from_millis(ms), outcome));
+        let end = self.now.at + Duration::from_millis(ms);
+        let planned_end = (!step.long_running).then_some((end, outcome));
+        (step, planned_end)
+    }
+
+    fn start(&mut self, owner: &mut SimulatedOwner, order: Start) {
+        let now = self.now.at;
+        if let Some(ms) = self.late_starts {
+            let at = now + Duration::from_millis(ms);
+            self.late_orders.push((at, order.clone()));
+            let result = Err(OrderError::Silent);
+            return owner.schedule(now, ORDER_TIMEOUT_MS, Event::Started { order, result });
+        }
+        let id = order.target.executor.clone();
+        let (step, planned_end) = self.plan_run(&order);
         let unadvised = self.needs_ticket && order.ticket.is_none();
         let result = self
             .reachable_executor(owner, &order.target)
--- a/tests/batch/simulation/simulated_owner.rs
+++ b/tests/batch/simulation/simulated_owner.rs
@@ -56,6 +56,10 @@
     pending_events: Vec<(Instant, Event)>,
     pending_appends: Vec<(u64, Vec<Record>)>,
     long_polls: Vec<LongPoll>,
+    /// Time until it learns that the log has taken its records, in milliseconds.
+    pub append_ms: u64,
+    /// Time until the answer to a heartbeat arrives, in milliseconds.
+    pub answer_ms: u64,
 }
 
 impl SimulatedOwner {
@@ -71,6 +75,8 @@
             pending_events: Vec::new(),
             pending_appends: Vec::new(),
             long_polls: Vec::new(),
+            append_ms: ROUND_TRIP_MS,
+            answer_ms: ROUND_TRIP_MS,
         }
     }
 
@@ -131,7 +137,7 @@
             self.notify_at = Some(self.notify_at.map_or(refused, |at| at.min(refused)));
             return None;
         }
-        self.schedule(now, ROUND_TRIP_MS, Event::Appended(append_id));
+        self.schedule(now, self.append_ms, Event::Appended(append_id));
         Some(records)
     }
 
@@ -178,7 +184,7 @@
         let delay = if result == Err(OrderError::Silent) {
             ORDER_TIMEOUT_MS
         } else {
-            ROUND_TRIP_MS
+            self.answer_ms
         };
         let event = Event::HeartbeatAnswered {
             order,
--- /dev/null
+++ b/tests/batch/unnoticed.rs
@@ -0,0 +1,80 @@
+//! Tests that what one process of an executor has told is not used on the next one, which has
+//! restarted under the same id.
+
+use mimosastep::batch::JobState;
+use mimosastep::batch::RunOutcome;
+use mimosastep::name::ExecutorId;
+
+use crate::simulation::Simulation;
+use crate::simulation::job_id;
+use crate::simulation::step;
+
+/// Number of tasks whose ends an executor has reported before it restarts.
+const EARLIER_TASKS: u32 = 12;
+
+/// A site on which one executor has just reported the ends of some tasks, which are acknowledged, and
+/// all executors then restart without being listed.
+fn site_after_restart() -> Simulation {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    sim.script = Box::new(|_, _| (400, RunOutcome::Done));
+    sim.submit(1, "captions", vec![step(EARLIER_TASKS)]);
+    sim.run(2_000);
+    sim.submit(2, "captions", vec![step(1)]);
+    sim.run(450);
+    assert_eq!(sim.done.len() as u32, EARLIER_TASKS + 1);
+    sim.restart_unlisted();
+    sim
+}
+
+/// Runs until the next start; returns its executor.
+fn run_until_start(sim: &mut Simulation) -> ExecutorId {
+    let before = sim.starts.len();
+    for _ in 0..1_000 {
+        sim.run(5);
+        if sim.starts.len() > before {
+            return sim.starts[before].3.clone();
+        }
+    }
+    panic!("no start in 5 s");
+}
+
+/// Guards against a task that is done twice: its end was forgotten before it was reported, because a
+/// heartbeat acknowledged as many ends as the executor's earlier process had reported.
+#[test]
+fn an_end_that_was_not_reported_is_not_acknowledged_by_a_number_of_an_earlier_process() {
+    let mut sim = site_after_restart();
+    sim.lost_starts = 1;
+    sim.script = Box::new(|_, _| (700, RunOutcome::Done));
+    sim.submit(3, "captions", vec![step(1)]);
+    let unreachable = run_until_start(&mut sim);
+    sim.owner().unreachable.insert(unreachable);
+    sim.run(3_000);
+    sim.owner().unreachable.clear();
+    // The simulation checks that no task starts again after it is done.
+    sim.run(4_000);
+    assert_eq!(sim.job_state("captions", job_id(3)), JobState::Completed);
+}
+
+/// Guards against an end that is acknowledged before it is in the log: an append with an end of the
+/// same number of the executor's earlier process was taken for its own.
+#[test]
+fn an_append_acknowledges_no_end_of_a_later_process() {
+    let mut sim = Simulation::new(&[("captions", 1)]);
+    sim.script = Box::new(|_, _| (100, RunOutcome::Done));
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.owner().append_ms = 1_500;
+    let executor = run_until_start(&mut sim);
+    // The end is reported, and its append is on its way.
+    sim.run(300);
+    sim.restart_executor(&executor, 1);
+    sim.run(400);
+    // One task goes on, so that the executor gets heartbeats.
+    sim.script = Box::new(|task, _| (100 + u64::from(task.index) * 4_000, RunOutcome::Done));
+    sim.submit(2, "captions", vec![step(2)]);
+    run_until_start(&mut sim);
+    sim.run(1_300);
+    // The first append has ended, the second one has not.
+    assert_eq!(sim.fakes[&executor].unacked_ends.len(), 1);
+    sim.run(8_000);
+    assert_eq!(sim.job_state("captions", job_id(2)), JobState::Completed);
+}
