A late answer of an executor's earlier process sets no clock

Cause: once the list had shown that an idle executor had restarted, a heartbeat on its way to the earlier process was still waited for. Its late answer brought the earlier clock back, and the next lease was reckoned from it.

Change: after a restart only the answer to a new heartbeat counts.

Evidence: unnoticed::a_late_answer_of_an_earlier_process_sets_no_clock failed before (the task ran on two executors at the same time) and holds now; the other tests of the batch are unchanged.

--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -277,8 +277,7 @@
         executor.runs_known = true;
         executor.expires = now.at;
         executor.extend_expiry(self.longest_lease);
-        if !matches!(executor.heartbeat, HeartbeatState::Sent(_)) {
-            executor.heartbeat = HeartbeatState::Due(now.at);
-        }
+        // A heartbeat that was sent before may still be answered by the earlier process.
+        executor.heartbeat = HeartbeatState::Due(now.at);
     }
 }
--- a/tests/batch/unnoticed.rs
+++ b/tests/batch/unnoticed.rs
@@ -78,3 +78,29 @@
     sim.run(8_000);
     assert_eq!(sim.job_state("captions", job_id(2)), JobState::Completed);
 }
+
+/// Guards against a lease that is reckoned from an earlier process's clock: its answer arrived after the
+/// list had shown the restart.
+#[test]
+fn a_late_answer_of_an_earlier_process_sets_no_clock() {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    let ids: Vec<ExecutorId> = sim.fakes.keys().cloned().collect();
+    // The other executor gets work only once this one is silent.
+    sim.draining.insert(ids[1].clone());
+    sim.run(8_000);
+    sim.script = Box::new(|_, _| (14_000, RunOutcome::Done));
+    sim.owner().answer_ms = 600;
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.run(20);
+    sim.owner().answer_ms = 20_000;
+    sim.restart_executor(&ids[0], 1);
+    sim.lost_starts = 1;
+    sim.run(700);
+    sim.owner().answer_ms = 5;
+    sim.owner().unreachable.insert(ids[0].clone());
+    sim.draining.clear();
+    sim.run(9_000);
+    sim.owner().unreachable.clear();
+    sim.run(20_000);
+    assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
+}
