A start that arrives after a restart runs beside no other run

Cause: a start without an answer may be carried out seconds later. When its executor had restarted, the owner dropped the run and started the task elsewhere; and the next process doesn't know what the earlier one had promised to refuse.

Change: starts without an answer are kept for 12 s and settled anew with an executor's next process at the same address, before their tasks may start elsewhere.

Conclusion: the refusal belongs to a process as the clock does.

--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -255,6 +255,10 @@
         let executor = self.executors.get(&target.executor);
         if executor.is_some_and(|executor| executor.addr == target.addr) {
             self.reset(now, &target.executor);
+            if let Some(executor) = self.executors.get_mut(&target.executor) {
+                // The process at its address is not for it and refuses what still arrives.
+                executor.unanswered.clear();
+            }
         }
     }
 
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -174,6 +174,9 @@
             self.note_reported(id);
         }
         self.dirty |= first;
+        if first {
+            self.expect_late_starts(now, id);
+        }
         self.apply_ends(now, id, &report.ended);
         self.apply_runs(now, id, &report.running);
         if !report.more_ends {
--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -58,6 +58,32 @@
         }
     }
 
+    /// Adds the runs of starts that may still arrive at an executor that has not reported to this owner
+    /// or has restarted. They are settled like those of any start without an answer: the executor is
+    /// told to refuse them unless it reports them.
+    pub(super) fn expect_late_starts(&mut self, now: Now, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let mut late = executor.late_starts(now.at);
+        late.retain(|(key, _)| !executor.runs.contains_key(key));
+        for ((task, run), sent) in late {
+            let Some(entry) = self.state.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            info!(self.log, "start without an answer may arrive late";
+                "task" => %task, "run" => run, "executor" => %id);
+            let run_state = RunState::of(&entry.job, &task, Phase::Unconfirmed(sent), now.at);
+            if let Some(progress) = entry.task_mut(&task)
+                && progress.is_idle()
+                && progress.run == run
+            {
+                progress.placed = Some(id.clone());
+            }
+            self.add_run(id, task, run, run_state);
+        }
+    }
+
     /// Stops runs that make no progress, so that their tasks can start elsewhere.
     pub(super) fn stop_stalled(&mut self, now: Now, id: &ExecutorId) {
         let Some(executor) = self.executors.get_mut(id) else {
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -40,6 +40,8 @@
 /// Time after which an answer to a heartbeat says too little about the present, in milliseconds.
 const LATE_ANSWER: Duration = Duration::from_millis(1_500);
 
+/// Longest time until an order that gets no answer is carried out, in milliseconds.
+const LATEST_ORDER_MS: u64 = 12_000;
 /// Margin in the time that is waited for a lease of the longest length to expire, in milliseconds.
 const EXPIRY_MARGIN_MS: u64 = 200;
 
@@ -220,6 +222,10 @@
     /// Applies its entry; returns whether its address has changed.
     pub fn set_info(&mut self, info: Rc<Executor>) -> bool {
         let moved = self.addr != info.addr;
+        if moved {
+            // What is still on its way arrives at the address before.
+            self.unanswered.clear();
+        }
         self.addr = info.addr;
         self.service = info.service.clone();
         self.info = Some(info);
@@ -425,6 +431,17 @@
         self.assignment = Assignment::None;
     }
 
+    /// Returns the starts that got no answer and may still be carried out, by whichever process takes
+    /// orders at its address, and when they were sent.
+    pub fn late_starts(&mut self, now: Instant) -> Vec<((TaskId, u64), Instant)> {
+        let limit = Duration::from_millis(LATEST_ORDER_MS);
+        self.unanswered.retain(|_, sent| now < *sent + limit);
+        self.unanswered
+            .iter()
+            .map(|(&run, &sent)| (run, sent))
+            .collect()
+    }
+
     /// Returns the number of the last end that the next heartbeat is to acknowledge; 0 for none. Another
     /// process that took the heartbeat would forget ends of its own that it hasn't reported. It has
     /// some only if it took a start as well, so none is acknowledged while one is overdue for an answer
--- a/tests/batch/unnoticed.rs
+++ b/tests/batch/unnoticed.rs
@@ -4,6 +4,7 @@
 use mimosastep::batch::JobState;
 use mimosastep::batch::RunOutcome;
 use mimosastep::name::ExecutorId;
+use test_case::test_case;
 
 use crate::simulation::Simulation;
 use crate::simulation::job_id;
@@ -79,6 +80,29 @@
     assert_eq!(sim.job_state("captions", job_id(2)), JobState::Completed);
 }
 
+/// Guards against a task that runs twice: an order to start it got no answer and arrived after its
+/// executor had restarted, while the task ran elsewhere; also where it had been settled before with the
+/// executor's earlier process.
+#[test_case(100; "unsettled")]
+#[test_case(2_000; "settled")]
+fn a_start_that_arrives_after_a_restart_does_not_run_beside_another(restart_after: u64) {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    sim.run(8_000);
+    sim.script = Box::new(|_, _| (8_000, RunOutcome::Done));
+    sim.late_starts = Some(5_000);
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.run(50);
+    sim.late_starts = None;
+    let restarted = sim.late_target().expect("no start");
+    sim.draining.insert(restarted.clone());
+    sim.run(restart_after);
+    sim.restart_executor(&restarted, 1);
+    // The simulation checks that no task runs on two executors.
+    sim.run(12_000);
+    assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
+    assert_eq!(sim.starts.len(), 1);
+}
+
 /// Guards against a lease that is reckoned from an earlier process's clock: its answer arrived after the
 /// list had shown the restart.
 #[test]
