What tells an executor's process and its leases stand in modules of their own

ProcessWatch holds what shows that the process is the one that reported, Leases when its leases have expired. Starts without an answer are forgotten once a report has their run, or after 12 s with each report, so that they don't pile up. No behaviour changes otherwise; the tests of the batch are the same before and after.

--- a/src/batch/dispatcher/confirmation.rs
+++ b/src/batch/dispatcher/confirmation.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use crate::batch::Dispatcher;
-use crate::batch::executor_state::LEASE_MS;
-use crate::batch::executor_state::MAX_UNCONFIRMED_MS;
+use crate::batch::leases::LEASE_MS;
+use crate::batch::leases::MAX_UNCONFIRMED_MS;
 
 /// Time after a request to the election that named this process in which no other process can be
 /// elected, unless this one leaves, in milliseconds.
--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -176,7 +176,7 @@
             if let Some(executor) = self.executors.get_mut(&id) {
                 let listed = executor.unconfirmed.take().map(|entry| entry.info.born);
                 executor.retired = executor.born.max(listed);
-                executor.expires = now.at;
+                executor.leases.expires = now.at;
             }
             self.unassign(&id);
         }
@@ -275,12 +275,10 @@
         executor.acked = 0;
         executor.released = 0;
         executor.more_ends = false;
-        executor.clock = None;
-        executor.verified = None;
+        executor.process.end();
         executor.reported = false;
         executor.runs_known = true;
-        executor.expires = now.at;
-        executor.extend_expiry(self.longest_lease);
+        executor.leases.end(now.at, self.longest_lease);
         // A heartbeat that was sent before may still be answered by the earlier process.
         executor.heartbeat = HeartbeatState::Due(now.at);
     }
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -62,7 +62,7 @@
             }
             let renewed = lease.filter(|_| executor.is_settled());
             let deadline = renewed.and_then(|lease| {
-                executor.renew(now.at);
+                executor.leases.renew(now.at);
                 executor.deadline(now.at, lease)
             });
             executor.heartbeat = HeartbeatState::Sent(now.at);
@@ -167,12 +167,13 @@
         executor.missed = 0;
         executor.unanswered_since = executor.unanswered_since.filter(|&since| since > sent);
         // Tasks may have waited for the answer.
-        self.dirty |= executor.asked.is_some();
-        executor.note_clock(ClockReading {
+        self.dirty |= executor.process.asked.is_some();
+        executor.process.note_clock(ClockReading {
             clock: report.clock,
             sent,
             received: now.at,
         });
+        executor.expire_starts(now.at);
         executor.more_ends = report.more_ends;
         if !report.more_ends || executor.runs_known {
             self.note_reported(id);
@@ -348,7 +349,7 @@
     /// after the expiry: then no other owner has renewed the leases.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let over = self.executors.iter().filter(|(_, executor)| {
-            executor.is_lease_over(now.at) && self.confirmed >= executor.expires
+            executor.is_lease_over(now.at) && self.confirmed >= executor.leases.expires
         });
         let ids: Vec<ExecutorId> = over.map(|(id, _)| id.clone()).collect();
         for id in ids {
--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -62,12 +62,15 @@
     /// or has restarted. They are settled like those of any start without an answer: the executor is
     /// told to refuse them unless it reports them.
     pub(super) fn expect_late_starts(&mut self, now: Now, id: &ExecutorId) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let mut late = executor.late_starts(now.at);
-        late.retain(|(key, _)| !executor.runs.contains_key(key));
-        for ((task, run), sent) in late {
+        let late = executor.unanswered.iter();
+        let late = late.filter(|(key, _)| !executor.runs.contains_key(key));
+        let late: Vec<(TaskId, u64, Instant)> = late
+            .map(|(&(task, run), &sent)| (task, run, sent))
+            .collect();
+        for (task, run, sent) in late {
             let Some(entry) = self.state.jobs.get_mut(&task.job) else {
                 continue;
             };
@@ -110,6 +113,8 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
+        // It was carried out, which an order is once.
+        executor.unanswered.remove(&(run.task, run.run));
         if let Some(run_state) = executor.runs.get_mut(&(run.task, run.run)) {
             if matches!(run_state.phase, Phase::Unconfirmed(_)) {
                 run_state.phase = Phase::Running(now.at);
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -55,7 +55,7 @@
             self.turns.advance(&job.service);
         }
         entry.last_start = Some(now.unix);
-        executor.renew(now.at);
+        executor.leases.renew(now.at);
         executor.unanswered_since.get_or_insert(now.at);
         executor.unanswered.insert((task, run), now.at);
         let target = Target {
@@ -167,19 +167,18 @@
             sent: order.decided,
             received: now.at,
         };
-        match executor.continuity(&reading) {
+        match executor.process.continuity(&reading) {
             None => return,
-            Some(Continuity::Same) => return executor.note_clock(reading),
+            Some(Continuity::Same) => return executor.process.note_clock(reading),
             Some(Continuity::Unknown) => {}
             Some(Continuity::Restarted) => {
                 warn!(self.log, "clock behind in the answer to a start; the executor has restarted";
                     "executor" => %id, "clock_ms" => clock,
-                    "expected_ms" => executor.clock.map(|last| last.reached(reading.sent)));
+                    "expected_ms" => executor.process.clock.map(|last| last.reached(reading.sent)));
             }
         }
-        executor.extend_expiry(self.longest_lease);
-        executor.verified = None;
-        executor.asked.get_or_insert(now.at);
+        executor.leases.extend(self.longest_lease);
+        executor.process.doubt(now.at);
         // A heartbeat that was sent before may have gone to the earlier process.
         executor.heartbeat = HeartbeatState::Due(now.at);
     }
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -11,46 +11,17 @@
 use crate::batch::Partitions;
 use crate::batch::Resources;
 use crate::batch::TaskId;
-use crate::batch::clock_reading::ClockReading;
-use crate::batch::clock_reading::Continuity;
-use crate::batch::clock_reading::MIN_CLOCK_PERCENT;
 use crate::batch::in_flight::OVERDUE_MS;
+use crate::batch::leases::Leases;
+use crate::batch::leases::SUCCESSION_MS;
+use crate::batch::process_watch::ProcessWatch;
 use crate::batch::run_state::Phase;
 use crate::batch::run_state::RunState;
 use crate::batch::unconfirmed_entry::UnconfirmedEntry;
 use crate::name::ServiceName;
 
-/// Length of the lease that an order grants, in milliseconds.
-pub const LEASE_MS: u64 = 4_500;
-/// Longest time until a lease of `LEASE_MS` has expired on an executor whose clock is 2% slow, with
-/// a margin, in milliseconds.
-pub const EXPIRY_MS: u64 = 4_800;
-/// Time after the election's last confirmation of an owner at which all its leases end, in
-/// milliseconds. An owner that is cut off from the election goes on until then.
-pub const MAX_UNCONFIRMED_MS: u64 = 6_000;
-/// Longest time until all leases of earlier owners have expired on executors whose clocks are 2%
-/// slow, counted from the election of the next owner, with a margin, in milliseconds.
-pub const SUCCESSION_MS: u64 = 6_300;
-/// Time for which an executor counts as the process that answered last, in milliseconds. It must be
-/// shorter than an executor takes to restart.
-const SAME_PROCESS_MS: u64 = 200;
-/// The same while a heartbeat is unanswered that was sent within that time. If the process ends, so
-/// does the heartbeat's connection.
-const AWAITED_PROCESS_MS: u64 = 1_250;
-/// Time after which an answer to a heartbeat says too little about the present, in milliseconds.
-const LATE_ANSWER: Duration = Duration::from_millis(1_500);
-
 /// Longest time until an order that gets no answer is carried out, in milliseconds.
 const LATEST_ORDER_MS: u64 = 12_000;
-/// Margin in the time that is waited for a lease of the longest length to expire, in milliseconds.
-const EXPIRY_MARGIN_MS: u64 = 200;
-
-/// Returns the longest time from the order for a lease until it has expired on an executor whose
-/// clock is 2% slow and which grants at most `limit` milliseconds on its clock.
-#[must_use]
-pub fn longest_expiry(limit: u64) -> Duration {
-    Duration::from_millis(limit.saturating_mul(100) / MIN_CLOCK_PERCENT + EXPIRY_MARGIN_MS)
-}
 
 /// Whether the log lists an executor as one that may have work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,16 +88,10 @@
     pub unanswered_since: Option<Instant>,
     /// It gets no new work before this time.
     pub backoff_until: Option<Instant>,
-    /// The last reading of its clock.
-    pub clock: Option<ClockReading>,
-    /// When its process last answered, unless that answer was late.
-    pub verified: Option<Instant>,
-    /// Since when work waits for it to tell whether it has restarted.
-    pub asked: Option<Instant>,
-    /// When all leases on it have expired, even if its clock is slow.
-    pub expires: Instant,
-    /// When an order was last sent that grants or renews a lease.
-    pub renewed: Option<Instant>,
+    /// Its process.
+    pub process: ProcessWatch,
+    /// Its leases.
+    pub leases: Leases,
     /// When its next heartbeat is due.
     pub heartbeat: HeartbeatState,
     /// Highest number of the run ends that it reported.
@@ -188,11 +153,8 @@
             retired: None,
             unanswered_since: None,
             backoff_until: None,
-            clock: None,
-            verified: None,
-            asked: None,
-            expires: now + Duration::from_millis(SUCCESSION_MS),
-            renewed: None,
+            process: ProcessWatch::default(),
+            leases: Leases::inherited(now),
             heartbeat: HeartbeatState::Due(now),
             seen: 0,
             acked: 0,
@@ -273,59 +235,23 @@
     /// clock's rate: its clock shows at least the time reckoned here.
     #[must_use]
     pub fn deadline(&self, now: Instant, lease: u64) -> Option<u64> {
-        let clock = self.clock?.reached(now);
+        let clock = self.process.clock?.reached(now);
         Some(clock.saturating_add(lease))
     }
 
-    /// Notes that an order sent at `now` renews its leases.
-    pub fn renew(&mut self, now: Instant) {
-        self.renewed = Some(now);
-        self.expires = self.expires.max(now + Duration::from_millis(EXPIRY_MS));
-    }
-
-    /// Notes that the process that took the last order for a lease may be another one than the order
-    /// was meant for: the lease may be as long as an executor grants any, which takes `longest`.
-    pub fn extend_expiry(&mut self, longest: Duration) {
-        if let Some(renewed) = self.renewed {
-            self.expires = self.expires.max(renewed + longest);
-        }
-    }
-
-    /// Notes a reading of the clock of the process that is known.
-    pub fn note_clock(&mut self, reading: ClockReading) {
-        self.clock = Some(reading);
-        self.asked = None;
-        self.verified = (!reading.is_late(LATE_ANSWER)).then_some(reading.received);
-    }
-
-    /// Compares a reading in the answer to an order with the last one; `None` if the last one is more
-    /// recent than the order.
-    #[must_use]
-    pub fn continuity(&self, reading: &ClockReading) -> Option<Continuity> {
-        let last = self.clock.filter(|last| last.received <= reading.sent)?;
-        Some(last.continuity(reading))
-    }
-
-    /// Whether it answered so recently that it can't have restarted since. An order that another
-    /// process takes in its place does harm: its deadline is on another clock.
+    /// Whether it answered so recently that it can't have restarted since.
     #[must_use]
     pub fn is_verified(&self, now: Instant) -> bool {
-        let Some(verified) = self.verified else {
-            return false;
-        };
-        let until = verified + Duration::from_millis(SAME_PROCESS_MS);
-        let until = match self.heartbeat {
-            HeartbeatState::Sent(at) if at < until => {
-                verified + Duration::from_millis(AWAITED_PROCESS_MS)
-            }
-            _ => until,
+        let awaited = match self.heartbeat {
+            HeartbeatState::Sent(at) => Some(at),
+            _ => None,
         };
-        now < until
+        self.process.is_verified(now, awaited)
     }
 
     /// Asks it whether it has restarted, before it is given work.
     pub fn ask(&mut self, now: Instant) {
-        self.asked.get_or_insert(now);
+        self.process.asked.get_or_insert(now);
         if !matches!(self.heartbeat, HeartbeatState::Sent(_)) {
             self.heartbeat = HeartbeatState::Due(now);
         }
@@ -371,7 +297,9 @@
     /// Whether an order to start, or a heartbeat that work waits for, is overdue for an answer.
     fn is_overdue(&self, now: Instant) -> bool {
         let limit = Duration::from_millis(OVERDUE_MS);
-        let waiting = [self.unanswered_since, self.asked].into_iter().flatten();
+        let waiting = [self.unanswered_since, self.process.asked]
+            .into_iter()
+            .flatten();
         waiting.min().is_some_and(|since| now >= since + limit)
     }
 
@@ -385,7 +313,7 @@
     /// log.
     pub fn resume_wait(&mut self, waited: u64) {
         self.wait_recorded = true;
-        self.expires -= Duration::from_millis(waited.min(SUCCESSION_MS));
+        self.leases.expires -= Duration::from_millis(waited.min(SUCCESSION_MS));
     }
 
     /// Whether there is a reason to send it a heartbeat.
@@ -395,7 +323,7 @@
         let known = !pending && !self.is_retired();
         let has_ends = self.seen > self.acked || self.more_ends;
         let unsettled = !self.reported || !self.runs.is_empty() || has_ends;
-        known && (unsettled || self.asked.is_some())
+        known && (unsettled || self.process.asked.is_some())
     }
 
     /// Whether it may have runs of an earlier owner that this owner does not know of.
@@ -415,7 +343,11 @@
     /// milliseconds. Meaningful only while it has unknown runs.
     #[must_use]
     pub fn waited(&self, now: Instant) -> u64 {
-        let left = self.expires.saturating_duration_since(now).as_millis();
+        let left = self
+            .leases
+            .expires
+            .saturating_duration_since(now)
+            .as_millis();
         SUCCESSION_MS.saturating_sub(left as u64)
     }
 
@@ -424,22 +356,18 @@
     pub const fn unassign(&mut self) {
         self.runs_known = true;
         self.reported = false;
-        self.verified = None;
+        self.process.suspend();
         self.wait_recorded = false;
         self.seen = self.acked;
         self.more_ends = false;
         self.assignment = Assignment::None;
     }
 
-    /// Returns the starts that got no answer and may still be carried out, by whichever process takes
-    /// orders at its address, and when they were sent.
-    pub fn late_starts(&mut self, now: Instant) -> Vec<((TaskId, u64), Instant)> {
+    /// Forgets the starts without an answer that are not carried out any more. The others may be, by
+    /// whichever process takes orders at its address.
+    pub fn expire_starts(&mut self, now: Instant) {
         let limit = Duration::from_millis(LATEST_ORDER_MS);
         self.unanswered.retain(|_, sent| now < *sent + limit);
-        self.unanswered
-            .iter()
-            .map(|(&run, &sent)| (run, sent))
-            .collect()
     }
 
     /// Returns the number of the last end that the next heartbeat is to acknowledge; 0 for none. Another
@@ -450,7 +378,7 @@
     pub fn acknowledgement(&self, now: Instant) -> u64 {
         let answers = !self.heartbeat_failed && !self.is_confirmation_due();
         let is_pending = answers && self.acked > self.released;
-        let Some(last) = self.clock.filter(|_| is_pending) else {
+        let Some(last) = self.process.clock.filter(|_| is_pending) else {
             return 0;
         };
         let limit = Duration::from_millis(OVERDUE_MS);
@@ -465,7 +393,8 @@
     /// taken its place.
     #[must_use]
     pub fn is_settled(&self) -> bool {
-        let doubtful = self.heartbeat_failed || self.asked.is_some() || self.is_confirmation_due();
+        let doubtful =
+            self.heartbeat_failed || self.process.asked.is_some() || self.is_confirmation_due();
         self.reported && !doubtful
     }
 
@@ -484,7 +413,7 @@
     pub fn is_lease_over(&self, now: Instant) -> bool {
         let may_have_runs =
             !self.runs_known || (self.heartbeat_failed && self.assignment == Assignment::Recorded);
-        may_have_runs && self.expires <= now
+        may_have_runs && self.leases.expires <= now
     }
 
     /// Whether it has no runs, known or unknown, and no unacknowledged ends.
