--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -169,7 +169,11 @@
         };
         match executor.process.continuity(&reading) {
             None => return,
-            Some(Continuity::Same) => return executor.process.note_clock(reading),
+            Some(Continuity::Same) => {
+                // Tasks may have waited for the answer to a heartbeat.
+                self.dirty |= executor.process.asked.is_some();
+                return executor.process.note_clock(reading);
+            }
             Some(Continuity::Unknown) => {}
             Some(Continuity::Restarted) => {
                 warn!(self.log, "clock behind in the answer to a start; the executor has restarted";
