Verification of processes and access to the log stand in modules of their own

Whether a process is verified is derived from its last clock reading and no longer kept beside it. Comments are plainer. No behaviour changes; the tests of the batch are the same.

--- a/src/batch/appender.rs
+++ b/src/batch/appender.rs
@@ -78,9 +78,9 @@
     }
 
     /// Appends records and calls `reply` with the outcome. If there is a deadline, that happens by
-    /// then, unless the records are part of an append in flight. Records of which one exceeds the log's
-    /// limit are left out, as the log would refuse them for good: a call is told so, and a decision
-    /// stays without an outcome.
+    /// then, unless the records are part of an append in flight. The log never accepts a record above
+    /// its size limit. Records that include one are not sent: with a deadline, `reply` gets an error,
+    /// without one, it is never called.
     pub fn append(&self, records: &[Record], deadline: Option<Instant>, reply: Reply) {
         let records: Result<Vec<_>, _> = records.iter().map(Record::encode).collect();
         let records = match records {
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -17,10 +17,10 @@
 use crate::batch::RunEnd;
 use crate::batch::RunOutcome;
 use crate::batch::Target;
+use crate::batch::assignment::Assignment;
 use crate::batch::clock_reading::ClockReading;
 use crate::batch::dispatcher::pending_ends::PendingEnds;
-use crate::batch::executor_state::Assignment;
-use crate::batch::executor_state::HeartbeatState;
+use crate::batch::heartbeat_state::HeartbeatState;
 use crate::batch::task_progress::Avoided;
 use crate::name::ExecutorId;
 
--- a/src/batch/dispatcher/placement.rs
+++ b/src/batch/dispatcher/placement.rs
@@ -294,31 +294,6 @@
         false
     }
 
-    /// Returns the starts on executors that can't have restarted since they last answered, and asks the
-    /// others whether they have. Returns none if `all` are wanted and some are left out.
-    fn verified_only(
-        &mut self,
-        now: Now,
-        all: bool,
-        mut starts: Vec<(u32, ExecutorId, u64)>,
-    ) -> Vec<(u32, ExecutorId, u64)> {
-        let planned = starts.len();
-        starts.retain(|(_, id, _)| {
-            let Some(executor) = self.executors.get_mut(id) else {
-                return false;
-            };
-            let verified = executor.is_verified(now.at);
-            if !verified {
-                executor.ask(now.at);
-            }
-            verified
-        });
-        if all && starts.len() < planned {
-            starts.clear();
-        }
-        starts
-    }
-
     /// Notes the hosts that long-running tasks of a step lack: one, unless the number of its tasks
     /// on one executor is limited. Without further hosts, the tasks would wait until others end, so
     /// hosts are moved to their pool. Steps that require a label are left out, as labels are known
--- a/src/batch/dispatcher/rewriting.rs
+++ b/src/batch/dispatcher/rewriting.rs
@@ -8,7 +8,7 @@
 use crate::batch::JobId;
 use crate::batch::Now;
 use crate::batch::Record;
-use crate::batch::executor_state::Assignment;
+use crate::batch::assignment::Assignment;
 use crate::batch::job_snapshot::JobSnapshot;
 
 /// Time between two checks for old records, in milliseconds.
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -15,9 +15,7 @@
 use crate::batch::Stop;
 use crate::batch::Target;
 use crate::batch::TaskId;
-use crate::batch::clock_reading::ClockReading;
-use crate::batch::clock_reading::Continuity;
-use crate::batch::executor_state::HeartbeatState;
+use crate::batch::heartbeat_state::HeartbeatState;
 use crate::batch::record::RUNS_PER_FENCE;
 use crate::batch::run_state::Phase;
 use crate::batch::run_state::RunState;
@@ -154,39 +152,6 @@
         }
     }
 
-    /// Learns from the clock in the answer to a start whether the order was carried out by the process
-    /// that it was meant for. If that isn't sure, asks the executor.
-    fn check_process(&mut self, now: Now, order: &Start, answer: &StartAnswer) {
-        let id = &order.target.executor;
-        let executor = self.executors.get_mut(id);
-        let (Some(executor), Some(clock)) = (executor, answer.clock) else {
-            return;
-        };
-        let reading = ClockReading {
-            clock,
-            sent: order.decided,
-            received: now.at,
-        };
-        match executor.process.continuity(&reading) {
-            None => return,
-            Some(Continuity::Same) => {
-                // Tasks may have waited for the answer to a heartbeat.
-                self.dirty |= executor.process.asked.is_some();
-                return executor.process.note_clock(reading);
-            }
-            Some(Continuity::Unknown) => {}
-            Some(Continuity::Restarted) => {
-                warn!(self.log, "clock behind in the answer to a start; the executor has restarted";
-                    "executor" => %id, "clock_ms" => clock,
-                    "expected_ms" => executor.process.clock.map(|last| last.reached(reading.sent)));
-            }
-        }
-        executor.leases.extend(self.longest_lease);
-        executor.process.doubt(now.at);
-        // A heartbeat that was sent before may have gone to the earlier process.
-        executor.heartbeat = HeartbeatState::Due(now.at);
-    }
-
     fn note_started(&mut self, order: &Start) {
         if let Some(entry) = self.state.jobs.get_mut(&order.task.job) {
             entry.started = true;
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -11,6 +11,8 @@
 use crate::batch::Partitions;
 use crate::batch::Resources;
 use crate::batch::TaskId;
+use crate::batch::assignment::Assignment;
+use crate::batch::heartbeat_state::HeartbeatState;
 use crate::batch::in_flight::OVERDUE_MS;
 use crate::batch::leases::Leases;
 use crate::batch::leases::SUCCESSION_MS;
@@ -23,29 +25,6 @@
 /// Longest time until an order that gets no answer is carried out, in milliseconds.
 const LATEST_ORDER_MS: u64 = 12_000;
 
-/// Whether the log lists an executor as one that may have work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Assignment {
-    /// The log does not list it: it is new, or it was given up, for instance after its leases
-    /// expired.
-    None,
-    /// The record is being appended, under this append id.
-    Pending(u64),
-    /// The log lists it.
-    Recorded,
-}
-
-/// When an executor gets its next heartbeat.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum HeartbeatState {
-    /// At this time, if a heartbeat is needed.
-    Due(Instant),
-    /// Not before the heartbeat that was sent at this time is answered.
-    Sent(Instant),
-    /// Once the ends that it reported are in the log; at this time at the latest, to renew its leases.
-    AwaitingLog(Instant),
-}
-
 /// An executor, its leases and its runs.
 #[derive(Debug)]
 pub struct ExecutorState {
@@ -242,11 +221,7 @@
     /// Whether it answered so recently that it can't have restarted since.
     #[must_use]
     pub fn is_verified(&self, now: Instant) -> bool {
-        let awaited = match self.heartbeat {
-            HeartbeatState::Sent(at) => Some(at),
-            _ => None,
-        };
-        self.process.is_verified(now, awaited)
+        self.process.is_verified(now, self.heartbeat.sent_at())
     }
 
     /// Asks it whether it has restarted, before it is given work.
@@ -356,7 +331,6 @@
     pub const fn unassign(&mut self) {
         self.runs_known = true;
         self.reported = false;
-        self.process.suspend();
         self.wait_recorded = false;
         self.seen = self.acked;
         self.more_ends = false;
--- a/src/batch/process_watch.rs
+++ b/src/batch/process_watch.rs
@@ -23,8 +23,6 @@
     pub clock: Option<ClockReading>,
     /// Since when work waits for it to tell whether it has restarted.
     pub asked: Option<Instant>,
-    // When it last answered, unless that answer was late.
-    verified: Option<Instant>,
 }
 
 impl ProcessWatch {
@@ -32,7 +30,6 @@
     pub fn note_clock(&mut self, reading: ClockReading) {
         self.clock = Some(reading);
         self.asked = None;
-        self.verified = (!reading.is_late(LATE_ANSWER)).then_some(reading.received);
     }
 
     /// Compares a reading in the answer to an order with the last one; `None` if the last one is more
@@ -43,33 +40,17 @@
         Some(last.continuity(reading))
     }
 
-    /// Notes at `now` that another process may have taken its place, so that it has to be asked.
-    pub fn doubt(&mut self, now: Instant) {
-        self.verified = None;
-        self.asked.get_or_insert(now);
-    }
-
-    /// Notes that it gets no orders for now.
-    pub const fn suspend(&mut self) {
-        self.verified = None;
-    }
-
-    /// Notes that it has ended: what it told is void.
-    pub const fn end(&mut self) {
-        self.clock = None;
-        self.verified = None;
-    }
-
     /// Whether it answered so recently that it can't have restarted since. `awaited` is when the
     /// heartbeat was sent that is not answered yet, if there is one.
     #[must_use]
     pub fn is_verified(&self, now: Instant, awaited: Option<Instant>) -> bool {
-        let Some(verified) = self.verified else {
+        let last = self.clock.filter(|last| !last.is_late(LATE_ANSWER));
+        let Some(last) = last.filter(|_| self.asked.is_none()) else {
             return false;
         };
-        let until = verified + Duration::from_millis(SAME_PROCESS_MS);
+        let until = last.received + Duration::from_millis(SAME_PROCESS_MS);
         if awaited.is_some_and(|sent| sent < until) {
-            return now < verified + Duration::from_millis(AWAITED_PROCESS_MS);
+            return now < last.received + Duration::from_millis(AWAITED_PROCESS_MS);
         }
         now < until
     }
--- a/tests/batch/unnoticed.rs
+++ b/tests/batch/unnoticed.rs
@@ -74,7 +74,7 @@
     sim.submit(1, "captions", vec![step(1), second]);
     let executor = run_until_start(&mut sim);
     sim.owner().append_ms = 1_500;
-    // The first end is reported; its append takes until 1.5 s later.
+    // The owner has received the first end; its append takes 1.5 s.
     sim.run(300);
     sim.restart_executor(&executor, 1);
     sim.run(700);
