A test that fails: a start sent after a restart makes a task run twice

Evidence: the test has a start wait 0.7 s before it is sent, with a restart of its executor in between.

--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -97,8 +97,12 @@
     /// Time after which further start orders arrive, in milliseconds, if they get no answer and arrive
     /// late.
     pub late_starts: Option<u64>,
+    /// Time for which further start orders wait before they are sent, in milliseconds. They are answered.
+    pub queued_starts: Option<u64>,
     // Start orders on their way, and when they arrive.
     late_orders: Vec<(Instant, Start)>,
+    // Start orders that wait to be sent, and when they are.
+    queued_orders: Vec<(Instant, Start)>,
     /// Time until a start order is answered, in milliseconds.
     pub start_time: fn(&Start) -> u64,
     /// Number of further stop orders whose answers are lost.
@@ -206,6 +210,8 @@
             odd_hosts: Vec::new(),
             lost_starts: 0,
             late_starts: None,
+            queued_starts: None,
+            queued_orders: Vec::new(),
             late_orders: Vec::new(),
             start_time: |_| ROUND_TRIP_MS,
             lost_stops: 0,
@@ -368,6 +374,7 @@
         for event in owner.take_due_events(self.now.at) {
             owner.dispatcher.handle(self.now, event);
         }
+        self.send_queued_starts(owner);
         for action in owner.dispatcher.poll(self.now) {
             self.execute(owner, action);
         }
--- a/tests/batch/simulation/actions.rs
+++ b/tests/batch/simulation/actions.rs
@@ -182,9 +182,20 @@
         }
     }
 
-    /// The executor at which the first of the late start orders will arrive.
+    /// Sends the start orders that have waited long enough.
+    pub(super) fn send_queued_starts(&mut self, owner: &mut SimulatedOwner) {
+        let now = self.now.at;
+        let orders = std::mem::take(&mut self.queued_orders);
+        let (due, rest): (Vec<_>, Vec<_>) = orders.into_iter().partition(|(at, _)| *at <= now);
+        self.queued_orders = rest;
+        for (_, order) in due {
+            self.send_start(owner, order);
+        }
+    }
+
+    /// The executor at which the first of the delayed start orders will arrive.
     pub fn late_target(&self) -> Option<ExecutorId> {
-        let order = self.late_orders.first();
+        let order = self.late_orders.iter().chain(&self.queued_orders).next();
         order.map(|(_, order)| order.target.executor.clone())
     }
 
@@ -213,6 +224,15 @@
             let result = Err(OrderError::Silent);
             return owner.schedule(now, ORDER_TIMEOUT_MS, Event::Started { order, result });
         }
+        if let Some(ms) = self.queued_starts {
+            let at = now + Duration::from_millis(ms);
+            return self.queued_orders.push((at, order));
+        }
+        self.send_start(owner, order);
+    }
+
+    fn send_start(&mut self, owner: &mut SimulatedOwner, order: Start) {
+        let now = self.now.at;
         let id = order.target.executor.clone();
         let (step, planned_end) = self.plan_run(&order);
         let unadvised = self.needs_ticket && order.ticket.is_none();
--- a/tests/batch/unnoticed.rs
+++ b/tests/batch/unnoticed.rs
@@ -139,3 +139,42 @@
     sim.run(20_000);
     assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
 }
+
+/// Guards against two runs of one task: an order to start another one waited to be sent while its
+/// executor restarted, and its deadline on the earlier process's clock made the lease longer than the
+/// owner knew.
+#[test_case(6_000, false; "leases of 6 s")]
+#[test_case(10_000, false; "leases of 10 s")]
+#[test_case(6_000, true; "leases of 6 s, owner lost")]
+#[test_case(10_000, true; "leases of 10 s, owner lost")]
+fn a_start_that_was_sent_after_a_restart_makes_no_task_run_twice(limit: u64, owner_lost: bool) {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    sim.set_lease_limit(limit);
+    let ids: Vec<ExecutorId> = sim.fakes.keys().cloned().collect();
+    for fake in sim.fakes.values_mut() {
+        fake.lease_limit = limit;
+    }
+    sim.draining.insert(ids[1].clone());
+    sim.run(8_000);
+    sim.script = Box::new(|_, _| (20_000, RunOutcome::Done));
+    sim.queued_starts = Some(700);
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.run(50);
+    assert_eq!(sim.late_target().as_ref(), Some(&ids[0]));
+    sim.queued_starts = None;
+    sim.restart_executor(&ids[0], 1);
+    sim.run(400);
+    sim.submit(2, "captions", vec![step(1)]);
+    sim.run(700);
+    sim.draining.clear();
+    sim.owner().unreachable.insert(ids[0].clone());
+    if owner_lost {
+        sim.replace_owner(2);
+    }
+    // The simulation checks that no task runs on two executors.
+    sim.run(limit + 6_000);
+    sim.owner().unreachable.clear();
+    sim.run(24_000);
+    assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
+    assert_eq!(sim.job_state("captions", job_id(2)), JobState::Completed);
+}
