Each process of an executor has its own fencing token, so that a later one refuses orders to an earlier one

Cause: an order meant for an executor's process was carried out by the next one under the same id. Its deadline is on the earlier clock, so the leases there last hold_max_ms from the order's arrival, which no wait counts from: the owner waited 4.8 s from its last renewal. The order waited in our own client (four are on their way to one executor at a time), or got no answer and was carried out seconds later. The id in an order is that of both processes, and all orders of a term had one fencing token.

Change: a token is the fence of the term times 10,000, plus the restarts of that executor that the owner has noticed. After a restart nothing starts there until the new process has answered an order with its own token; then it takes no order to an earlier process any more.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -147,6 +147,9 @@
     longest_lease: Duration,
     // Until then, runs that an earlier owner stopped may be reported as running.
     stop_deadline: Instant,
+    // Number of restarts that this owner has noticed, by executor. Executors that are listed again
+    // are sent no lower token than before.
+    restarts: BTreeMap<ExecutorId, u64>,
     // When the log was last checked for records to rewrite.
     last_check: Instant,
     // When the records of executors and waves were last rewritten, in Unix milliseconds.
@@ -238,6 +241,7 @@
             confirmed: now.at,
             longest_lease: longest_expiry(LEASE_LIMIT_MS),
             stop_deadline: now.at,
+            restarts: BTreeMap::new(),
             last_check: now.at,
             last_rewrite: now.unix,
             last_heartbeat: now.at,
--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -11,6 +11,7 @@
 
 use crate::batch::Dispatcher;
 use crate::batch::Executor;
+use crate::batch::Fence;
 use crate::batch::HostPhase;
 use crate::batch::Now;
 use crate::batch::Partitions;
@@ -19,6 +20,7 @@
 use crate::batch::assignment::Assignment;
 use crate::batch::executor_state::ExecutorState;
 use crate::batch::heartbeat_state::HeartbeatState;
+use crate::batch::record::TOKENS_PER_FENCE;
 use crate::batch::unconfirmed_entry::UnconfirmedEntry;
 use crate::name::ExecutorId;
 use crate::name::HostName;
@@ -28,8 +30,10 @@
     /// earlier owner and is sent a heartbeat.
     pub fn begin(&mut self, now: Now) {
         for (id, (service, addr)) in &self.state.assigned {
+            let token = self.token(id);
+            let partition = Partitions::of(id);
             let mut executor =
-                ExecutorState::inherited(service.clone(), *addr, Partitions::of(id), now.at);
+                ExecutorState::inherited(service.clone(), *addr, partition, token, now.at);
             if let Some(&waited) = self.state.recovery_waits.get(id) {
                 executor.resume_wait(waited);
             }
@@ -64,8 +68,9 @@
         let id = listed.id.clone();
         let Some(executor) = self.executors.get_mut(&id) else {
             info!(self.log, "executor listed"; "executor" => %id, "service" => %listed.service);
+            let token = self.token(&id);
             self.executors
-                .insert(id.clone(), ExecutorState::listed(listed, now.at));
+                .insert(id.clone(), ExecutorState::listed(listed, token, now.at));
             return self.assign(&id);
         };
         let earlier = executor.born.is_some_and(|born| listed.born < born);
@@ -252,22 +257,33 @@
     /// Handles the refusal of an order by a process for which it was not meant. At an address that
     /// only the list states, this is no proof that the executor's process has ended.
     pub(super) fn on_reborn(&mut self, now: Now, target: &Target) {
-        let executor = self.executors.get(&target.executor);
-        if executor.is_some_and(|executor| executor.addr == target.addr) {
-            self.reset(now, &target.executor);
-            if let Some(executor) = self.executors.get_mut(&target.executor) {
-                // The process at its address is not for it and refuses what still arrives.
-                executor.unanswered.clear();
-            }
+        let executor = self.executors.get_mut(&target.executor);
+        let Some(executor) = executor.filter(|executor| executor.addr == target.addr) else {
+            return;
+        };
+        // The process at its address is not for it and refuses what still arrives.
+        executor.unanswered.clear();
+        self.reset(now, &target.executor);
+        if let Some(executor) = self.executors.get_mut(&target.executor) {
+            executor.leases.end(now.at);
         }
     }
 
-    /// Drops all runs of an executor that has restarted. Leases that were meant for its earlier
-    /// process may be as long as any on the new one.
+    /// Returns the fencing token of the present process of an executor.
+    pub(super) fn token(&self, id: &ExecutorId) -> Fence {
+        let restarts = self.restarts.get(id).copied().unwrap_or(0);
+        let number = restarts.min(TOKENS_PER_FENCE - 1);
+        self.fence.saturating_mul(TOKENS_PER_FENCE) + number
+    }
+
+    /// Drops all runs of an executor that has restarted, except those that orders to its earlier
+    /// process may still start. Its new process gets a fencing token of its own.
     pub(super) fn reset(&mut self, now: Now, id: &ExecutorId) {
         info!(self.log, "executor restarted"; "executor" => %id);
         self.remove_runs(id);
         self.advisor.forget_executor(id);
+        *self.restarts.entry(id.clone()).or_default() += 1;
+        let token = self.token(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -278,8 +294,11 @@
         executor.process.clock = None;
         executor.reported = false;
         executor.runs_known = true;
-        executor.leases.end(now.at, self.longest_lease);
+        executor.token = token;
+        executor.restarted = Some(now.at);
+        executor.leases.restart(now.at, self.longest_lease);
         // A heartbeat that was sent before may still be answered by the earlier process.
         executor.heartbeat = HeartbeatState::Due(now.at);
+        self.expect_late_starts(now, id);
     }
 }
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -68,9 +68,8 @@
             executor.heartbeat = HeartbeatState::Sent(now.at);
             self.actions.push(Action::Heartbeat(Heartbeat {
                 target: Target {
-                    executor: id.clone(),
                     addr: executor.heartbeat_addr(),
-                    fence: self.fence,
+                    ..executor.target(id)
                 },
                 deadline,
                 acked: executor.acknowledgement(now.at),
@@ -93,7 +92,7 @@
     ) {
         let target = &order.target;
         if result == Err(OrderError::Fenced) {
-            return self.on_fenced(&target.executor);
+            return self.on_fenced(target);
         }
         let executor = self.executors.get(&target.executor);
         let latest = HeartbeatState::Sent(order.decided);
@@ -122,7 +121,13 @@
         }
     }
 
-    pub(super) fn on_fenced(&mut self, id: &ExecutorId) {
+    /// Handles the refusal of an order because the executor has seen a higher fencing token.
+    pub(super) fn on_fenced(&mut self, target: &Target) {
+        let id = &target.executor;
+        if target.token < self.token(id) {
+            info!(self.log, "order to an earlier process refused"; "executor" => %id);
+            return;
+        }
         warn!(self.log, "order fenced by a later owner; ending the term";
             "executor" => %id, "fence" => self.fence);
         self.actions.push(Action::StepDown);
@@ -162,9 +167,14 @@
             info!(self.log, "heartbeat answered again"; "executor" => %id);
             self.dirty = true;
         }
-        let first = !executor.reported;
         executor.heartbeat_failed = false;
         executor.missed = 0;
+        // An answer to an order to an earlier process may yet be followed by others to it.
+        let settled = target.token == executor.token;
+        if settled {
+            executor.fence(now.at, self.longest_lease);
+        }
+        let first = settled && !executor.reported;
         executor.unanswered_since = executor.unanswered_since.filter(|&since| since > sent);
         // Tasks may have waited for the answer.
         self.dirty |= executor.process.asked.is_some();
@@ -175,7 +185,7 @@
         });
         executor.expire_starts(now.at);
         executor.more_ends = report.more_ends;
-        if !report.more_ends || executor.runs_known {
+        if settled && (!report.more_ends || executor.runs_known) {
             self.note_reported(id);
         }
         self.dirty |= first;
@@ -184,6 +194,9 @@
         }
         self.apply_ends(now, id, &report.ended);
         self.apply_runs(now, id, &report.running);
+        if !settled {
+            return;
+        }
         if !report.more_ends {
             self.reconcile(id, sent, &report.running);
             self.stop_stalled(now, id);
--- a/src/batch/dispatcher/pacing.rs
+++ b/src/batch/dispatcher/pacing.rs
@@ -6,7 +6,6 @@
 use crate::batch::Dispatcher;
 use crate::batch::OrderError;
 use crate::batch::Pace;
-use crate::batch::Target;
 use crate::batch::TaskId;
 use crate::batch::pace;
 use crate::batch::run_state::Phase;
@@ -23,11 +22,7 @@
         let serving = serving.filter(|run_state| matches!(run_state.phase, Phase::Running(_)));
         let tails = serving.filter_map(|run_state| Some((run_state.measured, run_state.target?)));
         let latency = pace::max_latency_percent(tails);
-        let target = Target {
-            executor: id.clone(),
-            addr: executor.addr,
-            fence: self.fence,
-        };
+        let target = executor.target(id);
         for (&(task, run), run_state) in &mut executor.runs {
             if !run_state.best_effort
                 || !matches!(run_state.phase, Phase::Running(_))
@@ -55,7 +50,7 @@
     pub(super) fn on_paced(&mut self, order: &Pace, result: Result<(), OrderError>) {
         let id = &order.target.executor;
         if result == Err(OrderError::Fenced) {
-            return self.on_fenced(id);
+            return self.on_fenced(&order.target);
         }
         let key: (TaskId, u64) = (order.task, order.run);
         let run_state = self
--- a/src/batch/dispatcher/reconciliation.rs
+++ b/src/batch/dispatcher/reconciliation.rs
@@ -31,6 +31,7 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
+        let restarted = executor.restarted;
         let mut present: Vec<(TaskId, u64)> =
             running.iter().map(|run| (run.task, run.run)).collect();
         present.sort_unstable();
@@ -51,6 +52,10 @@
                 Phase::Stopped(at) if at < sent => {
                     self.remove_run(id, task, run);
                 }
+                // The order to start it was to an earlier process.
+                Phase::Unconfirmed(at) if Some(at) <= restarted => {
+                    self.remove_run(id, task, run);
+                }
                 // An order to start it may still arrive.
                 Phase::Unconfirmed(at) if at < sent => self.stop(id, task, run),
                 _ => {}
--- a/src/batch/dispatcher/runs.rs
+++ b/src/batch/dispatcher/runs.rs
@@ -13,7 +13,6 @@
 use crate::batch::Start;
 use crate::batch::StartAnswer;
 use crate::batch::Stop;
-use crate::batch::Target;
 use crate::batch::TaskId;
 use crate::batch::heartbeat_state::HeartbeatState;
 use crate::batch::record::RUNS_PER_FENCE;
@@ -56,11 +55,7 @@
         executor.leases.renew(now.at);
         executor.unanswered_since.get_or_insert(now.at);
         executor.unanswered.insert((task, run), now.at);
-        let target = Target {
-            executor: id.clone(),
-            addr: executor.addr,
-            fence: self.fence,
-        };
+        let target = executor.target(id);
         info!(self.log, "starting run"; "task" => %task, "run" => run, "executor" => %id,
             "load" => executor.load(), "saved" => saved.is_some());
         self.add_run(
@@ -129,7 +124,10 @@
         warn!(self.log, "start order failed"; "task" => %order.task, "run" => order.run,
             "executor" => %id, "why" => %err);
         match err {
-            OrderError::Fenced => self.on_fenced(id),
+            OrderError::Fenced => {
+                self.on_fenced(&order.target);
+                self.remove_run(id, order.task, order.run);
+            }
             OrderError::Reborn => {
                 self.on_reborn(now, &order.target);
                 self.remove_run(id, order.task, order.run);
@@ -183,11 +181,7 @@
         run_state.phase = Phase::Stopping;
         info!(self.log, "stopping run"; "task" => %task, "run" => run, "executor" => %id);
         self.actions.push(Action::Stop(Stop {
-            target: Target {
-                executor: id.clone(),
-                addr: executor.addr,
-                fence: self.fence,
-            },
+            target: executor.target(id),
             task,
             run,
         }));
@@ -208,7 +202,10 @@
                     executor.heartbeat = HeartbeatState::Due(now.at);
                 }
             }
-            Err(OrderError::Fenced) => self.on_fenced(id),
+            Err(OrderError::Fenced) => {
+                run_state.phase = Phase::Unconfirmed(now.at);
+                self.on_fenced(&order.target);
+            }
             Err(OrderError::Reborn) => {
                 run_state.phase = Phase::Unconfirmed(now.at);
                 self.on_reborn(now, &order.target);
--- a/src/batch/dispatcher/verification.rs
+++ b/src/batch/dispatcher/verification.rs
@@ -45,6 +45,10 @@
         let (Some(executor), Some(clock)) = (executor, answer.clock) else {
             return;
         };
+        if order.target.token < executor.token {
+            // Carried out before the present process had its own fencing token.
+            return executor.leases.extend(now.at, self.longest_lease);
+        }
         let reading = ClockReading {
             clock,
             sent: order.decided,
@@ -64,7 +68,7 @@
                     "expected_ms" => executor.process.clock.map(|last| last.reached(reading.sent)));
             }
         }
-        executor.leases.extend(self.longest_lease);
+        executor.leases.extend(now.at, self.longest_lease);
         executor.process.asked.get_or_insert(now.at);
         // A heartbeat that was sent before may have gone to the earlier process.
         executor.heartbeat = HeartbeatState::Due(now.at);
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -7,24 +7,25 @@
 use std::time::Instant;
 
 use crate::batch::Executor;
+use crate::batch::Fence;
 use crate::batch::Obstacle;
 use crate::batch::Partitions;
 use crate::batch::Resources;
+use crate::batch::Target;
 use crate::batch::TaskId;
 use crate::batch::assignment::Assignment;
 use crate::batch::heartbeat_state::HeartbeatState;
 use crate::batch::in_flight::OVERDUE_MS;
+use crate::batch::leases::LATEST_ORDER_MS;
 use crate::batch::leases::Leases;
 use crate::batch::leases::SUCCESSION_MS;
 use crate::batch::process_watch::ProcessWatch;
 use crate::batch::run_state::Phase;
 use crate::batch::run_state::RunState;
 use crate::batch::unconfirmed_entry::UnconfirmedEntry;
+use crate::name::ExecutorId;
 use crate::name::ServiceName;
 
-/// Longest time until an order that gets no answer is carried out, in milliseconds.
-const LATEST_ORDER_MS: u64 = 12_000;
-
 /// An executor, its leases and its runs.
 #[derive(Debug)]
 pub struct ExecutorState {
@@ -38,6 +39,10 @@
     pub due: bool,
     /// Address that orders are sent to.
     pub addr: SocketAddr,
+    /// Fencing token of orders to its process.
+    pub token: Fence,
+    /// When it was last found to have restarted.
+    pub restarted: Option<Instant>,
     /// When its process started, in Unix milliseconds, once that is known. A new value means that
     /// it has restarted.
     pub born: Option<u64>,
@@ -94,13 +99,13 @@
 impl ExecutorState {
     /// Creates the state of a newly listed executor, which no owner has given work.
     #[must_use]
-    pub fn listed(info: Executor, now: Instant) -> Self {
+    pub fn listed(info: Executor, token: Fence, now: Instant) -> Self {
         let partition = Partitions::of(&info.id);
         Self {
             born: Some(info.born),
             runs_known: true,
             assignment: Assignment::None,
-            ..Self::inherited(info.service.clone(), info.addr, partition, now)
+            ..Self::inherited(info.service.clone(), info.addr, partition, token, now)
         }
         .with_info(info)
     }
@@ -111,6 +116,7 @@
         service: ServiceName,
         addr: SocketAddr,
         partition: Partitions,
+        token: Fence,
         now: Instant,
     ) -> Self {
         Self {
@@ -119,6 +125,8 @@
             usable: false,
             due: false,
             addr,
+            token,
+            restarted: None,
             born: None,
             born_reported: false,
             info: None,
@@ -151,6 +159,16 @@
         self
     }
 
+    /// The target of an order to its process.
+    #[must_use]
+    pub fn target(&self, id: &ExecutorId) -> Target {
+        Target {
+            executor: id.clone(),
+            addr: self.addr,
+            token: self.token,
+        }
+    }
+
     /// Whether an entry states a later start or another address than is known, and there may be
     /// something to lose if that is not true.
     #[must_use]
@@ -256,6 +274,7 @@
             (self.heartbeat_failed, Obstacle::Silent),
             (self.is_confirmation_due(), Obstacle::Unconfirmed),
             (backing_off, Obstacle::BackingOff),
+            (self.leases.are_long(now), Obstacle::LongLease),
             (self.is_overdue(now), Obstacle::Overdue),
         ];
         let found = obstacles.into_iter().find(|(applies, _)| *applies);
@@ -344,6 +363,13 @@
         self.unanswered.retain(|_, sent| now < *sent + limit);
     }
 
+    /// Notes that its process, which has its own fencing token, refuses the orders to an earlier one.
+    pub fn fence(&mut self, now: Instant, longest: Duration) {
+        self.leases.fence(now, longest);
+        let restarted = self.restarted;
+        self.unanswered.retain(|_, sent| Some(*sent) > restarted);
+    }
+
     /// Returns the number of the last end that the next heartbeat is to acknowledge; 0 for none. Another
     /// process that took the heartbeat would forget ends of its own that it hasn't reported. It has
     /// some only if it took a start as well, so none is acknowledged while one is overdue for an answer
--- a/src/batch/obstacle.rs
+++ b/src/batch/obstacle.rs
@@ -23,6 +23,8 @@
     Unconfirmed,
     /// It refused work a moment ago, or a run on it stalled.
     BackingOff,
+    /// Leases there may last longer than new ones, granted by orders to an earlier process.
+    LongLease,
     /// An order to start is overdue for an answer.
     Overdue,
 }
@@ -41,6 +43,7 @@
             Self::Silent => "silent",
             Self::Unconfirmed => "unconfirmed",
             Self::BackingOff => "backing off",
+            Self::LongLease => "long lease",
             Self::Overdue => "overdue",
         }
     }
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -23,9 +23,9 @@
     pub executor: ExecutorId,
     /// Address of the executor.
     pub addr: SocketAddr,
-    /// Fencing token: the number of the owner's term. Executors refuse lower ones than they have
-    /// seen.
-    pub fence: Fence,
+    /// Fencing token of the executor's process. Executors refuse lower ones than they have seen, so
+    /// that a process that has seen its own takes no orders to an earlier one or of an earlier owner.
+    pub token: Fence,
 }
 
 /// Renews the leases of an executor and asks for a [`Report`] of its runs.
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -19,6 +19,10 @@
 /// Fencing token: number of an owner's term, higher than that of any earlier term.
 pub type Fence = u64;
 
+/// Fencing tokens that are reserved per term. The first process of an executor that an owner knows is
+/// sent the fence of the term times this value, each later one the next token.
+pub const TOKENS_PER_FENCE: u64 = 10_000;
+
 /// Run numbers that are reserved per term. The runs of a term are numbered from its fence times
 /// this value on, so that later owners' numbers are higher.
 pub const RUNS_PER_FENCE: u64 = 1_000_000;
