Orders that would do harm at another process go only over connections whose process is known

Cause: a start to the earlier process had waited 0.77 s in this process for one of the four places at that executor; it then went over a new connection and so to the next process. An acknowledgement to the earlier process, carried out late, made the next one forget the end of that run before it had reported it.

Change: Target has the start of the process that an order is meant for. A connection ends with its process; so a start, and a heartbeat that renews or acknowledges, goes over a connection whose process is that one. A new connection is asked first, by a heartbeat that changes nothing; any other process's answer ends the order as not sent. The translation of client errors to order errors stands once now.

--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -166,6 +166,7 @@
             executor: id.clone(),
             addr: self.addr,
             token: self.token,
+            born: self.born.filter(|_| self.born_reported),
         }
     }
 
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -11,6 +11,7 @@
 use crate::batch::RunEnd;
 use crate::batch::StepId;
 use crate::batch::TaskId;
+use crate::http::ClientError;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 use crate::name::NodeName;
@@ -26,6 +27,8 @@
     /// Fencing token of the executor's process. Executors refuse lower ones than they have seen, so
     /// that a process that has seen its own takes no orders to an earlier one or of an earlier owner.
     pub token: Fence,
+    /// When the process started that the order is meant for, in Unix milliseconds, if it has told.
+    pub born: Option<u64>,
 }
 
 /// Renews the leases of an executor and asks for a [`Report`] of its runs.
@@ -237,3 +240,12 @@
         }
     }
 }
+
+impl From<ClientError> for OrderError {
+    fn from(err: ClientError) -> Self {
+        match err {
+            ClientError::Unsent(_) => Self::Unsent,
+            ClientError::Silent(_) => Self::Silent,
+        }
+    }
+}
--- a/src/http/backend_connection.rs
+++ b/src/http/backend_connection.rs
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 pub struct BackendConnection {
     addr: SocketAddr,
+    /// Start of the process at the other end, once it has told it.
+    pub process: Option<u64>,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -78,7 +80,11 @@
             let _ = connection.await;
         })
         .detach();
-        Ok(Self { addr, sender })
+        Ok(Self {
+            addr,
+            process: None,
+            sender,
+        })
     }
 
     /// Address of the backend server.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -16,6 +16,7 @@
 use crate::http::ConcurrencyGuard;
 use crate::http::ConcurrencyLimiter;
 use crate::http::IdleConnections;
+use crate::http::Recipient;
 
 quick_error! {
     /// Why a request got no response.
@@ -75,9 +76,57 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let _guard = self.acquire(addr, deadline).await?;
+        let backend = self.connect(addr, deadline).await?;
+        self.exchange(backend, request, deadline).await
+    }
+
+    /// Sends a request like [`Self::send`], unless the server says that it is another process than the
+    /// recipient. Each connection is asked once. If the question is refused, that is the response.
+    ///
+    /// # Errors
+    /// A [`ClientError`] that tells whether the request was sent.
+    pub async fn send_to(
+        &self,
+        addr: SocketAddr,
+        recipient: Recipient,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
     ) -> Result<Response<Bytes>, ClientError> {
         let _guard = self.acquire(addr, deadline).await?;
         let mut backend = self.connect(addr, deadline).await?;
+        if backend.process.is_none() {
+            let asking = timeout_at(deadline, backend.exchange(recipient.question)).await;
+            let Ok(result) = asking else {
+                self.idle.borrow_mut().drop_all(addr);
+                return Err(ClientError::Unsent("timed out".to_owned()));
+            };
+            let answer = result.map_err(|err| ClientError::Unsent(err.to_string()))?;
+            if !answer.status().is_success() {
+                // It refuses the request as well.
+                self.idle.borrow_mut().put(Instant::now(), backend);
+                return Ok(answer);
+            }
+            backend.process = (recipient.read)(&answer);
+        }
+        if backend
+            .process
+            .is_some_and(|process| process != recipient.process)
+        {
+            self.idle.borrow_mut().put(Instant::now(), backend);
+            return Err(ClientError::Unsent("another process answers".to_owned()));
+        }
+        self.exchange(backend, request, deadline).await
+    }
+
+    async fn exchange(
+        &self,
+        mut backend: BackendConnection,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let addr = backend.addr();
         let exchange = backend.exchange(request);
         let Ok(result) = timeout_at(deadline, exchange).await else {
             // The idle connections to this server may have stopped responding as well.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,6 +13,7 @@
 mod idle_connections;
 mod limits;
 mod monitored_stream;
+mod recipient;
 mod reply;
 mod server;
 
@@ -29,6 +30,7 @@
 pub use http_error::HttpError;
 pub use idle_connections::IdleConnections;
 pub use limits::Limits;
+pub use recipient::Recipient;
 pub use reply::Reply;
 pub use reply::json_reply;
 pub use reply::text_reply;
