A late start is not forgotten with the first of two restarts

A start that got no answer was dropped from the books once a new process had seen its own token; if that process restarted as well within 12 s, the third one could take the start while the task was given to another executor. The entry stays for 12 s now, as it did before; the report of a process that has seen its token settles the run as before.

Test: unnoticed::a_start_that_arrives_after_two_restarts_does_not_run_beside_another, fails on the commit before.

--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -169,10 +169,10 @@
         }
         executor.heartbeat_failed = false;
         executor.missed = 0;
-        // An answer to an order to an earlier process may yet be followed by others to it.
+        // Until an order with the process's own token is answered, others to an earlier one may arrive.
         let settled = target.token == executor.token;
         if settled {
-            executor.fence(now.at, self.longest_lease);
+            executor.leases.fence(now.at, self.longest_lease);
         }
         let first = settled && !executor.reported;
         executor.unanswered_since = executor.unanswered_since.filter(|&since| since > sent);
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -364,13 +364,6 @@
         self.unanswered.retain(|_, sent| now < *sent + limit);
     }
 
-    /// Notes that its process, which has its own fencing token, refuses the orders to an earlier one.
-    pub fn fence(&mut self, now: Instant, longest: Duration) {
-        self.leases.fence(now, longest);
-        let restarted = self.restarted;
-        self.unanswered.retain(|_, sent| Some(*sent) > restarted);
-    }
-
     /// Returns the number of the last end that the next heartbeat is to acknowledge; 0 for none. Another
     /// process that took the heartbeat would forget ends of its own that it hasn't reported. It has
     /// some only if it took a start as well, so none is acknowledged while one is overdue for an answer
--- a/tests/batch/unnoticed.rs
+++ b/tests/batch/unnoticed.rs
@@ -242,3 +242,36 @@
     sim.run(20_000);
     assert_eq!(sim.job_state("captions", job_id(2)), JobState::Completed);
 }
+
+/// Guards against a late order that is forgotten with the first of two restarts: the task that it starts
+/// on the third process was started elsewhere as well.
+#[test]
+fn a_start_that_arrives_after_two_restarts_does_not_run_beside_another() {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    let ids: Vec<ExecutorId> = sim.fakes.keys().cloned().collect();
+    sim.run(8_000);
+    sim.script = Box::new(|_, _| (8_000, RunOutcome::Done));
+    // The other executor has work, so that it needn't be asked whether it lives.
+    sim.draining = [ids[0].clone()].into();
+    sim.run(205);
+    sim.submit(2, "captions", vec![step(1)]);
+    sim.run(20);
+    sim.draining = [ids[1].clone()].into();
+    sim.run(205);
+    sim.late_starts = Some(5_000);
+    sim.submit(1, "captions", vec![step(1)]);
+    sim.run(50);
+    sim.late_starts = None;
+    sim.draining.insert(ids[0].clone());
+    sim.restart_executor(&ids[0], 1);
+    sim.run(4_900);
+    sim.lists_paused = true;
+    sim.restart_executor(&ids[0], 1);
+    sim.run(300);
+    sim.lists_paused = false;
+    sim.draining.clear();
+    sim.owner().answer_ms = 40;
+    // The simulation checks that no task runs on two executors.
+    sim.run(20_000);
+    assert_eq!(sim.job_state("captions", job_id(1)), JobState::Completed);
+}
