An executor that has just answered is not asked again for its process

Cause: each new connection that a binding order took was asked for its process, though nearly all of these orders leave within 0.2 s of an answer of that process: the time in which no other one can have taken its place, which already decides whether a start needs a heartbeat first.

Change: Target has the end of that time. The question is asked once it is over: for orders that waited in this process, and for starts beside an unanswered heartbeat. The request for it is made only then.

--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -167,6 +167,7 @@
             addr: self.addr,
             token: self.token,
             born: self.born.filter(|_| self.born_reported),
+            certain: self.process.certain(),
         }
     }
 
--- a/src/batch/orders.rs
+++ b/src/batch/orders.rs
@@ -29,6 +29,8 @@
     pub token: Fence,
     /// When the process started that the order is meant for, in Unix milliseconds, if it has told.
     pub born: Option<u64>,
+    /// Until then, no other process can have taken its place.
+    pub certain: Option<Instant>,
 }
 
 /// Renews the leases of an executor and asks for a [`Report`] of its runs.
--- a/src/batch/process_watch.rs
+++ b/src/batch/process_watch.rs
@@ -40,15 +40,20 @@
         Some(last.continuity(reading))
     }
 
+    /// Until when no other process can have taken its place.
+    #[must_use]
+    pub fn certain(&self) -> Option<Instant> {
+        let last = self.clock.filter(|last| !last.is_late(LATE_ANSWER))?;
+        Some(last.received + Duration::from_millis(SAME_PROCESS_MS))
+    }
+
     /// Whether it answered so recently that it can't have restarted since. `awaited` is when the
     /// heartbeat was sent that is not answered yet, if there is one.
     #[must_use]
     pub fn is_verified(&self, now: Instant, awaited: Option<Instant>) -> bool {
-        let last = self.clock.filter(|last| !last.is_late(LATE_ANSWER));
-        let Some(last) = last.filter(|_| self.asked.is_none()) else {
+        let (Some(last), Some(until), None) = (self.clock, self.certain(), self.asked) else {
             return false;
         };
-        let until = last.received + Duration::from_millis(SAME_PROCESS_MS);
         if awaited.is_some_and(|sent| sent < until) {
             return now < last.received + Duration::from_millis(AWAITED_PROCESS_MS);
         }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -83,7 +83,8 @@
     }
 
     /// Sends a request like [`Self::send`], unless the server says that it is another process than the
-    /// recipient. Each connection is asked once. If the question is refused, that is the response.
+    /// recipient. A connection is asked once, by the request that `question` returns, and only if its
+    /// process isn't certain. If the question is refused, that is the response.
     ///
     /// # Errors
     /// A [`ClientError`] that tells whether the request was sent.
@@ -91,13 +92,14 @@
         &self,
         addr: SocketAddr,
         recipient: Recipient,
+        question: impl FnOnce() -> Result<Request<Full<Bytes>>, ClientError>,
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Bytes>, ClientError> {
         let _guard = self.acquire(addr, deadline).await?;
         let mut backend = self.connect(addr, deadline).await?;
-        if backend.process.is_none() {
-            let asking = timeout_at(deadline, backend.exchange(recipient.question)).await;
+        if backend.process.is_none() && !recipient.is_certain(Instant::now()) {
+            let asking = timeout_at(deadline, backend.exchange(question()?)).await;
             let Ok(result) = asking else {
                 self.idle.borrow_mut().drop_all(addr);
                 return Err(ClientError::Unsent("timed out".to_owned()));
