--- a/tests/batch/unnoticed.rs
+++ b/tests/batch/unnoticed.rs
@@ -28,6 +28,20 @@
     sim
 }
 
+/// An idle site with two executors that grant leases of at most `limit` milliseconds, of which the first
+/// one alone gets work; returns their ids.
+fn site_with_leases(limit: u64) -> (Simulation, Vec<ExecutorId>) {
+    let mut sim = Simulation::new(&[("captions", 2)]);
+    sim.set_lease_limit(limit);
+    let ids: Vec<ExecutorId> = sim.fakes.keys().cloned().collect();
+    for fake in sim.fakes.values_mut() {
+        fake.lease_limit = limit;
+    }
+    sim.draining.insert(ids[1].clone());
+    sim.run(8_000);
+    (sim, ids)
+}
+
 /// Runs until the next start; returns its executor.
 fn run_until_start(sim: &mut Simulation) -> ExecutorId {
     let before = sim.starts.len();
@@ -150,14 +164,7 @@
 #[test_case(6_000, true; "leases of 6 s, owner lost")]
 #[test_case(10_000, true; "leases of 10 s, owner lost")]
 fn a_start_that_was_sent_after_a_restart_makes_no_task_run_twice(limit: u64, owner_lost: bool) {
-    let mut sim = Simulation::new(&[("captions", 2)]);
-    sim.set_lease_limit(limit);
-    let ids: Vec<ExecutorId> = sim.fakes.keys().cloned().collect();
-    for fake in sim.fakes.values_mut() {
-        fake.lease_limit = limit;
-    }
-    sim.draining.insert(ids[1].clone());
-    sim.run(8_000);
+    let (mut sim, ids) = site_with_leases(limit);
     sim.script = Box::new(|_, _| (20_000, RunOutcome::Done));
     sim.queued_starts = Some(700);
     sim.submit(1, "captions", vec![step(1)]);
@@ -217,15 +224,7 @@
 /// process, with a lease that outlasted what the next owner waits.
 #[test]
 fn a_run_with_a_longer_lease_than_the_next_owner_waits_is_not_kept() {
-    let limit = 10_000;
-    let mut sim = Simulation::new(&[("captions", 2)]);
-    sim.set_lease_limit(limit);
-    let ids: Vec<ExecutorId> = sim.fakes.keys().cloned().collect();
-    for fake in sim.fakes.values_mut() {
-        fake.lease_limit = limit;
-    }
-    sim.draining.insert(ids[1].clone());
-    sim.run(8_000);
+    let (mut sim, ids) = site_with_leases(10_000);
     sim.script = Box::new(|_, _| (14_000, RunOutcome::Done));
     sim.submit(1, "captions", vec![step(1)]);
     sim.run(205);
