A team is charged for no more than its lost executors had

Cause: what tasks may be running unseen is bounded by the capacity of the executors with unknown runs, but that bound was dropped as soon as one of them was no longer listed; a lost rack's never are. All waiting tasks of the team then counted as running.

Change: the capacity of an executor stands in the log beside its assignment (record Capacity), so the next owner has a bound for those that are gone. It holds by service, as a job runs only on executors of its service. Best-effort tasks reserve no CPU, so capacity doesn't bound what they use: the bound before was too low for them, and they count in full now. src/unseen holds the sums, out of src/batch.

Tests: tests/batch/unseen.rs; both cases of a_team_runs_on_after_the_owner_is_lost_with_its_executors fail with the records' bound taken out (0 of 4 jobs start in 4 s).

--- a/src/batch/backlog.rs
+++ b/src/batch/backlog.rs
@@ -15,6 +15,7 @@
 use crate::name::QueueName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::unseen::UnseenUsage;
 
 /// Index of the jobs that have work left.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -23,8 +24,8 @@
     services: BTreeMap<ServiceName, ServiceBacklog>,
     // Number of jobs of each queue of which no task has started.
     waiting: BTreeMap<QueueName, u64>,
-    // Resources that each team may be using on executors with unknown runs.
-    unseen: BTreeMap<TeamName, Resources>,
+    // What tasks may be using on executors with unknown runs.
+    unseen: UnseenUsage,
     // Jobs that may have runs of an earlier owner.
     inherited: BTreeSet<JobId>,
     // When the ranks of jobs change by the time alone, in Unix milliseconds.
@@ -45,7 +46,7 @@
             *self.waiting.entry(entry.queue.clone()).or_default() += 1;
         }
         if let Some((team, demand)) = &entry.unseen {
-            self.unseen.entry(team.clone()).or_default().add(demand);
+            self.unseen.add(team, &entry.service, demand);
         }
         if entry.inherited {
             self.inherited.insert(id);
@@ -77,13 +78,8 @@
                 self.waiting.remove(&entry.queue);
             }
         }
-        if let Some((team, demand)) = &entry.unseen
-            && let Some(unseen) = self.unseen.get_mut(team)
-        {
-            unseen.sub(demand);
-            if *unseen == Resources::default() {
-                self.unseen.remove(team);
-            }
+        if let Some((team, demand)) = &entry.unseen {
+            self.unseen.sub(team, &entry.service, demand);
         }
         self.inherited.remove(&id);
         if let Some(expires) = entry.expires {
@@ -125,9 +121,9 @@
         self.waiting.get(queue).copied().unwrap_or(0)
     }
 
-    /// Returns the resources that each team may be using on executors with unknown runs.
+    /// Returns what tasks may be using on executors with unknown runs.
     #[must_use]
-    pub const fn unseen(&self) -> &BTreeMap<TeamName, Resources> {
+    pub const fn unseen(&self) -> &UnseenUsage {
         &self.unseen
     }
 
--- a/src/batch/backlog_entry.rs
+++ b/src/batch/backlog_entry.rs
@@ -12,6 +12,7 @@
 use crate::name::QueueName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::unseen::UnseenDemand;
 
 /// A job as the backlog sees it; valid until the job changes or until `expires`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,8 +37,8 @@
     pub inherited: bool,
     /// What it adds to the load of its service.
     pub load: JobLoad,
-    /// Resources that its tasks may be using unseen, and the team that they count for.
-    pub unseen: Option<(TeamName, Resources)>,
+    /// What its tasks may be using unseen, and the team that it counts for.
+    pub unseen: Option<(TeamName, UnseenDemand)>,
     /// When its rank changes by the time alone, in Unix milliseconds.
     pub expires: Option<u64>,
 }
@@ -84,20 +85,22 @@
             waiting: active && !job_progress.started,
             inherited: !job_progress.inherited.is_empty(),
             load,
-            unseen: unseen.filter(|(_, demand)| *demand != Resources::default()),
+            unseen: unseen.filter(|(_, demand)| *demand != UnseenDemand::default()),
             expires: Rank::expiry(job_progress, &objective, unix).filter(|_| active),
         })
     }
 }
 
-/// Returns the resources of a job's tasks that are neither done nor known to run, at most
+/// Returns the demand of a job's tasks that are neither done nor known to run, at most
 /// [`JOB_LIMIT`].
-fn unplaced(job_progress: &JobProgress) -> Resources {
-    let mut demand = Resources::default();
+fn unplaced(job_progress: &JobProgress) -> UnseenDemand {
+    let mut demand = UnseenDemand::default();
     for steps in job_progress.occurrences.values() {
         for (progress, step) in steps.iter().zip(&job_progress.job.steps) {
             let idle = progress.tasks.iter().filter(|task| task.is_idle());
-            demand.add(&step.demand.times(idle.count() as u64));
+            let count = idle.count() as u64;
+            let needed = step.demand.times(count);
+            demand.add(&UnseenDemand::new(needed, step.reserved().times(count)));
         }
     }
     demand.min(&JOB_LIMIT)
--- a/src/batch/batch_state.rs
+++ b/src/batch/batch_state.rs
@@ -11,6 +11,7 @@
 use crate::batch::JobTable;
 use crate::batch::Partitions;
 use crate::batch::Record;
+use crate::batch::Resources;
 use crate::name::ExecutorId;
 use crate::name::HostName;
 use crate::name::ServiceName;
@@ -25,6 +26,8 @@
     pub jobs: JobTable,
     /// Executors that may have been assigned work, with their service and address.
     pub assigned: BTreeMap<ExecutorId, (ServiceName, SocketAddr)>,
+    /// Greatest capacity that was recorded for each executor since it was last released.
+    pub capacities: BTreeMap<ExecutorId, Resources>,
     /// Assigned executors that have not reported since a takeover, with the time for which no owner
     /// has given them work, in milliseconds.
     pub recovery_waits: BTreeMap<ExecutorId, u64>,
@@ -99,7 +102,7 @@
             }
             Record::Released(executor) => {
                 self.recovery_waits.remove(&executor);
-                self.assigned.remove(&executor);
+                self.release(&executor);
             }
             Record::Granted(grants) => {
                 for (id, partitions) in grants {
@@ -111,6 +114,7 @@
                 self.wave_requests.entry(wave).or_insert(at);
             }
             Record::TermContinued { .. } => {}
+            Record::Capacity { executor, capacity } => self.note_capacity(&executor, &capacity),
         }
         None
     }
@@ -136,6 +140,25 @@
         }
     }
 
+    /// Notes the capacity of an executor that may be assigned work.
+    pub fn note_capacity(&mut self, executor: &ExecutorId, capacity: &Resources) {
+        let known = self.capacities.entry(executor.clone()).or_default();
+        *known = known.max(capacity);
+    }
+
+    /// Whether a capacity exceeds what is known of an executor in any resource.
+    #[must_use]
+    pub fn is_outgrown(&self, executor: &ExecutorId, capacity: &Resources) -> bool {
+        let known = self.capacities.get(executor);
+        known.is_none_or(|known| !capacity.is_within(known))
+    }
+
+    /// Forgets an executor on which nothing can run any more.
+    pub fn release(&mut self, executor: &ExecutorId) {
+        self.assigned.remove(executor);
+        self.capacities.remove(executor);
+    }
+
     fn cancel_early(&mut self, id: JobId) {
         if self.cancelled_early.len() >= EARLY_CANCEL_LIMIT {
             self.cancelled_early.pop_front();
--- a/src/batch/dispatcher/executors.rs
+++ b/src/batch/dispatcher/executors.rs
@@ -89,11 +89,14 @@
         executor.born_reported &= !restarted;
         // An earlier start stated by the list alone shows no restart; its report tells.
         executor.born = executor.born.max(Some(listed.born));
+        // What runs there unseen is asked about first.
+        let assigned = executor.assignment != Assignment::None && !executor.has_unknown_runs();
+        let outgrown = assigned && self.state.is_outgrown(&id, &listed.capacity);
         let moved = executor.set_info(Rc::new(listed));
         if restarted {
             self.reset(now, &id);
         }
-        if moved {
+        if moved || outgrown {
             self.assign(&id);
         }
     }
@@ -132,12 +135,11 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let record = Record::Assigned {
-            executor: id.clone(),
-            service: executor.service.clone(),
-            addr: executor.addr,
-        };
-        let append_id = self.append(vec![record]);
+        let records = executor.assignment_records(id);
+        if let Some(info) = &executor.info {
+            self.state.note_capacity(id, &info.capacity);
+        }
+        let append_id = self.append(records);
         self.pending_assignments.insert(append_id, id.clone());
         if let Some(executor) = self.executors.get_mut(id) {
             executor.assignment = Assignment::Pending(append_id);
@@ -165,7 +167,7 @@
         for id in ids {
             info!(self.log, "executor removed"; "executor" => %id);
             let executor = self.executors.remove(&id);
-            self.state.assigned.remove(&id);
+            self.state.release(&id);
             if executor.is_some_and(|executor| executor.assignment != Assignment::None) {
                 self.append(vec![Record::Released(id)]);
             }
--- a/src/batch/dispatcher/heartbeats.rs
+++ b/src/batch/dispatcher/heartbeats.rs
@@ -211,7 +211,10 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let unassigned = executor.wait_recorded || executor.assignment == Assignment::None;
+        let info = executor.info.as_ref();
+        let outgrown = info.is_some_and(|info| self.state.is_outgrown(id, &info.capacity));
+        let unassigned =
+            executor.wait_recorded || executor.assignment == Assignment::None || outgrown;
         executor.wait_recorded = false;
         executor.reported = true;
         executor.runs_known = true;
@@ -380,7 +383,7 @@
         if let Some(executor) = self.executors.get_mut(id) {
             executor.unassign();
         }
-        self.state.assigned.remove(id);
+        self.state.release(id);
         self.append(vec![Record::Released(id.clone())]);
         self.dirty = true;
     }
--- a/src/batch/dispatcher/partition_grants.rs
+++ b/src/batch/dispatcher/partition_grants.rs
@@ -12,8 +12,10 @@
 use crate::batch::Record;
 use crate::batch::Resources;
 use crate::batch::executor_capacity::StepPlacement;
+use crate::name::ExecutorId;
 use crate::name::ServiceName;
 use crate::name::TeamName;
+use crate::unseen::UnknownCapacity;
 
 /// Most jobs in one record.
 const GRANT_LIMIT: usize = 1_000;
@@ -109,27 +111,29 @@
         }
     }
 
-    /// Returns the resources that each team may be using on executors with unknown runs: the demand
-    /// of its tasks that may run there, limited by the capacity of these executors where it is known.
+    /// Returns the most that each team may be using on executors with unknown runs.
     pub(super) fn unknown_usage(&self) -> BTreeMap<TeamName, Resources> {
-        let mut unknown_usage = self.backlog.unseen().clone();
         if self.unknown.is_empty() {
-            return unknown_usage;
+            return BTreeMap::new();
         }
-        let mut capacity = Resources::default();
-        for executor in self
-            .executors
-            .values()
-            .filter(|executor| executor.has_unknown_runs())
-        {
-            match &executor.info {
-                Some(info) => capacity.add(&info.capacity),
-                None => return unknown_usage,
+        let mut capacity = UnknownCapacity::default();
+        for (id, executor) in &self.executors {
+            if executor.has_unknown_runs() {
+                capacity.add(&executor.service, self.greatest_capacity(id).as_ref());
             }
         }
-        for demand in unknown_usage.values_mut() {
-            *demand = demand.min(&capacity);
+        self.backlog.unseen().bound(&capacity)
+    }
+
+    /// Returns the most that an executor may have had while it was assigned: by the log, and by its
+    /// entry if it is listed. `None` if neither tells.
+    fn greatest_capacity(&self, id: &ExecutorId) -> Option<Resources> {
+        let recorded = self.state.capacities.get(id).copied();
+        let executor = self.executors.get(id)?;
+        let listed = executor.info.as_ref().map(|info| info.capacity);
+        match (recorded, listed) {
+            (Some(recorded), Some(listed)) => Some(recorded.max(&listed)),
+            _ => recorded.or(listed),
         }
-        unknown_usage
     }
 }
--- a/src/batch/dispatcher/rewriting.rs
+++ b/src/batch/dispatcher/rewriting.rs
@@ -67,11 +67,7 @@
             let stays = executor.assignment == Assignment::Recorded && !executor.is_retired();
             // Rewriting this assignment would reset the recorded wait for the executor.
             if stays && !executor.has_unknown_runs() {
-                records.push(Record::Assigned {
-                    executor: id.clone(),
-                    service: executor.service.clone(),
-                    addr: executor.addr,
-                });
+                records.extend(executor.assignment_records(id));
             }
         }
         for (wave, host) in self.waves.maintained() {
--- a/src/batch/executor_state.rs
+++ b/src/batch/executor_state.rs
@@ -10,6 +10,7 @@
 use crate::batch::Fence;
 use crate::batch::Obstacle;
 use crate::batch::Partitions;
+use crate::batch::Record;
 use crate::batch::Resources;
 use crate::batch::Target;
 use crate::batch::TaskId;
@@ -159,6 +160,23 @@
         self
     }
 
+    /// Records that must be in the log before it is given work.
+    #[must_use]
+    pub fn assignment_records(&self, id: &ExecutorId) -> Vec<Record> {
+        let mut records = vec![Record::Assigned {
+            executor: id.clone(),
+            service: self.service.clone(),
+            addr: self.addr,
+        }];
+        if let Some(info) = &self.info {
+            records.push(Record::Capacity {
+                executor: id.clone(),
+                capacity: info.capacity,
+            });
+        }
+        records
+    }
+
     /// The target of an order to its process.
     #[must_use]
     pub fn target(&self, id: &ExecutorId) -> Target {
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -9,6 +9,7 @@
 use crate::batch::Job;
 use crate::batch::JobId;
 use crate::batch::Partitions;
+use crate::batch::Resources;
 use crate::batch::TaskId;
 use crate::batch::job_snapshot::JobSnapshot;
 use crate::name::ExecutorId;
@@ -148,6 +149,14 @@
     /// Snapshot of a job that is too large for one record, without the state of its tasks. `Ended`
     /// records with that state follow.
     JobOutline(Box<JobSnapshot>),
+    /// Capacity of an executor that may be assigned work. What runs there unseen after a change of
+    /// owners takes no more than the greatest that is recorded for it.
+    Capacity {
+        /// The executor.
+        executor: ExecutorId,
+        /// What it has.
+        capacity: Resources,
+    },
 }
 
 /// Upper bound of the size of a run's end in a record, without its saved progress, in bytes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod settings;
 pub mod signals;
 pub mod table;
+pub mod unseen;
 pub mod upkeep;
 pub mod wire;
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -34,4 +34,5 @@
 mod takeover;
 mod teams;
 mod unnoticed;
+mod unseen;
 mod upkeep;
