Hosts are divided between services that together need more than there are

Cause: need knew neither the fleet's size, nor the teams' limits, nor the priority of queues; only pools that could do without gave hosts up, and a pool with a need beyond all hosts never could.

Change: src/division. Where the services together need more than the hosts have, half of the CPU is divided equally between those that need it, the rest by the priority of their queues and in proportion to what is lacking; what is only forecast comes last. A pool's need is its part, so hosts beyond it are drained and moved as before, by the code that did so. What teams may not run under their limits (with what they may be running unseen) is no need at all. Where there is room for all and no team is at its limit, needs are as before.

Weighed: progressive filling alone.

Logs: `demand` (what the pool's work takes) beside `need` (what it gets) in "pool summary".

--- a/src/batch/backlog_entry.rs
+++ b/src/batch/backlog_entry.rs
@@ -21,6 +21,8 @@
     pub service: ServiceName,
     /// Queue that it was submitted to.
     pub queue: QueueName,
+    /// Priority of the queue; lower numbers are served first.
+    pub priority: u32,
     /// Its place among the jobs with tasks to start; `None` if it has none or may not start any.
     pub candidate: Option<Candidate>,
     /// Its team, if that has a limit.
@@ -77,6 +79,7 @@
         Some(Self {
             service: job.service.clone(),
             queue: job.queue.clone(),
+            priority: queue.map_or(0, |queue| queue.priority),
             candidate: startable.then(|| Candidate::of(job_progress, rank)),
             limited: job.team.clone().filter(|_| limited),
             least_demand: remaining.least_demand,
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -13,16 +13,21 @@
 use crate::batch::Now;
 use crate::batch::Obstacle;
 use crate::batch::OrderError;
+use crate::batch::Policy;
 use crate::batch::Resources;
 use crate::batch::Transfer;
 use crate::batch::dispatcher::host_orders::HostOrder;
 use crate::batch::dispatcher::maintenance::is_order_recent;
 use crate::batch::host_capacity::HostCapacity;
+use crate::batch::pool_balancer::without_margin;
 use crate::batch::pool_view::PoolHost;
 use crate::batch::pool_view::PoolView;
 use crate::batch::service_backlog::ServiceBacklog;
 use crate::batch::service_load::ServiceLoad;
 use crate::batch::waves::RunCounts;
+use crate::division::Claim;
+use crate::division::TeamRoom;
+use crate::division::divide;
 use crate::name::ServiceName;
 
 /// Time between two rounds of balancing, in milliseconds.
@@ -31,6 +36,8 @@
 const SUMMARY_INTERVAL_MS: u64 = 1_000;
 /// Time over which work of jobs that are too late to be of use is spread, in milliseconds.
 const LATE_WORK_MS: u64 = 4_000;
+/// Priority of work that is forecast: that which is there comes before it.
+const FORECAST_PRIORITY: u32 = u32::MAX;
 /// Fewest hosts of a pool that some queue uses.
 const MIN_HOSTS: usize = 2;
 
@@ -88,7 +95,7 @@
             let backlog = self.backlog.of(&view.service);
             let blocked = backlog.map_or(0, ServiceBacklog::blocked);
             info!(self.log, "pool summary"; "service" => %view.service, "hosts" => view.hosts.len(),
-                "idle" => idle, "need" => view.need, "late" => view.late_cpu,
+                "idle" => idle, "demand" => view.demand, "need" => view.need, "late" => view.late_cpu,
                 "forecast" => view.forecast, "floor" => view.min_hosts,
                 "lacking" => view.extra_hosts, "unheard" => unknown.count(), "held" => blocked,
                 "jobs" => backlog.map_or(0, ServiceBacklog::len), "executors" => executors.len(),
@@ -127,8 +134,10 @@
         };
         let no_load = ServiceLoad::default();
         let extra_hosts = self.extra_hosts();
+        let claims = self.claims(now, &policy);
+        let needs = divide(self.divisible_cpu(), &claims);
         let mut views = Vec::new();
-        for (service, pool) in &policy.pools {
+        for (at, (service, pool)) in policy.pools.iter().enumerate() {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
             let forecast = self.meter.forecast(now.at, service);
             let backlog = self.backlog.of(service);
@@ -140,7 +149,8 @@
             views.push(PoolView {
                 service: service.clone(),
                 spare: pool.spare,
-                need: load.need(&self.capacity.total).max(forecast),
+                demand: claims[at].total(),
+                need: needs[at],
                 late_cpu: load.late_work() / LATE_WORK_MS,
                 forecast,
                 extra_hosts: extra_hosts.get(service).copied().unwrap_or(0),
@@ -155,6 +165,41 @@
         views
     }
 
+    /// Returns what the services of all pools need, in the order of the pools.
+    fn claims(&mut self, now: Now, policy: &Policy) -> Vec<Claim> {
+        let room = self.team_room(policy);
+        let mut claims = Vec::new();
+        for service in policy.pools.keys() {
+            let load = self.backlog.of(service).map(ServiceBacklog::load);
+            let claim = load.map(|load| load.claim(&self.capacity.total, &room));
+            let mut claim = claim.unwrap_or_default();
+            claim.raise_to(FORECAST_PRIORITY, self.meter.forecast(now.at, service));
+            claims.push(claim);
+        }
+        claims
+    }
+
+    /// Returns how much of their demand teams may run, beside what they may be running unseen.
+    fn team_room(&self, policy: &Policy) -> TeamRoom {
+        let unknown_usage = self.unknown_usage();
+        let services = policy.pools.keys();
+        let loads = services.filter_map(|service| Some(self.backlog.of(service)?.load()));
+        TeamRoom::of(loads.flat_map(ServiceLoad::limited), |team| {
+            let limits = policy.teams.get(team);
+            let limit = limits.map_or(Resources::default(), |team| team.limit);
+            limit.left(&unknown_usage.get(team).copied().unwrap_or_default())
+        })
+    }
+
+    /// Returns the CPU that can be divided between pools, without the margin that each has beyond
+    /// its need, in thousandths of a core.
+    fn divisible_cpu(&self) -> u64 {
+        let hosts = self.hosts.values();
+        let hosts = hosts.filter(|host| host.phase != HostPhase::Down);
+        let cpu = hosts.fold(0_u64, |sum, host| sum.saturating_add(host.capacity.cpu));
+        without_margin(cpu)
+    }
+
     /// Returns the number of hosts that long-running tasks of each service lack. Those of teams at
     /// their limits lack none: they could not start on them.
     fn extra_hosts(&self) -> BTreeMap<ServiceName, usize> {
--- a/src/batch/pool_balancer.rs
+++ b/src/batch/pool_balancer.rs
@@ -29,6 +29,12 @@
 /// Capacity that a pool should have beyond its need, in percent of the need.
 const MARGIN_PERCENT: u64 = 10;
 
+/// Returns the largest need whose pool has `cpu` with its margin; both in thousandths of a core.
+#[must_use]
+pub const fn without_margin(cpu: u64) -> u64 {
+    cpu / (100 + MARGIN_PERCENT) * 100
+}
+
 /// A move that was ordered.
 #[derive(Debug)]
 struct PendingMove {
--- a/src/batch/pool_view.rs
+++ b/src/batch/pool_view.rs
@@ -30,7 +30,10 @@
     pub service: ServiceName,
     /// It is the spare pool, whose hosts are switched off.
     pub spare: bool,
-    /// CPU that its work takes now and soon, in thousandths of a core.
+    /// CPU that its work takes now and soon, as far as its teams may run it, in thousandths of a
+    /// core.
+    pub demand: u64,
+    /// CPU of the demand that it gets: all of it, unless the pools together lack hosts.
     pub need: u64,
     /// Further CPU for work that is too late to be of use, in thousandths of a core. The pool gets
     /// it only while no other pool is short.
--- a/src/batch/resources.rs
+++ b/src/batch/resources.rs
@@ -39,6 +39,16 @@
         self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
     }
 
+    /// Returns what is left beside `used` under this limit, where 0 means unlimited.
+    #[must_use]
+    pub const fn left(&self, used: &Self) -> Self {
+        Self {
+            cpu: left(self.cpu, used.cpu),
+            memory: left(self.memory, used.memory),
+            gpu: left(self.gpu, used.gpu),
+        }
+    }
+
     /// Returns the minimum of the two in each resource.
     #[must_use]
     pub const fn min(&self, other: &Self) -> Self {
@@ -95,6 +105,13 @@
     if one < other { one } else { other }
 }
 
+const fn left(limit: u64, used: u64) -> u64 {
+    if limit == 0 {
+        return u64::MAX;
+    }
+    limit.saturating_sub(used)
+}
+
 /// Returns how many times `each` can be added to `used` under a limit, where 0 means unlimited.
 const fn times(limit: u64, used: u64, each: u64) -> u64 {
     if limit == 0 {
--- a/src/batch/service_backlog.rs
+++ b/src/batch/service_backlog.rs
@@ -20,7 +20,8 @@
 impl ServiceBacklog {
     /// Adds a job.
     pub fn add(&mut self, entry: &BacklogEntry) {
-        self.load.add(&entry.load);
+        self.load
+            .add(&entry.load, entry.priority, entry.limited.as_ref());
         self.jobs += 1;
         self.blocked += usize::from(entry.blocked);
         if let Some(candidate) = entry.candidate {
@@ -31,7 +32,8 @@
 
     /// Removes a job that was added.
     pub fn remove(&mut self, entry: &BacklogEntry) {
-        self.load.sub(&entry.load);
+        self.load
+            .sub(&entry.load, entry.priority, entry.limited.as_ref());
         self.jobs -= 1;
         self.blocked -= usize::from(entry.blocked);
         if let Some(candidate) = entry.candidate
--- a/src/batch/service_load.rs
+++ b/src/batch/service_load.rs
@@ -1,8 +1,13 @@
 //! Load of a service: what its jobs run or could run now.
 
+use std::collections::BTreeMap;
+
 use crate::batch::JobProgress;
 use crate::batch::Resources;
 use crate::batch::multiset::Multiset;
+use crate::division::Claim;
+use crate::division::TeamRoom;
+use crate::name::TeamName;
 
 /// Most of each resource that one job counts for, so that the sum over all jobs can't overflow.
 pub const JOB_LIMIT: Resources = Resources {
@@ -63,40 +68,63 @@
     }
 }
 
+/// Whose demand it is: the priority of the jobs' queue, and their team if that has a limit.
+type Owner = (u32, Option<TeamName>);
+
 /// Sum of the loads of a service's jobs.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct ServiceLoad {
-    demand: Resources,
+    demands: BTreeMap<Owner, Resources>,
     late_work: u64,
     // Numbers of hosts over which jobs must be spread.
     spreads: Multiset,
 }
 
 impl ServiceLoad {
-    /// Adds the load of a job.
-    pub fn add(&mut self, load: &JobLoad) {
-        self.demand.add(&load.demand);
+    /// Adds the load of a job of a queue of `priority` and of a team, if that has a limit.
+    pub fn add(&mut self, load: &JobLoad, priority: u32, team: Option<&TeamName>) {
+        if load.demand != Resources::default() {
+            let demand = self.demands.entry((priority, team.cloned())).or_default();
+            demand.add(&load.demand);
+        }
         self.late_work += load.late_work;
         if load.min_hosts > 0 {
             self.spreads.add(load.min_hosts as u64);
         }
     }
 
-    /// Subtracts the load of a job that was added.
-    pub fn sub(&mut self, load: &JobLoad) {
-        self.demand.sub(&load.demand);
+    /// Subtracts the load of a job that was added with the same arguments.
+    pub fn sub(&mut self, load: &JobLoad, priority: u32, team: Option<&TeamName>) {
+        let owner = (priority, team.cloned());
+        if let Some(demand) = self.demands.get_mut(&owner) {
+            demand.sub(&load.demand);
+            if *demand == Resources::default() {
+                self.demands.remove(&owner);
+            }
+        }
         self.late_work -= load.late_work;
         self.spreads.remove(load.min_hosts as u64);
     }
 
-    /// CPU of the hosts that the load takes, in thousandths of a core. Load that takes a larger
-    /// share of the `total` memory of the hosts than of their CPU counts by its memory.
+    /// Returns the demand of teams that have a limit, one item for each priority.
+    pub fn limited(&self) -> impl Iterator<Item = (&TeamName, &Resources)> {
+        let demands = self.demands.iter();
+        demands.filter_map(|((_, team), demand)| Some((team.as_ref()?, demand)))
+    }
+
+    /// Returns the CPU of the hosts that the load takes, as far as its teams have room. Load that
+    /// takes a larger share of the `total` memory of the hosts than of their CPU counts by its
+    /// memory.
     #[must_use]
-    pub fn need(&self, total: &Resources) -> u64 {
-        let memory = u128::from(self.demand.memory) * u128::from(total.cpu);
-        let memory = memory.checked_div(u128::from(total.memory)).unwrap_or(0);
-        let memory = u64::try_from(memory).unwrap_or(u64::MAX);
-        self.demand.cpu.max(memory)
+    pub fn claim(&self, total: &Resources, room: &TeamRoom) -> Claim {
+        let mut claim = Claim::default();
+        let mut sum = Resources::default();
+        for ((priority, team), demand) in &self.demands {
+            let usable = team.as_ref().map(|team| room.usable(team, demand));
+            sum.add(usable.as_ref().unwrap_or(demand));
+            claim.raise_to(*priority, hosts_cpu(&sum, total));
+        }
+        claim
     }
 
     /// Work of jobs that are too late to be of use to their clients, in thousandths of a
@@ -112,3 +140,12 @@
         self.spreads.max() as usize
     }
 }
+
+/// Returns the CPU of the hosts that a demand takes, by CPU or by memory, whichever takes more of the
+/// `total`.
+fn hosts_cpu(demand: &Resources, total: &Resources) -> u64 {
+    let memory = u128::from(demand.memory) * u128::from(total.cpu);
+    let memory = memory.checked_div(u128::from(total.memory)).unwrap_or(0);
+    let memory = u64::try_from(memory).unwrap_or(u64::MAX);
+    demand.cpu.max(memory)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod batch;
 pub mod ctl;
+pub mod division;
 pub mod fleet;
 pub mod gate;
 pub mod health;
