What clients' connections occupy has one bound, and the process stays within its machine

Seen by operators: clients outside the limits ended a process, it ran out of memory.

Cause: bodies were bounded one by one and connections by number, nothing bounded their sum; the descriptors for clients were as many as the machine has. A full listener kept those that did nothing and closed new ones.

Change: src/intake. Each connection, and each body until its answer, counts against one budget: a quarter of limits.memory_mb, and half of limits.max_fds beyond the 200 for files (64 MB and 4,096 connections where the machine is not known). Where it is used up, the connection whose request has been incomplete for longest is cut, then the one idle for longest, each after a second; one whose request is complete never is. Without place a body gets 503 with Retry-After, which is true: it has not been read; a connection is closed. hyper's own buffers are bounded too. The same server carries the product's own gate, the operators' API and the links between nodes. Metric mimosa.batch.connections_dropped, one log line a second at most.

--- a/src/batch/batch_metrics.rs
+++ b/src/batch/batch_metrics.rs
@@ -23,6 +23,7 @@
 use crate::batch::SizeClass;
 use crate::batch::load_metrics::LoadMetrics;
 use crate::http::Handler;
+use crate::intake::IntakeEvent;
 use crate::observe::MetricExporter;
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -51,6 +52,7 @@
     orders: Histogram<f64>,
     completed: Counter<u64>,
     oversized: Counter<u64>,
+    intake: Counter<u64>,
     gauges: Arc<Gauges>,
     load: LoadMetrics,
 }
@@ -76,6 +78,10 @@
                 .u64_counter("mimosa.batch.oversized_records")
                 .with_unit("{record}")
                 .build(),
+            intake: meter
+                .u64_counter("mimosa.batch.connections_dropped")
+                .with_unit("{event}")
+                .build(),
             load: LoadMetrics::new(&meter),
             exporter,
             gauges,
@@ -100,6 +106,12 @@
         self.calls.record(start.elapsed().as_secs_f64(), &labels);
     }
 
+    /// Counts a connection or a body that was cut or refused for lack of memory or connections.
+    pub fn record_intake(&self, event: IntakeEvent) {
+        let labels = [KeyValue::new("mimosa.event", event.label())];
+        self.intake.add(1, &labels);
+    }
+
     /// Records the latency and outcome of an order that was sent at `start`.
     pub fn record_order(&self, kind: &'static str, start: Instant, error: Option<OrderError>) {
         let outcome =
--- a/src/batch/owner_client.rs
+++ b/src/batch/owner_client.rs
@@ -20,6 +20,7 @@
 use crate::batch::Platform;
 use crate::batch::election::Election;
 use crate::http::Client;
+use crate::http::ClientBody;
 use crate::http::ClientError;
 use crate::http::Handler;
 use crate::http::Reply;
@@ -213,7 +214,7 @@
         })
     }
 
-    async fn serve(&self, request: Request<hyper::body::Incoming>) -> Reply {
+    async fn serve(&self, request: Request<ClientBody>) -> Reply {
         let Ok(body) = read_body(request.into_body(), REQUEST_LIMIT).await else {
             return text_reply(StatusCode::BAD_REQUEST, "the question can't be read\n");
         };
--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -6,11 +6,11 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 
 use crate::fleet::ApiBackend;
 use crate::fleet::Submission;
+use crate::http::ClientBody;
 use crate::http::Handler;
 use crate::http::HttpError;
 use crate::http::Limits;
@@ -18,10 +18,14 @@
 use crate::http::json_reply;
 use crate::http::read_body;
 use crate::http::text_reply;
+use crate::intake::IntakeLimits;
 use crate::observe::HlcTimestamp;
 use crate::record::KeyHash;
 use crate::wire::Verdict;
 
+/// Memory for the bodies of operators' requests, in bytes.
+const INTAKE_BYTES: usize = 64 << 20;
+
 /// HTTP API for operators, served by a fleet process.
 pub struct OperatorsApi {
     backend: Rc<dyn ApiBackend>,
@@ -33,7 +37,10 @@
     pub const LIMITS: Limits = Limits {
         header_bytes: 16 * 1024,
         body_bytes: 8 * 1024 * 1024,
-        connections: 256,
+        intake: IntakeLimits {
+            bytes: INTAKE_BYTES,
+            connections: 256,
+        },
     };
 
     /// Creates the API in front of `backend`; `operators` are the hashes of the operators' keys.
@@ -57,7 +64,7 @@
         })
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, HttpError> {
+    async fn answer(&self, request: Request<ClientBody>) -> Result<Reply, HttpError> {
         let method = match request.uri().path() {
             "/v1/changes" => Method::POST,
             "/v1/state" | "/v1/events" | "/healthz" | "/readyz" => Method::GET,
@@ -86,7 +93,7 @@
         self.change(request.into_body()).await
     }
 
-    async fn change(&self, body: Incoming) -> Result<Reply, HttpError> {
+    async fn change(&self, body: ClientBody) -> Result<Reply, HttpError> {
         let body = read_body(body, Self::LIMITS.body_bytes).await?;
         let submission: Submission = serde_json::from_slice(&body)
             .map_err(|error| fault(StatusCode::BAD_REQUEST, "bad-change", &error.to_string()))?;
@@ -113,7 +120,7 @@
         text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
     }
 
-    fn authorize(&self, request: &Request<Incoming>) -> Result<(), HttpError> {
+    fn authorize(&self, request: &Request<ClientBody>) -> Result<(), HttpError> {
         let header = request.headers().get(AUTHORIZATION);
         let key = header.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
         let hash = KeyHash::of(key.unwrap_or_default());
--- a/src/gate/handler.rs
+++ b/src/gate/handler.rs
@@ -15,7 +15,6 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 
 use crate::gate::AttemptOutcome;
@@ -29,6 +28,7 @@
 use crate::gate::step::Input;
 use crate::gate::step::Step;
 use crate::http::BodyError;
+use crate::http::ClientBody;
 use crate::http::HttpError;
 use crate::http::read_body;
 use crate::name::ServiceName;
@@ -54,7 +54,7 @@
 
 /// Serves `POST /v1/services/{service}/requests`.
 pub async fn serve(
-    request: Request<Incoming>,
+    request: Request<ClientBody>,
     service: ServiceName,
     body_limit: usize,
     inputs: UnboundedSender<Input>,
@@ -71,6 +71,7 @@
         Err(BodyError::TooLarge(_)) => {
             return fail(Failure::not_run(FailureCode::BodyTooLarge), Some(&id));
         }
+        Err(BodyError::Busy) => return fail(stopped(Verdict::NotRun), Some(&id)),
         Err(_) => return fail(Failure::not_run(FailureCode::BadBody), Some(&id)),
     };
     let payload = Payload {
@@ -151,7 +152,7 @@
     Err(stopped(verdict))
 }
 
-/// The failure to return if the gate task has stopped.
+/// The failure to return if the gate task has stopped, or too much is being received.
 const fn stopped(verdict: Verdict) -> Failure {
     Failure {
         code: FailureCode::Refused(RefusalCode::Unavailable),
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -11,7 +11,6 @@
 use futures_util::FutureExt;
 use hyper::Method;
 use hyper::Request;
-use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 
@@ -21,6 +20,7 @@
 use crate::gate::handler;
 use crate::gate::step::Input;
 use crate::gate::task::GateTask;
+use crate::http::ClientBody;
 use crate::http::Handler;
 use crate::http::HttpServer;
 use crate::http::Limits;
@@ -125,7 +125,7 @@
 }
 
 fn route(inputs: UnboundedSender<Input>, ready: Rc<Cell<bool>>, limit: usize) -> Handler {
-    Rc::new(move |request: Request<Incoming>| {
+    Rc::new(move |request: Request<ClientBody>| {
         let path = request.uri().path();
         let fixed = probe_reply(path, ready.get());
         if let Some(reply) = fixed {
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,6 +1,5 @@
 //! Reads request bodies with limits on size and time.
 
-use std::fmt::Display;
 use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,7 +20,7 @@
 pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
-    B::Error: Display,
+    B::Error: Into<BodyError>,
 {
     if body.size_hint().lower() > limit as u64 {
         return Err(BodyError::TooLarge(limit));
@@ -34,12 +33,12 @@
 async fn collect<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
-    B::Error: Display,
+    B::Error: Into<BodyError>,
 {
     let mut body = pin!(body);
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| BodyError::Incomplete(error.to_string()))?;
+        let frame = frame.map_err(Into::into)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/src/http/limits.rs
+++ b/src/http/limits.rs
@@ -1,5 +1,7 @@
 //! Limits of an HTTP listener.
 
+use crate::intake::IntakeLimits;
+
 /// Limits of one HTTP listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -7,8 +9,8 @@
     pub header_bytes: usize,
     /// Maximum size in bytes that a request may declare for its body; larger ones get status 413.
     pub body_bytes: usize,
-    /// Maximum number of open connections; further ones are closed.
-    pub connections: usize,
+    /// What the connections may occupy together.
+    pub intake: IntakeLimits,
 }
 
 impl Default for Limits {
@@ -17,7 +19,7 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 1 << 20,
-            connections: 4_096,
+            intake: IntakeLimits::default(),
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -25,6 +25,7 @@
 use hyper::service::service_fn;
 
 use crate::http::BodyError;
+use crate::http::ClientBody;
 use crate::http::HttpError;
 use crate::http::Limits;
 use crate::http::Reply;
@@ -32,6 +33,9 @@
 use crate::http::buffered_stream::SMALL_BUFFER_BYTES;
 use crate::http::connection_timer::ConnectionTimer;
 use crate::http::monitored_stream::MonitoredStream;
+use crate::intake::IntakeEvent;
+use crate::intake::Intakes;
+use crate::intake::Permit;
 
 /// Maximum time between two checks of the deadline of a connection.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,7 +43,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Handles one request.
-pub type Handler = Rc<dyn Fn(Request<Incoming>) -> LocalBoxFuture<'static, Reply>>;
+pub type Handler = Rc<dyn Fn(Request<ClientBody>) -> LocalBoxFuture<'static, Reply>>;
 
 /// Resolves when its sender is dropped.
 type DropSignal = Shared<oneshot::Receiver<()>>;
@@ -57,6 +61,7 @@
 struct Acceptor {
     listener: TcpListener,
     limits: Limits,
+    intakes: Intakes,
     handler: Handler,
     shutdown: DropSignal,
     token: ActiveToken,
@@ -68,6 +73,20 @@
     /// # Errors
     /// The error of the operating system if `addr` cannot be bound.
     pub fn bind(addr: SocketAddr, limits: Limits, handler: Handler) -> Result<Self, io::Error> {
+        Self::bind_observed(addr, limits, handler, Rc::new(|_| ()))
+    }
+
+    /// Does the same as [`Self::bind`], and reports to `observer` what is done to connections for
+    /// lack of memory or connections.
+    ///
+    /// # Errors
+    /// The error of the operating system if `addr` cannot be bound.
+    pub fn bind_observed(
+        addr: SocketAddr,
+        limits: Limits,
+        handler: Handler,
+        observer: Rc<dyn Fn(IntakeEvent)>,
+    ) -> Result<Self, io::Error> {
         let listener = StdListener::bind(addr)?;
         let addr = listener.local_addr()?;
         let listener = TcpListener::from_std(listener)?;
@@ -76,6 +95,7 @@
         let acceptor = Acceptor {
             listener,
             limits,
+            intakes: Intakes::new(limits.intake, observer),
             handler,
             shutdown: shutdown.shared(),
             token: Rc::new(token),
@@ -121,13 +141,16 @@
     }
 
     fn spawn_connection(&self, stream: TcpStream) {
-        let connections = Rc::strong_count(&self.token) - 1;
-        if connections >= self.limits.connections || stream.set_nodelay(true).is_err() {
+        let Some(permit) = self.intakes.admit(Instant::now()) else {
+            return;
+        };
+        if stream.set_nodelay(true).is_err() {
             return;
         }
         let handler = Rc::clone(&self.handler);
         let serve = serve(
             stream,
+            permit,
             self.limits,
             handler,
             self.shutdown.clone(),
@@ -139,14 +162,16 @@
 
 async fn serve(
     stream: TcpStream,
+    permit: Permit,
     limits: Limits,
     handler: Handler,
     shutdown: DropSignal,
     token: ActiveToken,
 ) {
-    let timer = Rc::new(ConnectionTimer::start(Instant::now()));
-    let service = service_fn(|request| {
+    let timer = Rc::new(ConnectionTimer::start(Instant::now(), permit));
+    let service = service_fn(|request: Request<Incoming>| {
         timer.record_request();
+        let request = request.map(|body| ClientBody::new(body, Rc::clone(&timer)));
         let reply = handle(request, limits.body_bytes, Rc::clone(&handler));
         async {
             let reply = reply.await;
@@ -159,7 +184,8 @@
     let mut builder = http1::Builder::new();
     builder
         .header_read_timeout(None)
-        .max_header_size(limits.header_bytes);
+        .max_header_size(limits.header_bytes)
+        .max_buf_size(limits.header_bytes + SMALL_BUFFER_BYTES);
     let mut connection = pin!(builder.serve_connection(stream, service));
     let serving = async {
         if let Either::Right(_) = select(connection.as_mut(), shutdown).await {
@@ -167,7 +193,10 @@
             let _ = connection.await;
         }
     };
-    let _ = select(pin!(serving), pin!(wait_for_timeout(&timer))).await;
+    let ended = async {
+        select(pin!(wait_for_timeout(&timer)), pin!(timer.cut())).await;
+    };
+    let _ = select(pin!(serving), pin!(ended)).await;
     drop(token);
 }
 
@@ -184,7 +213,7 @@
 }
 
 async fn handle(
-    request: Request<Incoming>,
+    request: Request<ClientBody>,
     limit: usize,
     handler: Handler,
 ) -> Result<Reply, Infallible> {
--- /dev/null
+++ b/src/intake/stage.rs
@@ -0,0 +1,12 @@
+//! What a connection does.
+
+/// What a connection does. Those in an earlier stage are cut before those in a later one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// A request has begun to arrive and is incomplete.
+    Receiving,
+    /// There is no request, or its answer has not been read yet.
+    Idle,
+    /// A complete request is being answered.
+    Serving,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod health;
 pub mod http;
+pub mod intake;
 pub mod limit;
 pub mod log;
 pub mod member;
--- a/tests/operators_api.rs
+++ b/tests/operators_api.rs
@@ -20,6 +20,7 @@
 use mimosastep::http::HttpServer;
 use mimosastep::http::Limits;
 use mimosastep::http::text_reply;
+use mimosastep::intake::IntakeLimits;
 
 use fake_backend::ACCEPTED;
 use fake_backend::FakeBackend;
@@ -216,7 +217,10 @@
     let limits = Limits {
         header_bytes: 256,
         body_bytes: 0,
-        connections: 1,
+        intake: IntakeLimits {
+            connections: 1,
+            ..IntakeLimits::default()
+        },
     };
     let addr = SocketAddr::from(([127, 0, 0, 1], 0));
     let handler = Rc::new(|_| {
