Hosts are divided only where settings ask for it; late work counts by what teams may run

Found by the new test of a team at its limit: work of jobs that are too late was no need, but fetched hosts without regard to the team's limit; it counts in the team's room now, where hosts are divided.

Tests: tests/batch/division.rs, in virtual time.

--- a/src/batch/dispatcher.rs
+++ b/src/batch/dispatcher.rs
@@ -86,6 +86,8 @@
     advisor: Advisor,
     waves: Waves,
     pools: PoolBalancer,
+    // Whether hosts are divided between services that together need more than there are.
+    divides: bool,
     hosts: BTreeMap<HostName, Host>,
     // Since when hosts that are up have no listed executor.
     unlisted: BTreeMap<HostName, Instant>,
@@ -205,6 +207,7 @@
             waves: Waves::new(&state.maintained),
             unsettled: state.ordered.keys().cloned().collect(),
             pools: PoolBalancer::default(),
+            divides: false,
             hosts: BTreeMap::new(),
             unlisted: BTreeMap::new(),
             meter,
@@ -279,6 +282,12 @@
         self.longest_lease = longest_expiry(limit);
     }
 
+    /// Sets whether hosts are divided between services that together need more than there are. If not,
+    /// each service's need counts in full.
+    pub const fn set_division(&mut self, divides: bool) {
+        self.divides = divides;
+    }
+
     /// Sets how long an executor takes to stop a run, in milliseconds. For that long, executors may
     /// report runs as running that an earlier owner stopped.
     pub fn set_stop_time(&mut self, now: Now, stop: u64) {
--- a/src/batch/dispatcher/rebalancing.rs
+++ b/src/batch/dispatcher/rebalancing.rs
@@ -34,8 +34,6 @@
 const BALANCE_INTERVAL_MS: u64 = 150;
 /// Time between two log summaries of the pools, in milliseconds.
 const SUMMARY_INTERVAL_MS: u64 = 1_000;
-/// Time over which work of jobs that are too late to be of use is spread, in milliseconds.
-const LATE_WORK_MS: u64 = 4_000;
 /// Priority of work that is forecast: that which is there comes before it.
 const FORECAST_PRIORITY: u32 = u32::MAX;
 /// Fewest hosts of a pool that some queue uses.
@@ -134,8 +132,17 @@
         };
         let no_load = ServiceLoad::default();
         let extra_hosts = self.extra_hosts();
-        let claims = self.claims(now, &policy);
-        let needs = divide(self.divisible_cpu(), &claims);
+        let room = if self.divides {
+            self.team_room(&policy)
+        } else {
+            TeamRoom::default()
+        };
+        let claims = self.claims(now, &policy, &room);
+        let needs = if self.divides {
+            divide(self.divisible_cpu(), &claims)
+        } else {
+            claims.iter().map(Claim::total).collect()
+        };
         let mut views = Vec::new();
         for (at, (service, pool)) in policy.pools.iter().enumerate() {
             let used = policy.queues.iter().any(|queue| queue.service == *service);
@@ -151,7 +158,7 @@
                 spare: pool.spare,
                 demand: claims[at].total(),
                 need: needs[at],
-                late_cpu: load.late_work() / LATE_WORK_MS,
+                late_cpu: load.late_cpu(&room),
                 forecast,
                 extra_hosts: extra_hosts.get(service).copied().unwrap_or(0),
                 min_hosts: if used {
@@ -166,12 +173,11 @@
     }
 
     /// Returns what the services of all pools need, in the order of the pools.
-    fn claims(&mut self, now: Now, policy: &Policy) -> Vec<Claim> {
-        let room = self.team_room(policy);
+    fn claims(&mut self, now: Now, policy: &Policy, room: &TeamRoom) -> Vec<Claim> {
         let mut claims = Vec::new();
         for service in policy.pools.keys() {
             let load = self.backlog.of(service).map(ServiceBacklog::load);
-            let claim = load.map(|load| load.claim(&self.capacity.total, &room));
+            let claim = load.map(|load| load.claim(&self.capacity.total, room));
             let mut claim = claim.unwrap_or_default();
             claim.raise_to(FORECAST_PRIORITY, self.meter.forecast(now.at, service));
             claims.push(claim);
--- a/src/batch/platform.rs
+++ b/src/batch/platform.rs
@@ -165,6 +165,9 @@
     /// Longest lease that an executor grants, in milliseconds on its clock.
     fn lease_limit(&self) -> u64;
 
+    /// Whether hosts are divided between services that together need more than there are.
+    fn divides_hosts(&self) -> bool;
+
     /// Maximum time until an executor has stopped a run, in milliseconds; includes the time that
     /// orders are in transit.
     fn stop_time(&self) -> u64;
--- a/src/batch/service_load.rs
+++ b/src/batch/service_load.rs
@@ -9,6 +9,9 @@
 use crate::division::TeamRoom;
 use crate::name::TeamName;
 
+/// Time over which work of jobs that are too late to be of use is spread, in milliseconds.
+const LATE_WORK_MS: u64 = 4_000;
+
 /// Most of each resource that one job counts for, so that the sum over all jobs can't overflow.
 pub const JOB_LIMIT: Resources = Resources {
     cpu: u64::MAX >> 24,
@@ -75,7 +78,8 @@
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct ServiceLoad {
     demands: BTreeMap<Owner, Resources>,
-    late_work: u64,
+    // Work of jobs that are too late to be of use, in thousandths of a core-millisecond, by team.
+    late_work: BTreeMap<Option<TeamName>, u64>,
     // Numbers of hosts over which jobs must be spread.
     spreads: Multiset,
 }
@@ -87,7 +91,9 @@
             let demand = self.demands.entry((priority, team.cloned())).or_default();
             demand.add(&load.demand);
         }
-        self.late_work += load.late_work;
+        if load.late_work > 0 {
+            *self.late_work.entry(team.cloned()).or_default() += load.late_work;
+        }
         if load.min_hosts > 0 {
             self.spreads.add(load.min_hosts as u64);
         }
@@ -102,14 +108,23 @@
                 self.demands.remove(&owner);
             }
         }
-        self.late_work -= load.late_work;
+        if let Some(work) = self.late_work.get_mut(&owner.1) {
+            *work -= load.late_work;
+            if *work == 0 {
+                self.late_work.remove(&owner.1);
+            }
+        }
         self.spreads.remove(load.min_hosts as u64);
     }
 
-    /// Returns the demand of teams that have a limit, one item for each priority.
-    pub fn limited(&self) -> impl Iterator<Item = (&TeamName, &Resources)> {
+    /// Returns the demand of teams that have a limit, in several items for each; that of jobs that are
+    /// too late to be of use last.
+    pub fn limited(&self) -> impl Iterator<Item = (&TeamName, Resources)> {
         let demands = self.demands.iter();
-        demands.filter_map(|((_, team), demand)| Some((team.as_ref()?, demand)))
+        let demands = demands.filter_map(|((_, team), demand)| Some((team.as_ref()?, *demand)));
+        let late = self.late_work.iter();
+        let late = late.filter_map(|(team, &work)| Some((team.as_ref()?, late_demand(work))));
+        demands.chain(late)
     }
 
     /// Returns the CPU of the hosts that the load takes, as far as its teams have room. Load that
@@ -127,11 +142,16 @@
         claim
     }
 
-    /// Work of jobs that are too late to be of use to their clients, in thousandths of a
-    /// core-millisecond. It is not part of the need.
+    /// Returns the CPU for work of jobs that are too late to be of use to their clients, as far as
+    /// their teams have room, in thousandths of a core. It is not part of the claim.
     #[must_use]
-    pub const fn late_work(&self) -> u64 {
-        self.late_work
+    pub fn late_cpu(&self, room: &TeamRoom) -> u64 {
+        let late = self.late_work.iter().map(|(team, &work)| {
+            let demand = late_demand(work);
+            let usable = team.as_ref().map(|team| room.usable(team, &demand));
+            usable.unwrap_or(demand).cpu
+        });
+        late.fold(0, u64::saturating_add)
     }
 
     /// Most hosts over which a single step must be spread.
@@ -141,6 +161,14 @@
     }
 }
 
+/// Returns the demand of late work, which is spread over some time.
+fn late_demand(work: u64) -> Resources {
+    Resources {
+        cpu: work / LATE_WORK_MS,
+        ..Resources::default()
+    }
+}
+
 /// Returns the CPU of the hosts that a demand takes, by CPU or by memory, whichever takes more of the
 /// `total`.
 fn hosts_cpu(demand: &Resources, total: &Resources) -> u64 {
--- a/src/batch/term.rs
+++ b/src/batch/term.rs
@@ -88,6 +88,7 @@
         dispatcher.set_retention(self.platform.retention());
         dispatcher.set_record_limit(self.platform.record_limit());
         dispatcher.set_lease_limit(self.platform.lease_limit());
+        dispatcher.set_division(self.platform.divides_hosts());
         dispatcher.set_stop_time(now(), self.platform.stop_time());
         dispatcher.begin(now());
         // The takeover made the first append of the term, with sequence number 0.
--- a/src/division/team_room.rs
+++ b/src/division/team_room.rs
@@ -18,12 +18,12 @@
     /// returns what a team may run in total.
     #[must_use]
     pub fn of<'a>(
-        demands: impl Iterator<Item = (&'a TeamName, &'a Resources)>,
+        demands: impl Iterator<Item = (&'a TeamName, Resources)>,
         room: impl Fn(&TeamName) -> Resources,
     ) -> Self {
         let mut sums: BTreeMap<&TeamName, Resources> = BTreeMap::new();
         for (team, demand) in demands {
-            sums.entry(team).or_default().add(demand);
+            sums.entry(team).or_default().add(&demand);
         }
         let parts = sums
             .into_iter()
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod candidacy;
 mod clock;
+mod division;
 mod ends;
 mod entries;
 mod fake_executor;
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -104,7 +104,7 @@
 fn a_team_needs_what_it_may_run(room: Resources, usable: u64) {
     let hot = team("hot");
     let demands = [resources(9_000, 600), resources(3_000, 200)];
-    let items = demands.iter().map(|demand| (&hot, demand));
+    let items = demands.iter().map(|&demand| (&hot, demand));
     let rooms = TeamRoom::of(items, |_| room);
     assert_eq!(rooms.usable(&hot, &demands[0]).cpu, usable);
     assert_eq!(rooms.usable(&team("calm"), &demands[0]), demands[0]);
