A refused request leaves no connection uncounted; the client that holds most makes room first

Found in reading the change again: where room was short, connections were taken out of the count one by one, and if that was not enough, the request was refused and they stayed open. So a crowd could keep connections and bodies that nothing counted, and the bound did not hold.

Cause: the cut ones were returned only with a grant. Change: Decision has both, whatever was decided. Test: intake::a_refused_body_leaves_no_connection_uncounted, failed before (1 connection counted of 2).

So one client's crowd doesn't keep another out; clients behind one address are told apart by age, as before. Tests: the_client_that_holds_most_makes_room_for_another, clients_that_press_alike_hold_alike.

Waiting, Decision: types of their own; the lower bound of all times that the order needed is gone.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
 use std::pin::pin;
@@ -134,14 +135,14 @@
     async fn accept_all(&self) {
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) => self.spawn_connection(stream),
+                Ok((stream, client)) => self.spawn_connection(stream, client.ip()),
                 Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
     }
 
-    fn spawn_connection(&self, stream: TcpStream) {
-        let Some(permit) = self.intakes.admit(Instant::now()) else {
+    fn spawn_connection(&self, stream: TcpStream, client: IpAddr) {
+        let Some(permit) = self.intakes.admit(client, Instant::now()) else {
             return;
         };
         if stream.set_nodelay(true).is_err() {
--- a/src/intake/intake_core.rs
+++ b/src/intake/intake_core.rs
@@ -2,65 +2,62 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::intake::IntakeEvent;
+use crate::intake::Decision;
 use crate::intake::IntakeLimits;
 use crate::intake::Stage;
+use crate::intake::waiting::Cuttable;
+use crate::intake::waiting::Waiting;
 
-/// Memory that a connection occupies beside bodies, in bytes: its buffers here, those of the system,
-/// and its state.
-const CONNECTION_BYTES: usize = 32 << 10;
+/// Memory that a connection takes beside bodies, in bytes: its buffers, filled, and its state.
+pub const CONNECTION_BYTES: usize = 64 << 10;
 
-/// Time for which a connection may be idle, or its request incomplete, before it may be cut, in
-/// milliseconds.
+/// Time for which a connection may be idle, or its request incomplete, before it may be cut for a
+/// client that holds as much, in milliseconds.
 const GRACE_MS: u64 = 1_000;
 
-/// Number of a connection.
-type Id = u64;
-
-/// A connection and what it holds.
+/// An open connection.
 #[derive(Debug)]
 struct Member {
+    client: IpAddr,
     stage: Stage,
     since: Instant,
     bytes: usize,
 }
 
-/// A connection that may stay.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Admission {
-    /// Its number.
-    pub id: u64,
-    /// Connections to cut for it, and why.
-    pub cut: Vec<(u64, IntakeEvent)>,
+/// The connections from one address.
+#[derive(Debug, Default)]
+struct Client {
+    bytes: usize,
+    waiting: Waiting,
 }
 
 /// The connections of a listener. It reads no clock and does no I/O.
 #[derive(Debug)]
 pub struct Intake {
     limits: IntakeLimits,
-    members: BTreeMap<Id, Member>,
-    // Connections that may be cut, the first to cut first.
-    order: BTreeSet<(Stage, Instant, Id)>,
+    members: BTreeMap<u64, Member>,
+    clients: BTreeMap<IpAddr, Client>,
+    // Clients by what they hold.
+    weights: BTreeSet<(usize, IpAddr)>,
+    waiting: Waiting,
     bytes: usize,
-    // Before any connection; `None` until there was one.
-    oldest: Option<Instant>,
-    last: Id,
 }
 
 impl Intake {
     /// Creates the state of a listener without connections.
     #[must_use]
-    pub const fn new(limits: IntakeLimits) -> Self {
+    pub fn new(limits: IntakeLimits) -> Self {
         Self {
             limits,
             members: BTreeMap::new(),
-            order: BTreeSet::new(),
+            clients: BTreeMap::new(),
+            weights: BTreeSet::new(),
+            waiting: Waiting::default(),
             bytes: 0,
-            oldest: None,
-            last: 0,
         }
     }
 
@@ -76,87 +73,137 @@
         self.bytes
     }
 
-    /// Admits a new connection; `None` if there is no place for it.
-    pub fn admit(&mut self, now: Instant) -> Option<Admission> {
-        let mut cut = Vec::new();
-        while self.connections() >= self.limits.connections || !self.has_room(CONNECTION_BYTES) {
-            let (id, event) = self.first_to_cut(now)?;
-            self.leave(id);
-            cut.push((id, event));
+    /// Admits a new connection of a client, under a number that no other has, if there is room.
+    pub fn admit(&mut self, id: u64, client: IpAddr, now: Instant) -> Decision {
+        let decision = self.make_room(id, client, CONNECTION_BYTES, 1, now);
+        if decision.granted {
+            let member = Member {
+                client,
+                stage: Stage::Idle,
+                since: now,
+                bytes: 0,
+            };
+            self.members.insert(id, member);
+            self.add_waiting(id);
+            self.resize(id, CONNECTION_BYTES);
         }
-        self.oldest = self.oldest.or(Some(now));
-        self.last += 1;
-        let member = Member {
-            stage: Stage::Idle,
-            since: now,
-            bytes: CONNECTION_BYTES,
-        };
-        self.bytes += member.bytes;
-        self.members.insert(self.last, member);
-        self.order.insert((Stage::Idle, now, self.last));
-        Some(Admission { id: self.last, cut })
+        decision
     }
 
-    /// Notes that a connection enters a stage. What its last request held is given back when it is
-    /// idle again.
-    pub fn enter(&mut self, id: Id, stage: Stage, now: Instant) {
-        let Some(member) = self.members.get_mut(&id) else {
-            return;
+    /// Counts further memory for a connection, if there is room.
+    pub fn grow(&mut self, id: u64, bytes: usize, now: Instant) -> Decision {
+        let Some(member) = self.members.get(&id) else {
+            return Decision::default();
         };
-        self.order.remove(&(member.stage, member.since, id));
-        member.stage = stage;
-        member.since = now;
-        if stage == Stage::Idle {
-            self.bytes -= member.bytes - CONNECTION_BYTES;
-            member.bytes = CONNECTION_BYTES;
-        }
-        if stage != Stage::Serving {
-            self.order.insert((stage, now, id));
+        let held = member.bytes;
+        let decision = self.make_room(id, member.client, bytes, 0, now);
+        if decision.granted {
+            self.resize(id, held + bytes);
         }
+        decision
     }
 
-    /// Counts further memory for a connection; returns the connections to cut for it, or `None` if
-    /// there is no place for it, or if it is the first to cut itself.
-    pub fn grow(&mut self, id: Id, bytes: usize, now: Instant) -> Option<Vec<(Id, IntakeEvent)>> {
-        let mut cut = Vec::new();
-        while !self.has_room(bytes) {
-            let (first, event) = self.first_to_cut(now)?;
-            if first == id {
-                return None;
+    /// Notes that a connection enters a stage. What its last request held is given back when it is
+    /// idle again.
+    pub fn enter(&mut self, id: u64, stage: Stage, now: Instant) {
+        self.remove_waiting(id);
+        if let Some(member) = self.members.get_mut(&id) {
+            member.stage = stage;
+            member.since = now;
+            self.add_waiting(id);
+            if stage == Stage::Idle {
+                self.resize(id, CONNECTION_BYTES);
             }
-            self.leave(first);
-            cut.push((first, event));
         }
-        let member = self.members.get_mut(&id)?;
-        member.bytes += bytes;
-        self.bytes += bytes;
-        Some(cut)
     }
 
     /// Removes a connection that has ended.
-    pub fn leave(&mut self, id: Id) {
-        if let Some(member) = self.members.remove(&id) {
-            self.order.remove(&(member.stage, member.since, id));
-            self.bytes -= member.bytes;
+    pub fn leave(&mut self, id: u64) {
+        self.remove_waiting(id);
+        self.resize(id, 0);
+        self.members.remove(&id);
+    }
+
+    /// Cuts connections until there is room for a connection that needs `bytes` and counts as
+    /// `connections` more.
+    fn make_room(
+        &mut self,
+        id: u64,
+        client: IpAddr,
+        bytes: usize,
+        connections: usize,
+        now: Instant,
+    ) -> Decision {
+        let mut decision = Decision::default();
+        while !self.has_room(bytes, connections) {
+            let first = self.first_to_cut(client, bytes, now);
+            let Some(first) = first.filter(|first| first.id != id) else {
+                return decision;
+            };
+            self.leave(first.id);
+            decision.cut.push((first.id, first.event));
         }
+        decision.granted = true;
+        decision
     }
 
-    const fn has_room(&self, bytes: usize) -> bool {
+    fn has_room(&self, bytes: usize, connections: usize) -> bool {
         self.bytes.saturating_add(bytes) <= self.limits.bytes
+            && self.members.len() + connections <= self.limits.connections
+    }
+
+    /// Returns the connection to cut first for `bytes` of a client: one of the client that holds most,
+    /// if that is more than this one would hold; otherwise the one that has been in its stage for
+    /// longest, if that is long enough.
+    fn first_to_cut(&self, client: IpAddr, bytes: usize, now: Instant) -> Option<Cuttable> {
+        let wanted = self.held_by(client).saturating_add(bytes);
+        if let Some(&(held, heaviest)) = self.weights.last()
+            && heaviest != client
+            && held > wanted
+            && let Some(first) = self.clients.get(&heaviest)?.waiting.firsts().next()
+        {
+            return Some(first);
+        }
+        let grace = Duration::from_millis(GRACE_MS);
+        let mut firsts = self.waiting.firsts();
+        firsts.find(|first| now >= first.since + grace)
+    }
+
+    fn held_by(&self, client: IpAddr) -> usize {
+        self.clients.get(&client).map_or(0, |client| client.bytes)
+    }
+
+    fn add_waiting(&mut self, id: u64) {
+        if let Some(member) = self.members.get(&id) {
+            let client = self.clients.entry(member.client).or_default();
+            client.waiting.add(id, member.stage, member.since);
+            self.waiting.add(id, member.stage, member.since);
+        }
+    }
+
+    fn remove_waiting(&mut self, id: u64) {
+        if let Some(member) = self.members.get(&id) {
+            if let Some(client) = self.clients.get_mut(&member.client) {
+                client.waiting.remove(id, member.stage, member.since);
+            }
+            self.waiting.remove(id, member.stage, member.since);
+        }
     }
 
-    /// Returns the connection to cut first: of those that are in their stage for long enough, the
-    /// one that is for longest, incomplete requests before idle connections.
-    fn first_to_cut(&self, now: Instant) -> Option<(Id, IntakeEvent)> {
-        let stages = [
-            (Stage::Receiving, IntakeEvent::IncompleteCut),
-            (Stage::Idle, IntakeEvent::IdleCut),
-        ];
-        stages.into_iter().find_map(|(stage, event)| {
-            let longest = self.order.range((stage, self.oldest?, 0)..).next()?;
-            let grace = Duration::from_millis(GRACE_MS);
-            let due = longest.0 == stage && now >= longest.1 + grace;
-            due.then_some((longest.2, event))
-        })
+    /// Sets what a connection holds. A client that holds nothing is forgotten.
+    fn resize(&mut self, id: u64, bytes: usize) {
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut member.bytes, bytes);
+        let client = self.clients.entry(member.client).or_default();
+        self.weights.remove(&(client.bytes, member.client));
+        client.bytes = client.bytes - before + bytes;
+        self.bytes = self.bytes - before + bytes;
+        if client.bytes == 0 {
+            self.clients.remove(&member.client);
+        } else {
+            self.weights.insert((client.bytes, member.client));
+        }
     }
 }
--- a/src/intake/intakes.rs
+++ b/src/intake/intakes.rs
@@ -1,12 +1,15 @@
 //! The connections of a listener, as they share it.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
 use futures_channel::oneshot;
 
+use crate::intake::Decision;
 use crate::intake::Intake;
 use crate::intake::IntakeEvent;
 use crate::intake::IntakeLimits;
@@ -22,6 +25,7 @@
     core: Rc<RefCell<Intake>>,
     // Dropped to cut a connection.
     cuts: Rc<RefCell<HashMap<u64, oneshot::Sender<()>>>>,
+    last: Rc<Cell<u64>>,
     observer: Observer,
 }
 
@@ -32,22 +36,24 @@
         Self {
             core: Rc::new(RefCell::new(Intake::new(limits))),
             cuts: Rc::default(),
+            last: Rc::default(),
             observer,
         }
     }
 
-    /// Admits a connection; `None` if there is no place for it.
+    /// Admits a connection of a client; `None` if there is no room for it.
     #[must_use]
-    pub fn admit(&self, now: Instant) -> Option<Permit> {
-        let admission = self.core.borrow_mut().admit(now);
-        let Some(admission) = admission else {
+    pub fn admit(&self, client: IpAddr, now: Instant) -> Option<Permit> {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let decision = self.core.borrow_mut().admit(id, client, now);
+        if !self.carry_out(decision) {
             (self.observer)(IntakeEvent::ConnectionRefused);
             return None;
-        };
-        self.cut(admission.cut);
+        }
         let (sender, cut) = oneshot::channel();
-        self.cuts.borrow_mut().insert(admission.id, sender);
-        Some(Permit::new(self.clone(), admission.id, cut))
+        self.cuts.borrow_mut().insert(id, sender);
+        Some(Permit::new(self.clone(), id, cut))
     }
 
     pub(super) fn enter(&self, id: u64, stage: Stage, now: Instant) {
@@ -55,13 +61,12 @@
     }
 
     pub(super) fn grow(&self, id: u64, bytes: usize, now: Instant) -> bool {
-        let grown = self.core.borrow_mut().grow(id, bytes, now);
-        let Some(cut) = grown else {
+        let decision = self.core.borrow_mut().grow(id, bytes, now);
+        let granted = self.carry_out(decision);
+        if !granted {
             (self.observer)(IntakeEvent::BodyRefused);
-            return false;
-        };
-        self.cut(cut);
-        true
+        }
+        granted
     }
 
     pub(super) fn leave(&self, id: u64) {
@@ -69,10 +74,12 @@
         self.cuts.borrow_mut().remove(&id);
     }
 
-    fn cut(&self, connections: Vec<(u64, IntakeEvent)>) {
-        for (id, event) in connections {
+    /// Cuts what a decision says; returns whether it grants room.
+    fn carry_out(&self, decision: Decision) -> bool {
+        for (id, event) in decision.cut {
             self.cuts.borrow_mut().remove(&id);
             (self.observer)(event);
         }
+        decision.granted
     }
 }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -1,22 +1,25 @@
-//! Bounds what the connections of clients occupy.
+//! Bounds what the connections of clients take of the process.
 //!
 //! Each connection, and each body until its request is answered, counts against one budget of
-//! memory. Where it or the number of connections is used up, place is made: first the connection
-//! whose request has been incomplete for longest is cut, then the one that has been idle for longest.
-//! One whose request is complete is never cut, nor one that has only begun. If none is left, the new
-//! one is refused.
+//! memory. Where the budget or the number of connections is used up, connections are cut: those of
+//! the client address that holds most, if it holds more than the one that needs room; otherwise the
+//! oldest ones that have stood still for a second. Incomplete requests go before idle connections,
+//! and a complete request is never cut. If that leaves no room, the new one is refused.
 //!
 //! [`Intake`] decides; [`Intakes`] is shared by the connections of a listener, which hold a
 //! [`Permit`] each.
 
+mod decision;
 mod intake_core;
 mod intake_event;
 mod intake_limits;
 mod intakes;
 mod permit;
 mod stage;
+mod waiting;
 
-pub use intake_core::Admission;
+pub use decision::Decision;
+pub use intake_core::CONNECTION_BYTES;
 pub use intake_core::Intake;
 pub use intake_event::IntakeEvent;
 pub use intake_limits::IntakeLimits;
--- a/src/intake/stage.rs
+++ b/src/intake/stage.rs
@@ -1,7 +1,7 @@
 //! What a connection does.
 
-/// What a connection does. Those in an earlier stage are cut before those in a later one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// What a connection does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
     /// A request has begun to arrive and is incomplete.
     Receiving,
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -1,85 +1,119 @@
-//! Tests of what the connections of a listener may occupy together.
+//! Tests of what the connections of a listener may take together.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 use std::time::Instant;
 
+use mimosastep::intake::CONNECTION_BYTES;
 use mimosastep::intake::Intake;
 use mimosastep::intake::IntakeEvent;
 use mimosastep::intake::IntakeLimits;
 use mimosastep::intake::Stage;
 use test_case::test_case;
 
+/// Number of connections of a listener.
+const MEMBERS: u64 = 8;
 const LIMITS: IntakeLimits = IntakeLimits {
-    bytes: 1 << 20,
-    connections: 8,
+    bytes: 20 * CONNECTION_BYTES,
+    connections: MEMBERS as usize,
 };
 
-fn admit(intake: &mut Intake, now: Instant) -> u64 {
-    let admission = intake.admit(now).expect("no place");
-    assert_eq!(admission.cut, []);
-    admission.id
+/// Address of a client.
+fn client(number: u8) -> IpAddr {
+    Ipv4Addr::new(10, 0, 0, number).into()
 }
 
-/// A crowd of connections that stay in a stage, in the order of their arrival, 10 ms apart.
-fn crowd(stage: Stage) -> (Intake, Vec<u64>, Instant) {
+fn after(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+/// A full listener: connections of client 1 that stay in a stage, in the order of their numbers, 10 ms
+/// apart.
+fn crowd(stage: Stage) -> (Intake, Instant) {
     let mut intake = Intake::new(LIMITS);
     let start = Instant::now();
-    let mut ids = Vec::new();
-    for number in 0..LIMITS.connections as u64 {
-        let now = start + Duration::from_millis(number * 10);
-        let id = admit(&mut intake, now);
+    for id in 0..MEMBERS {
+        let now = after(start, id * 10);
+        assert!(intake.admit(id, client(1), now).granted);
         intake.enter(id, stage, now);
-        ids.push(id);
     }
-    (intake, ids, start)
+    (intake, start)
 }
 
 #[test_case(Stage::Receiving, IntakeEvent::IncompleteCut; "incomplete requests")]
 #[test_case(Stage::Idle, IntakeEvent::IdleCut; "idle connections")]
-fn the_one_that_waits_for_longest_makes_place(stage: Stage, event: IntakeEvent) {
-    let (mut intake, ids, start) = crowd(stage);
-    let early = intake.admit(start + Duration::from_millis(990));
-    assert_eq!(early, None, "none has waited for a second");
-    let admission = intake.admit(start + Duration::from_millis(1_015));
-    assert_eq!(admission.expect("no place").cut, [(ids[0], event)]);
+fn the_one_that_stands_still_for_longest_is_cut(stage: Stage, event: IntakeEvent) {
+    let (mut intake, start) = crowd(stage);
+    let early = intake.admit(100, client(1), after(start, 990));
+    assert!(!early.granted, "none has stood still for a second");
+    let decision = intake.admit(100, client(1), after(start, 1_015));
+    assert!(decision.granted);
+    assert_eq!(decision.cut, [(0, event)]);
     assert_eq!(intake.connections(), LIMITS.connections);
 }
 
+/// Many connections of one client beside one of another, which gets in at once.
+#[test_case(Stage::Receiving, IntakeEvent::IncompleteCut; "incomplete requests")]
+#[test_case(Stage::Idle, IntakeEvent::IdleCut; "idle connections")]
+fn the_client_that_holds_most_makes_room_for_another(stage: Stage, event: IntakeEvent) {
+    let (mut intake, start) = crowd(stage);
+    let now = after(start, 100);
+    let decision = intake.admit(100, client(2), now);
+    assert!(decision.granted);
+    assert_eq!(decision.cut, [(0, event)]);
+    intake.enter(100, Stage::Receiving, now);
+    for id in 101..150 {
+        intake.admit(id, client(1), now);
+    }
+    intake.enter(100, Stage::Serving, now);
+    assert!(intake.grow(100, 1, now).granted, "the other client was cut");
+}
+
+/// Two clients that both want all: neither holds more than the other for long, and what one loses the
+/// other gets.
+#[test]
+fn clients_that_press_alike_hold_alike() {
+    let (mut intake, start) = crowd(Stage::Idle);
+    let now = after(start, 100);
+    let taken = (100..200).filter(|&id| intake.admit(id, client(2), now).granted);
+    assert_eq!(taken.count() as u64, MEMBERS / 2);
+}
+
 #[test]
 fn a_complete_request_is_never_cut() {
-    let (mut intake, _, start) = crowd(Stage::Serving);
-    assert_eq!(intake.admit(start + Duration::from_secs(60)), None);
+    let (mut intake, start) = crowd(Stage::Serving);
+    for other in [1, 2] {
+        let decision = intake.admit(100, client(other), after(start, 60_000));
+        assert!(!decision.granted && decision.cut.is_empty());
+    }
 }
 
 #[test]
 fn an_incomplete_request_is_cut_before_an_older_idle_connection() {
-    let (mut intake, ids, start) = crowd(Stage::Idle);
-    let begun = start + Duration::from_secs(2);
-    intake.enter(ids[5], Stage::Receiving, begun);
-    let admission = intake.admit(begun + Duration::from_secs(2));
-    let cut = admission.expect("no place").cut;
-    assert_eq!(cut, [(ids[5], IntakeEvent::IncompleteCut)]);
+    let (mut intake, start) = crowd(Stage::Idle);
+    intake.enter(5, Stage::Receiving, after(start, 2_000));
+    let decision = intake.admit(100, client(1), after(start, 4_000));
+    assert_eq!(decision.cut, [(5, IntakeEvent::IncompleteCut)]);
 }
 
 /// Bodies that stop short of their end leave the memory to the next one; what counts stays within the
 /// limit at all times.
 #[test]
-fn bodies_that_stop_make_place_for_others() {
+fn bodies_that_stop_make_room_for_others() {
     let mut intake = Intake::new(LIMITS);
     let start = Instant::now();
     let mut cut = 0;
-    for number in 0..200 {
-        let now = start + Duration::from_millis(number * 1_200);
-        let Some(admission) = intake.admit(now) else {
-            panic!("connection {number} refused");
-        };
-        cut += admission.cut.len();
-        intake.enter(admission.id, Stage::Receiving, now);
+    for id in 0..200 {
+        let now = after(start, id * 1_200);
+        let decision = intake.admit(id, client(1), now);
+        assert!(decision.granted, "connection {id}");
+        cut += decision.cut.len();
+        intake.enter(id, Stage::Receiving, now);
         for _ in 0..8 {
-            cut += intake
-                .grow(admission.id, 1 << 16, now)
-                .expect("no place")
-                .len();
+            let decision = intake.grow(id, CONNECTION_BYTES, now);
+            assert!(decision.granted, "body {id}");
+            cut += decision.cut.len();
             assert!(intake.bytes() <= LIMITS.bytes);
         }
     }
@@ -88,24 +122,51 @@
 
 #[test]
 fn a_body_is_refused_where_only_complete_requests_hold_the_memory() {
-    let (mut intake, ids, start) = crowd(Stage::Receiving);
-    let now = start + Duration::from_secs(3);
-    assert_eq!(intake.grow(ids[7], 700_000, now), Some(Vec::new()));
-    for &id in &ids {
+    let (mut intake, start) = crowd(Stage::Receiving);
+    let now = after(start, 3_000);
+    assert!(intake.grow(7, 11 * CONNECTION_BYTES, now).granted);
+    for id in 0..MEMBERS {
         intake.enter(id, Stage::Serving, now);
     }
-    intake.enter(ids[0], Stage::Receiving, now);
-    assert_eq!(intake.grow(ids[0], 100_000, now), None);
-    intake.enter(ids[7], Stage::Idle, now);
-    assert_eq!(intake.grow(ids[0], 100_000, now), Some(Vec::new()));
+    intake.enter(0, Stage::Receiving, now);
+    assert!(!intake.grow(0, 2 * CONNECTION_BYTES, now).granted);
+    intake.enter(7, Stage::Idle, now);
+    assert!(intake.grow(0, 2 * CONNECTION_BYTES, now).granted);
+}
+
+/// A body needs more than those that may be cut hold. Guards against connections that are neither
+/// counted nor cut: the ones chosen before it was refused.
+#[test]
+fn a_refused_body_leaves_no_connection_uncounted() {
+    let mut intake = Intake::new(LIMITS);
+    let start = Instant::now();
+    let now = after(start, 3_000);
+    for (id, since) in [(0, start), (1, now)] {
+        assert!(intake.admit(id, client(1), since).granted);
+        intake.enter(id, Stage::Receiving, since);
+    }
+    let decision = intake.grow(1, LIMITS.bytes, now);
+    assert!(!decision.granted);
+    assert_eq!(intake.connections() + decision.cut.len(), 2);
+    assert_eq!(decision.cut, [(0, IntakeEvent::IncompleteCut)]);
+}
+
+#[test]
+fn a_connection_that_was_cut_gets_nothing() {
+    let (mut intake, start) = crowd(Stage::Receiving);
+    intake.leave(3);
+    let bytes = intake.bytes();
+    assert!(!intake.grow(3, 1, after(start, 5_000)).granted);
+    intake.enter(3, Stage::Idle, start);
+    intake.leave(3);
+    assert_eq!(intake.bytes(), bytes);
 }
 
 #[test]
 fn what_connections_held_is_given_back() {
-    let (mut intake, ids, start) = crowd(Stage::Receiving);
-    for &id in &ids {
-        assert!(intake.grow(id, 1_000, start).is_some());
-        intake.leave(id);
+    let (mut intake, start) = crowd(Stage::Receiving);
+    for id in 0..MEMBERS {
+        assert!(intake.grow(id, 1_000, start).granted);
         intake.leave(id);
     }
     assert_eq!((intake.bytes(), intake.connections()), (0, 0));
