Idle connections to servers that are called no more are closed, and their number is bounded

Cause: a connection was dropped for its age only when its server was called again, or by the gate's own timer. The client of the node has no such timer, so connections to hosts that have moved or idle stayed for good.

None that would have been used again is lost: an expired one was never taken.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,9 @@
 //! HTTP client that reuses connections.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -18,6 +20,9 @@
 use crate::http::IdleConnections;
 use crate::http::Recipient;
 
+/// Shortest time between two checks for idle connections that have expired, in milliseconds.
+const EXPIRY_CHECK_MS: u64 = 1_000;
+
 quick_error! {
     /// Why a request got no response.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,6 +42,8 @@
 #[derive(Default)]
 pub struct Client {
     idle: RefCell<IdleConnections>,
+    // When idle connections are next checked; `None` before the first check.
+    next_check: Cell<Option<Instant>>,
     large_buffers: bool,
     limiter: Option<ConcurrencyLimiter>,
 }
@@ -67,6 +74,13 @@
         }
     }
 
+    /// Sets how many idle connections are kept in total.
+    #[must_use]
+    pub fn with_idle_limit(self, limit: usize) -> Self {
+        self.idle.borrow_mut().set_limit(limit);
+        self
+    }
+
     /// Sends a request and reads the complete response before `deadline`.
     ///
     /// # Errors
@@ -158,11 +172,22 @@
         guard.map(Some).map_err(timed_out)
     }
 
+    /// Drops the idle connections that have expired, from time to time.
+    fn expire(&self, now: Instant) {
+        if self.next_check.get().is_some_and(|at| now < at) {
+            return;
+        }
+        let pause = Duration::from_millis(EXPIRY_CHECK_MS);
+        self.next_check.set(Some(now + pause));
+        self.idle.borrow_mut().expire(now);
+    }
+
     async fn connect(
         &self,
         addr: SocketAddr,
         deadline: Instant,
     ) -> Result<BackendConnection, ClientError> {
+        self.expire(Instant::now());
         let kept = self.idle.borrow_mut().take(Instant::now(), addr);
         if let Some(backend) = kept {
             return Ok(backend);
