--- a/src/batch/batch_metrics.rs
+++ b/src/batch/batch_metrics.rs
@@ -24,6 +24,7 @@
 use crate::batch::load_metrics::LoadMetrics;
 use crate::http::Handler;
 use crate::intake::IntakeEvent;
+use crate::intake::Listener;
 use crate::observe::MetricExporter;
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -111,9 +112,12 @@
         self.calls.record(start.elapsed().as_secs_f64(), &labels);
     }
 
-    /// Counts a connection or a body that was cut or refused for lack of memory or connections.
-    pub fn record_intake(&self, event: IntakeEvent) {
-        let labels = [KeyValue::new("mimosa.event", event.label())];
+    /// Counts a connection or a body that a listener cut or refused for lack of memory or connections.
+    pub fn record_intake(&self, listener: Listener, event: IntakeEvent) {
+        let labels = [
+            KeyValue::new("mimosa.listener", listener.label()),
+            KeyValue::new("mimosa.event", event.label()),
+        ];
         self.intake.add(1, &labels);
     }
 
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mimosastep::intake::Budget;
 use mimosastep::intake::CONNECTION_BYTES;
 use mimosastep::intake::Intake;
 use mimosastep::intake::IntakeEvent;
 use mimosastep::intake::IntakeLimits;
+use mimosastep::intake::Listener;
 use mimosastep::intake::Stage;
 use test_case::test_case;
 
@@ -184,6 +186,25 @@
     bytes: usize,
     connections: usize,
 ) {
-    let limits = IntakeLimits::of_machine(memory, descriptors);
+    let limits = Budget::of_machine(memory, descriptors).listener(Listener::Front);
     assert_eq!(limits, IntakeLimits { bytes, connections });
 }
+
+/// Guards against limits that hold for each listener and not for the process.
+#[test_case(64, 400; "few descriptors")]
+#[test_case(160, 4_100; "a small machine")]
+#[test_case(260, 4_100; "a usual machine")]
+#[test_case(512, 8_192; "a larger one")]
+fn all_listeners_and_outgoing_connections_fit_into_the_machine(megabytes: usize, files: usize) {
+    let budget = Budget::of_machine(Some(megabytes << 20), Some(files));
+    let limits = Listener::ALL.map(|listener| budget.listener(listener));
+    let bytes: usize = limits.iter().map(|limits| limits.bytes).sum();
+    assert!(bytes <= (megabytes << 20) / 2, "{bytes} bytes");
+    let accepted = limits.map(|limits| limits.connections.min(limits.bytes / CONNECTION_BYTES));
+    let accepted: usize = accepted.iter().sum();
+    assert!(
+        accepted + budget.outgoing() <= files - 200,
+        "{accepted} accepted"
+    );
+    assert!(budget.idle() <= budget.outgoing() / 2 && budget.idle() > 0);
+}
