--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,6 +17,7 @@
 mod recipient;
 mod reply;
 mod server;
+mod socket_buffers;
 
 pub use backend_connection::BackendConnection;
 pub use backend_connection::BackendError;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -34,6 +34,7 @@
 use crate::http::buffered_stream::SMALL_BUFFER_BYTES;
 use crate::http::connection_timer::ConnectionTimer;
 use crate::http::monitored_stream::MonitoredStream;
+use crate::http::socket_buffers::bound_buffers;
 use crate::intake::IntakeEvent;
 use crate::intake::Intakes;
 use crate::intake::Permit;
@@ -89,6 +90,7 @@
         observer: Rc<dyn Fn(IntakeEvent)>,
     ) -> Result<Self, io::Error> {
         let listener = StdListener::bind(addr)?;
+        bound_buffers(&listener);
         let addr = listener.local_addr()?;
         let listener = TcpListener::from_std(listener)?;
         let (shutdown_sender, shutdown) = oneshot::channel();
--- a/src/intake/intake_core.rs
+++ b/src/intake/intake_core.rs
@@ -12,8 +12,16 @@
 use crate::intake::waiting::Cuttable;
 use crate::intake::waiting::Waiting;
 
-/// Memory that a connection takes beside bodies, in bytes: its buffers, filled, and its state.
-pub const CONNECTION_BYTES: usize = 64 << 10;
+/// Receive buffer that the system is asked for, for each connection, in bytes.
+pub const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// Send buffer that the system is asked for, for each connection, in bytes.
+pub const SEND_BUFFER_BYTES: usize = 8 << 10;
+/// The system's buffers of a connection, filled, in bytes: it reserves twice of what it is asked for.
+const SYSTEM_BYTES: usize = 2 * (RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES);
+/// The process's buffers of a connection, filled, and its state, in bytes.
+const PROCESS_BYTES: usize = 48 << 10;
+/// Memory that a connection takes beside bodies, in bytes.
+pub const CONNECTION_BYTES: usize = SYSTEM_BYTES + PROCESS_BYTES;
 
 /// Time for which a connection may be idle, or its request incomplete, before it may be cut for a
 /// client that holds as much, in milliseconds.
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -24,6 +24,8 @@
 pub use decision::Decision;
 pub use intake_core::CONNECTION_BYTES;
 pub use intake_core::Intake;
+pub use intake_core::RECEIVE_BUFFER_BYTES;
+pub use intake_core::SEND_BUFFER_BYTES;
 pub use intake_event::IntakeEvent;
 pub use intake_limits::IntakeLimits;
 pub use intakes::Intakes;
