--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -137,7 +137,10 @@
     async fn accept_all(&self) {
         loop {
             match self.listener.accept().await {
-                Ok((stream, client)) => self.spawn_connection(stream, client.ip()),
+                Ok((stream, client)) => {
+                    self.spawn_connection(stream, client.ip());
+                    self.intakes.settled().await;
+                }
                 Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
--- a/src/intake/intake_core.rs
+++ b/src/intake/intake_core.rs
@@ -162,7 +162,7 @@
 
     /// Returns the connection to cut first for `bytes` of a client: one of the client that holds most,
     /// if that is more than this one would hold; otherwise the one that has been in its stage for
-    /// longest, if that is long enough.
+    /// longest, if that is long enough; otherwise the oldest of the client's own.
     fn first_to_cut(&self, client: IpAddr, bytes: usize, now: Instant) -> Option<Cuttable> {
         let wanted = self.held_by(client).saturating_add(bytes);
         if let Some(&(held, heaviest)) = self.weights.last()
@@ -174,7 +174,15 @@
         }
         let grace = Duration::from_millis(GRACE_MS);
         let mut firsts = self.waiting.firsts();
-        firsts.find(|first| now >= first.since + grace)
+        let expired = firsts.find(|first| now >= first.since + grace);
+        expired.or_else(|| self.own(client).oldest())
+    }
+
+    /// The connections that may be cut for a client that holds as much as any other: its own, or all if
+    /// it has none.
+    fn own(&self, client: IpAddr) -> &Waiting {
+        let own = self.clients.get(&client);
+        own.map_or(&self.waiting, |client| &client.waiting)
     }
 
     fn held_by(&self, client: IpAddr) -> usize {
--- a/src/intake/intakes.rs
+++ b/src/intake/intakes.rs
@@ -15,6 +15,7 @@
 use crate::intake::IntakeLimits;
 use crate::intake::Permit;
 use crate::intake::Stage;
+use crate::intake::closing::Closing;
 
 /// Receives what is done for lack of place.
 pub type Observer = Rc<dyn Fn(IntakeEvent)>;
@@ -25,6 +26,7 @@
     core: Rc<RefCell<Intake>>,
     // Dropped to cut a connection.
     cuts: Rc<RefCell<HashMap<u64, oneshot::Sender<()>>>>,
+    closing: Rc<Closing>,
     last: Rc<Cell<u64>>,
     observer: Observer,
 }
@@ -36,6 +38,7 @@
         Self {
             core: Rc::new(RefCell::new(Intake::new(limits))),
             cuts: Rc::default(),
+            closing: Rc::default(),
             last: Rc::default(),
             observer,
         }
@@ -56,6 +59,12 @@
         Some(Permit::new(self.clone(), id, cut))
     }
 
+    /// Waits until all connections that were cut are closed: until then they take a descriptor and
+    /// memory, although they no longer count.
+    pub async fn settled(&self) {
+        self.closing.ended().await;
+    }
+
     pub(super) fn enter(&self, id: u64, stage: Stage, now: Instant) {
         self.core.borrow_mut().enter(id, stage, now);
     }
@@ -72,11 +81,13 @@
     pub(super) fn leave(&self, id: u64) {
         self.core.borrow_mut().leave(id);
         self.cuts.borrow_mut().remove(&id);
+        self.closing.remove(id);
     }
 
     /// Cuts what a decision says; returns whether it grants room.
     fn carry_out(&self, decision: Decision) -> bool {
         for (id, event) in decision.cut {
+            self.closing.add(id);
             self.cuts.borrow_mut().remove(&id);
             (self.observer)(event);
         }
--- a/src/intake/waiting.rs
+++ b/src/intake/waiting.rs
@@ -52,6 +52,11 @@
         })
     }
 
+    /// Returns the connection that has been in its stage for longest, whatever the stage.
+    pub fn oldest(&self) -> Option<Cuttable> {
+        self.firsts().min_by_key(|first| first.since)
+    }
+
     const fn of_mut(&mut self, stage: Stage) -> Option<&mut BTreeSet<(Instant, u64)>> {
         match stage {
             Stage::Receiving => Some(&mut self.receiving),
