--- a/src/gate/attempt.rs
+++ b/src/gate/attempt.rs
@@ -14,6 +14,7 @@
 use crate::gate::headers;
 use crate::http::BackendConnection;
 use crate::http::BackendError;
+use crate::http::ResponseLimits;
 use crate::name::TeamName;
 use crate::wire::Evidence;
 use crate::wire::Grant;
@@ -94,7 +95,7 @@
             Evidence::Nothing,
         )));
     };
-    match backend.exchange(request).await {
+    match backend.exchange(request, &ResponseLimits::default()).await {
         Ok(response) if is_matching(payload, grant, &response) => Some(classify(response, backend)),
         Err(BackendError::Unsent) => None,
         Ok(_) | Err(_) => Some(AttemptReport::failed(AttemptOutcome::Unknown)),
--- a/src/gate/task_controls.rs
+++ b/src/gate/task_controls.rs
@@ -19,6 +19,7 @@
 use crate::gate::attempt::LEASE_MS;
 use crate::gate::step::Input;
 use crate::http::BackendConnection;
+use crate::http::ResponseLimits;
 use crate::wire::AttemptId;
 
 /// Maximum time for one renewal or cancellation request, in milliseconds.
@@ -148,7 +149,10 @@
             .header(hyper::header::HOST, addr.to_string())
             .body(Full::new(Bytes::from(body.to_string())))
             .ok()?;
-        let response = backend.exchange(request).await.ok()?;
+        let response = backend
+            .exchange(request, &ResponseLimits::default())
+            .await
+            .ok()?;
         let succeeded = response.status() == StatusCode::OK;
         serde_json::from_slice(response.body())
             .ok()
--- a/src/http/backend_connection.rs
+++ b/src/http/backend_connection.rs
@@ -5,9 +5,7 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -18,12 +16,19 @@
 use hyper::http::response::Parts;
 use quick_error::quick_error;
 
+use crate::http::ResponseLimits;
 use crate::http::buffered_stream::BufferedStream;
 use crate::http::buffered_stream::LARGE_BUFFER_BYTES;
 use crate::http::buffered_stream::SMALL_BUFFER_BYTES;
+use crate::http::response_body::read_response;
+use crate::http::socket_buffers::bound_receive_buffer;
 
-/// Maximum size of a response body.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Size to which the buffer for received bytes grows; headers must fit into it.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Receive buffer that the system is asked for, for a connection with small buffers, in bytes.
+const SMALL_RECEIVE_BYTES: usize = 64 << 10;
+/// The same for a connection with large buffers.
+const LARGE_RECEIVE_BYTES: usize = 256 << 10;
 
 quick_error! {
     /// Why an exchange got no complete response.
@@ -60,7 +65,7 @@
     /// # Errors
     /// [`BackendError::Connect`] if the connection cannot be established.
     pub async fn open(addr: SocketAddr) -> Result<Self, BackendError> {
-        Self::start(addr, SMALL_BUFFER_BYTES).await
+        Self::start(addr, SMALL_BUFFER_BYTES, SMALL_RECEIVE_BYTES).await
     }
 
     /// Like [`Self::open`], with large buffers for long responses.
@@ -68,12 +73,19 @@
     /// # Errors
     /// [`BackendError::Connect`] if the connection cannot be established.
     pub async fn open_with_large_buffers(addr: SocketAddr) -> Result<Self, BackendError> {
-        Self::start(addr, LARGE_BUFFER_BYTES).await
+        Self::start(addr, LARGE_BUFFER_BYTES, LARGE_RECEIVE_BYTES).await
     }
 
-    async fn start(addr: SocketAddr, buffer_bytes: usize) -> Result<Self, BackendError> {
-        let stream = BufferedStream::new(connect(addr).await?, buffer_bytes);
-        let (sender, connection) = http1::handshake(stream)
+    async fn start(
+        addr: SocketAddr,
+        buffer_bytes: usize,
+        receive_bytes: usize,
+    ) -> Result<Self, BackendError> {
+        let stream = connect(addr, receive_bytes).await?;
+        let stream = BufferedStream::new(stream, buffer_bytes);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(stream)
             .await
             .map_err(|err| BackendError::Connect(io::Error::other(err)))?;
         compio::runtime::spawn(async move {
@@ -99,7 +111,7 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the complete response, within `limits`.
     ///
     /// # Errors
     /// [`BackendError::Unsent`] if the request certainly did not run, [`BackendError::Incomplete`]
@@ -107,6 +119,7 @@
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        limits: &ResponseLimits,
     ) -> Result<Response<Bytes>, BackendError> {
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -122,17 +135,16 @@
             let reason = "no content-length or transfer-encoding";
             return Err(BackendError::Incomplete(reason.into()));
         }
-        let body = Limited::new(body, MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|err| BackendError::Incomplete(err.to_string()))?;
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        let body = read_response(body, limits).await;
+        let body = body.map_err(BackendError::Incomplete)?;
+        Ok(Response::from_parts(parts, body))
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<TcpStream, BackendError> {
+async fn connect(addr: SocketAddr, receive_bytes: usize) -> Result<TcpStream, BackendError> {
     let stream = TcpStream::connect(addr);
     let stream = stream.await.map_err(BackendError::Connect)?;
+    bound_receive_buffer(&stream, receive_bytes);
     stream.set_nodelay(true).map_err(BackendError::Connect)?;
     Ok(stream)
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -19,6 +19,7 @@
 use crate::http::ConcurrencyLimiter;
 use crate::http::IdleConnections;
 use crate::http::Recipient;
+use crate::http::ResponseLimits;
 
 /// Shortest time between two checks for idle connections that have expired, in milliseconds.
 const EXPIRY_CHECK_MS: u64 = 1_000;
@@ -46,6 +47,7 @@
     next_check: Cell<Option<Instant>>,
     large_buffers: bool,
     limiter: Option<ConcurrencyLimiter>,
+    responses: ResponseLimits,
 }
 
 impl Client {
@@ -81,6 +83,12 @@
         self
     }
 
+    /// Sets limits of the responses.
+    #[must_use]
+    pub fn with_response_limits(self, responses: ResponseLimits) -> Self {
+        Self { responses, ..self }
+    }
+
     /// Sends a request and reads the complete response before `deadline`.
     ///
     /// # Errors
@@ -113,7 +121,7 @@
         let _guard = self.acquire(addr, deadline).await?;
         let mut backend = self.connect(addr, deadline).await?;
         if backend.process.is_none() && !recipient.is_certain(Instant::now()) {
-            let asking = timeout_at(deadline, backend.exchange(question()?)).await;
+            let asking = timeout_at(deadline, backend.exchange(question()?, &self.responses)).await;
             let Ok(result) = asking else {
                 self.idle.borrow_mut().drop_all(addr);
                 return Err(ClientError::Unsent("timed out".to_owned()));
@@ -143,7 +151,7 @@
         deadline: Instant,
     ) -> Result<Response<Bytes>, ClientError> {
         let addr = backend.addr();
-        let exchange = backend.exchange(request);
+        let exchange = backend.exchange(request, &self.responses);
         let Ok(result) = timeout_at(deadline, exchange).await else {
             // The idle connections to this server may have stopped responding as well.
             self.idle.borrow_mut().drop_all(addr);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -16,6 +16,8 @@
 mod monitored_stream;
 mod recipient;
 mod reply;
+mod response_body;
+mod response_limits;
 mod server;
 mod socket_buffers;
 
@@ -37,5 +39,8 @@
 pub use reply::Reply;
 pub use reply::json_reply;
 pub use reply::text_reply;
+pub use response_limits::ResponseLimits;
+pub use response_limits::ResponseMemory;
+pub use response_limits::ResponseShare;
 pub use server::Handler;
 pub use server::HttpServer;
--- a/src/http/socket_buffers.rs
+++ b/src/http/socket_buffers.rs
@@ -1,6 +1,7 @@
-//! Bounds what the system buffers for the connections of a listener.
+//! Bounds what the system buffers for connections.
 
 use std::net::TcpListener;
+use std::os::fd::AsFd;
 
 use socket2::SockRef;
 
@@ -15,3 +16,9 @@
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
 }
+
+/// Sets the size of the receive buffer of a connection.
+pub fn bound_receive_buffer(stream: &impl AsFd, bytes: usize) {
+    // A system that refuses the size keeps its own; the connection works all the same.
+    let _ = SockRef::from(stream).set_recv_buffer_size(bytes);
+}
--- a/src/intake/budget.rs
+++ b/src/intake/budget.rs
@@ -14,6 +14,8 @@
 const MIN_BYTES: usize = 1 << 20;
 /// Most connections of a listener.
 const MAX_CONNECTIONS: usize = 4_096;
+/// Part of the memory that is for responses of other servers: one of this many.
+const RESPONSE_PART: usize = 8;
 /// Part of all descriptors that may be idle connections to other servers: one of this many.
 const IDLE_PART: usize = 4;
 
@@ -71,6 +73,12 @@
         (self.descriptors / IDLE_PART).min(self.outgoing() / 2)
     }
 
+    /// Memory for responses of other servers, in bytes.
+    #[must_use]
+    pub fn responses(self) -> usize {
+        (self.memory / RESPONSE_PART).max(MIN_BYTES)
+    }
+
     const fn for_connections(self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS)
     }
