--- a/scenarios/src/layout.rs
+++ b/scenarios/src/layout.rs
@@ -17,6 +17,17 @@
     pub teams: Vec<(String, u32, u32, bool)>,
     /// Mean run time of tasks on a backend server, in milliseconds; 0 completes them at once.
     pub run_ms: u64,
+    /// What the machine of each of the system's processes gives to it; `None` if it isn't limited.
+    pub machine: Option<Machine>,
+}
+
+/// What a machine gives to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory, in MB.
+    pub memory: u64,
+    /// Number of descriptors.
+    pub descriptors: usize,
 }
 
 /// Number of hosts per rack.
@@ -46,6 +57,7 @@
                 ("heritage".to_owned(), 1, 80, false),
             ],
             run_ms: 5,
+            machine: None,
         }
     }
 
--- a/scenarios/src/site.rs
+++ b/scenarios/src/site.rs
@@ -305,6 +305,10 @@
             fleet.join(", "),
         );
         text += &self.authority.issue(&name)?;
+        if let Some(machine) = self.layout.machine {
+            let (memory, descriptors) = (machine.memory, machine.descriptors);
+            text += &format!("limits:\n  memory_mb: {memory}\n  descriptors: {descriptors}\n");
+        }
         if role == "fleet" {
             text += &format!(
                 "operators: [{}]\nhosts: http://{}\n",
--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -18,13 +18,17 @@
 use crate::http::json_reply;
 use crate::http::read_body;
 use crate::http::text_reply;
+use crate::intake::Budget;
 use crate::intake::IntakeLimits;
+use crate::intake::Listener;
 use crate::observe::HlcTimestamp;
 use crate::record::KeyHash;
 use crate::wire::Verdict;
 
-/// Memory for the bodies of operators' requests, in bytes.
-const INTAKE_BYTES: usize = 64 << 20;
+/// Largest body of an operator's request, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// Most connections of operators.
+const MAX_CONNECTIONS: usize = 256;
 
 /// HTTP API for operators, served by a fleet process.
 pub struct OperatorsApi {
@@ -33,15 +37,20 @@
 }
 
 impl OperatorsApi {
-    /// Limits of its HTTP server; a body has room for a change with a whole table file as JSON.
-    pub const LIMITS: Limits = Limits {
-        header_bytes: 16 * 1024,
-        body_bytes: 8 * 1024 * 1024,
-        intake: IntakeLimits {
-            bytes: INTAKE_BYTES,
-            connections: 256,
-        },
-    };
+    /// Limits of its HTTP server in a process with this budget; a body has room for a change with a
+    /// whole table file as JSON.
+    #[must_use]
+    pub fn limits(budget: Budget) -> Limits {
+        let intake = budget.listener(Listener::Front);
+        Limits {
+            header_bytes: 16 * 1024,
+            body_bytes: MAX_BODY_BYTES,
+            intake: IntakeLimits {
+                connections: intake.connections.min(MAX_CONNECTIONS),
+                ..intake
+            },
+        }
+    }
 
     /// Creates the API in front of `backend`; `operators` are the hashes of the operators' keys.
     #[must_use]
@@ -94,7 +103,7 @@
     }
 
     async fn change(&self, body: ClientBody) -> Result<Reply, HttpError> {
-        let body = read_body(body, Self::LIMITS.body_bytes).await?;
+        let body = read_body(body, MAX_BODY_BYTES).await?;
         let submission: Submission = serde_json::from_slice(&body)
             .map_err(|error| fault(StatusCode::BAD_REQUEST, "bad-change", &error.to_string()))?;
         let accepted = self.backend.submit(submission).await?;
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -53,10 +53,11 @@
             timeline: node.timeline(),
         };
         let api = OperatorsApi::new(Rc::new(backend), settings.operators);
-        let http = HttpServer::bind(
+        let http = HttpServer::bind_observed(
             settings.common.http,
-            OperatorsApi::LIMITS,
+            OperatorsApi::limits(settings.common.budget),
             node.metrics().instrument(api.into_handler()),
+            node.intake_observer(),
         )?;
         let platform = HostsClient::new(&settings.hosts.to_string());
         let context = UpkeepContext {
--- a/src/gate/server.rs
+++ b/src/gate/server.rs
@@ -24,6 +24,7 @@
 use crate::http::Handler;
 use crate::http::HttpServer;
 use crate::http::Limits;
+use crate::intake::Listener;
 use crate::name::ServiceName;
 use crate::node::Node;
 use crate::node::NodeError;
@@ -82,9 +83,11 @@
         let handler = node.metrics().instrument(handler);
         let limits = Limits {
             body_bytes: settings.body_limit,
+            intake: settings.common.budget.listener(Listener::Front),
             ..Limits::default()
         };
-        let http = HttpServer::bind(settings.common.http, limits, handler)?;
+        let observer = node.intake_observer();
+        let http = HttpServer::bind_observed(settings.common.http, limits, handler, observer)?;
         node.join();
         Ok(Self {
             node,
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -18,6 +18,8 @@
 use slog::info;
 use slog::warn;
 
+use crate::intake::IntakeEvent;
+use crate::intake::Listener;
 use crate::log::LogClient;
 use crate::member::Follower;
 use crate::member::StateEvent;
@@ -30,6 +32,7 @@
 use crate::node::NodeError;
 use crate::node::incarnation;
 use crate::observe::Counters;
+use crate::observe::IntakeLog;
 use crate::observe::Metrics;
 use crate::observe::Recorder;
 use crate::observe::open_stderr_log;
@@ -175,6 +178,17 @@
         self.metrics.clone()
     }
 
+    /// Counts and logs what is done to HTTP connections for lack of memory or connections.
+    #[must_use]
+    pub fn intake_observer(&self) -> Rc<dyn Fn(IntakeEvent)> {
+        let metrics = self.metrics();
+        let log = IntakeLog::new(Listener::Front, self.log.clone());
+        Rc::new(move |event| {
+            metrics.record_intake(event);
+            log.record(event, Instant::now());
+        })
+    }
+
     /// Logger with the name and role of the process.
     pub const fn log(&self) -> &Logger {
         &self.log
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -16,6 +16,7 @@
 use crate::http::ErrorOutcome;
 use crate::http::Handler;
 use crate::http::Reply;
+use crate::intake::IntakeEvent;
 use crate::observe::Counters;
 use crate::observe::MessageKind;
 use crate::observe::MetricExporter;
@@ -38,6 +39,7 @@
     exporter: MetricExporter,
     durations: Histogram<f64>,
     requests: Counter<u64>,
+    intake: Counter<u64>,
     refresh: RefreshCallback,
 }
 
@@ -61,6 +63,10 @@
                 .with_boundaries(LATENCY_BOUNDS_S.to_vec())
                 .build(),
             requests: meter.u64_counter("mimosa.requests").build(),
+            intake: meter
+                .u64_counter("mimosa.connections_dropped")
+                .with_unit("{event}")
+                .build(),
             exporter,
             refresh,
         })
@@ -95,6 +101,12 @@
         self.exporter.reply()
     }
 
+    /// Counts a connection or a body that was cut or refused for lack of memory or connections.
+    pub fn record_intake(&self, event: IntakeEvent) {
+        let labels = [KeyValue::new("mimosa.event", event.label())];
+        self.intake.add(1, &labels);
+    }
+
     fn record_request(&self, route: &'static str, start: Instant, reply: &Reply) {
         let status = i64::from(reply.status().as_u16());
         let labels = [
--- a/src/sched/server.rs
+++ b/src/sched/server.rs
@@ -6,6 +6,7 @@
 use crate::http::Handler;
 use crate::http::HttpServer;
 use crate::http::Limits;
+use crate::intake::Listener;
 use crate::node::Node;
 use crate::node::NodeError;
 use crate::node::NodeProcess;
@@ -41,7 +42,12 @@
         );
         let handler: Handler = probe_handler(node.readiness());
         let handler = node.metrics().instrument(handler);
-        let http = HttpServer::bind(settings.common.http, Limits::default(), handler)?;
+        let limits = Limits {
+            intake: settings.common.budget.listener(Listener::Front),
+            ..Limits::default()
+        };
+        let observer = node.intake_observer();
+        let http = HttpServer::bind_observed(settings.common.http, limits, handler, observer)?;
         node.join();
         Ok(Self { node, http })
     }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
+use crate::intake::Budget;
 use crate::name::DcName;
 use crate::name::NodeName;
 use crate::settings::BaseUrl;
 use crate::settings::InvalidSetting;
 use crate::settings::TlsSettings;
+use crate::settings::raw::RawLimits;
 use crate::settings::raw::RawNode;
 use crate::settings::read::parse_bind_addr;
 use crate::settings::read::parse_name;
@@ -30,6 +32,8 @@
     pub fleet: Vec<SocketAddr>,
     /// Certificate and key files for links.
     pub tls: TlsSettings,
+    /// What connections may occupy, by the memory and descriptors of the machine.
+    pub budget: Budget,
 }
 
 impl TryFrom<RawNode> for NodeSettings {
@@ -53,6 +57,15 @@
                 .map(|addr| parse_remote_addr("fleet", addr))
                 .collect::<Result<_, _>>()?,
             tls: raw.tls.try_into()?,
+            budget: raw.limits.into(),
         })
     }
 }
+
+impl From<RawLimits> for Budget {
+    fn from(raw: RawLimits) -> Self {
+        let memory = raw.memory_mb;
+        let memory = memory.map(|megabytes| megabytes.saturating_mul(1 << 20));
+        Self::of_machine(memory, raw.descriptors)
+    }
+}
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -19,6 +19,7 @@
             log: Spanned<String>,
             fleet: Spanned<Vec<Spanned<String>>>,
             tls: RawTls,
+            limits: Option<RawLimits>,
             $($field: $kind,)*
         }
 
@@ -33,6 +34,7 @@
                     log: self.log,
                     fleet: self.fleet,
                     tls: self.tls,
+                    limits: self.limits.unwrap_or_default(),
                 };
                 (common, ($(self.$field,)*))
             }
@@ -49,6 +51,14 @@
     pub(super) key: Spanned<String>,
 }
 
+/// What the machine gives to the process.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawLimits {
+    pub(super) memory_mb: Option<usize>,
+    pub(super) descriptors: Option<usize>,
+}
+
 /// The fields common to all programs.
 #[derive(Debug)]
 pub(super) struct RawNode {
@@ -59,6 +69,7 @@
     pub(super) log: Spanned<String>,
     pub(super) fleet: Spanned<Vec<Spanned<String>>>,
     pub(super) tls: RawTls,
+    pub(super) limits: RawLimits,
 }
 
 raw_settings!(
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load_stats;
 pub mod log;
 pub mod machines;
+pub mod measure;
 pub mod query;
 pub mod runs;
 pub mod serve;
--- a/platform/tests/measure/mod.rs
+++ b/standins/src/measure.rs
@@ -18,6 +18,10 @@
 }
 
 /// Most memory that a process has used at any time, in KiB.
+///
+/// # Panics
+/// If the process has ended.
+#[must_use]
 pub fn peak_memory(id: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process lives");
     let line = status.lines().find(|line| line.starts_with("VmHWM:"));
@@ -28,6 +32,10 @@
 }
 
 /// Number of open descriptors of a process.
+///
+/// # Panics
+/// If the process has ended.
+#[must_use]
 pub fn open_descriptors(id: u32) -> usize {
     let entries = fs::read_dir(format!("/proc/{id}/fd")).expect("the process lives");
     entries.count()
@@ -35,6 +43,10 @@
 
 /// What the system holds for the connections of these listeners, in KiB: bytes that were received and
 /// not read, and bytes that were sent and not acknowledged.
+///
+/// # Panics
+/// If the system has no such table.
+#[must_use]
 pub fn queued_memory(listeners: &[SocketAddr]) -> u64 {
     let table = fs::read_to_string("/proc/net/tcp").expect("the system's table");
     let queued = table
--- a/tests/ctl_timeline.rs
+++ b/tests/ctl_timeline.rs
@@ -19,6 +19,7 @@
 use mimosastep::fleet::SubmitError;
 use mimosastep::fleet::TeamView;
 use mimosastep::http::HttpServer;
+use mimosastep::intake::Budget;
 use mimosastep::observe::Event;
 use mimosastep::observe::HlcTimestamp;
 use mimosastep::observe::Note;
@@ -126,7 +127,8 @@
     let operators = vec![KeyHash::of(KEY.as_bytes())];
     let handler = OperatorsApi::new(Rc::new(ScriptedBackend), operators).into_handler();
     let addr = ([127, 0, 0, 1], 0).into();
-    let server = HttpServer::bind(addr, OperatorsApi::LIMITS, handler).expect("a server");
+    let server =
+        HttpServer::bind(addr, OperatorsApi::limits(Budget::default()), handler).expect("a server");
     let path = temp_path(&format!("key-of-{key}"));
     fs::write(&path, key).expect("write");
     let mut command = Command::new(env!("CARGO_BIN_EXE_mimosactl"));
--- a/tests/settings_files.rs
+++ b/tests/settings_files.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::path::PathBuf;
 
+use mimosastep::intake::Budget;
 use mimosastep::record::KeyHash;
 use mimosastep::settings::FleetSettings;
 use mimosastep::settings::GateSettings;
@@ -43,6 +44,18 @@
     }
 }
 
+#[test]
+fn a_program_may_be_told_its_machine() {
+    let limits = "limits: { memory_mb: 64, descriptors: 400 }\n";
+    let told = TempSettings::new(&format!("{COMMON}{limits}"));
+    let plain = TempSettings::new(COMMON);
+    let told = SchedSettings::open(&told.0).expect("settings");
+    let plain = SchedSettings::open(&plain.0).expect("settings");
+    let machine = Budget::of_machine(Some(64 << 20), Some(400));
+    assert_eq!(told.common.budget, machine);
+    assert_eq!(plain.common.budget, Budget::default());
+}
+
 #[test]
 fn a_gate_may_set_a_limit() {
     let plain = TempSettings::new(COMMON);
@@ -96,8 +109,9 @@
 #[test_case("[127.0.0.1:7301, '[::1]:7302']", "127.0.0.1:7301", ":6:8: field `fleet`: wrong type of value; allowed: a sequence"; "one address instead of a list")]
 #[test_case("ca: Cargo.toml", "ca: absent.pem", ":7:12: field `tls.ca`: no such file: absent.pem; allowed: a file that can be read"; "an absent file")]
 #[test_case("ca: Cargo.toml", "cafe: Cargo.toml", ":7:8: field `cafe`: unknown; allowed: ca, cert, key"; "an unknown inner field")]
-#[test_case("dc: cardiff", "data: cardiff", ":2:1: field `data`: unknown; allowed: node, dc, listen, http, log, fleet, tls, body_limit"; "an unknown field")]
-#[test_case("dc: cardiff", "hosts: http://127.0.0.1:7001", ":2:1: field `hosts`: unknown; allowed: node, dc, listen, http, log, fleet, tls, body_limit"; "another program's field")]
+#[test_case("dc: cardiff", "data: cardiff", ":2:1: field `data`: unknown; allowed: node, dc, listen, http, log, fleet, tls, limits, body_limit"; "an unknown field")]
+#[test_case("dc: cardiff", "dc: cardiff\nlimits: { memory: 64 }", ":3:11: field `memory`: unknown; allowed: memory_mb, descriptors"; "an unknown limit")]
+#[test_case("dc: cardiff", "hosts: http://127.0.0.1:7001", ":2:1: field `hosts`: unknown; allowed: node, dc, listen, http, log, fleet, tls, limits, body_limit"; "another program's field")]
 #[test_case("dc: cardiff\n", "", ":6:1: field `dc`: missing"; "a missing field")]
 #[test_case(", key: Cargo.toml", "", ":7:24: field `key`: missing"; "a missing inner field")]
 #[test_case("dc: cardiff", "node: cardiff", ":2:1: field `node`: given twice"; "a field twice")]
@@ -115,7 +129,7 @@
 
 #[test_case("hosts: http://127.0.0.1:7001\n", "", ":8:1: field `hosts`: missing"; "no list of hosts")]
 #[test_case("[abc]", "[abcd]", ":9:13: field `operators`: not a hash; allowed: a BLAKE3 hash of 64 hexadecimal digits"; "not a hash")]
-#[test_case("operators: [abc]", "body_limit: 5", ":9:1: field `body_limit`: unknown; allowed: node, dc, listen, http, log, fleet, tls, hosts, operators"; "a gate's field")]
+#[test_case("operators: [abc]", "body_limit: 5", ":9:1: field `body_limit`: unknown; allowed: node, dc, listen, http, log, fleet, tls, limits, hosts, operators"; "a gate's field")]
 fn a_bad_fleet_file_is_refused(good: &str, bad: &str, expected: &str) {
     let text = format!("{COMMON}hosts: http://127.0.0.1:7001\noperators: [abc]\n");
     assert!(text.contains(good));
--- a/tests/state/node.rs
+++ b/tests/state/node.rs
@@ -7,6 +7,7 @@
 
 use compio::time::timeout;
 use futures_util::StreamExt;
+use mimosastep::intake::Budget;
 use mimosastep::net::NetEvent;
 use mimosastep::node::MembershipEnd;
 use mimosastep::node::Node;
@@ -51,6 +52,7 @@
             cert: files.cert,
             key: files.key,
         },
+        budget: Budget::default(),
     }
 }
 
--- a/tests/support/fake_backend.rs
+++ b/tests/support/fake_backend.rs
@@ -17,6 +17,7 @@
 use mimosastep::fleet::Submission;
 use mimosastep::fleet::SubmitError;
 use mimosastep::http::HttpServer;
+use mimosastep::intake::Budget;
 use mimosastep::record::KeyHash;
 
 pub const KEY: &str = "operators-key";
@@ -77,6 +78,7 @@
     let operators = vec![KeyHash::of(b"another"), KeyHash::of(KEY.as_bytes())];
     let handler = OperatorsApi::new(backend, operators).into_handler();
     let addr = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = HttpServer::bind(addr, OperatorsApi::LIMITS, handler).expect("bind");
+    let server =
+        HttpServer::bind(addr, OperatorsApi::limits(Budget::default()), handler).expect("bind");
     (fake, server)
 }
