--- a/src/net/error.rs
+++ b/src/net/error.rs
@@ -67,6 +67,10 @@
         HandshakeTimeout {
             display("handshake timed out")
         }
+        /// The handshake had to make room for others.
+        HandshakeCancelled {
+            display("too many handshakes at once")
+        }
         /// The peer closed its stream.
         StreamClosed {
             display("stream closed")
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -27,6 +27,7 @@
 use crate::net::NetError;
 use crate::net::dialer;
 use crate::net::event_router::EventRouter;
+use crate::net::handshakes::Handshakes;
 use crate::net::session;
 use crate::net::session::MeshContext;
 use crate::net::timeline_requests::TimelineRequests;
@@ -211,6 +212,7 @@
 async fn accept(endpoint: Endpoint, context: Rc<MeshContext>) {
     // Every accepted connection holds a clone, so the count limits the open connections.
     let token = Rc::new(());
+    let handshakes = Rc::<Handshakes>::default();
     while let Some(incoming) = endpoint.wait_incoming().await {
         if Rc::strong_count(&token) > MAX_ACCEPTED {
             warn!(context.log, "connection refused: too many connections"; "limit" => MAX_ACCEPTED);
@@ -219,20 +221,22 @@
         }
         let context = Rc::clone(&context);
         let token = Rc::clone(&token);
+        let handshakes = Rc::clone(&handshakes);
         spawn(async move {
-            handle_incoming(incoming, context).await;
+            handle_incoming(incoming, context, handshakes).await;
             drop(token);
         })
         .detach();
     }
 }
 
-async fn handle_incoming(incoming: Incoming, context: Rc<MeshContext>) {
+async fn handle_incoming(incoming: Incoming, context: Rc<MeshContext>, handshakes: Rc<Handshakes>) {
     let addr = incoming.remote_address();
     let deadline = session::handshake_deadline();
     let log = context.log.clone();
     let connecting = async { Ok(incoming.accept()?.await?) };
-    let err = match session::with_deadline(connecting, deadline).await {
+    let connecting = handshakes.run(session::with_deadline(connecting, deadline));
+    let err = match connecting.await {
         Ok(connection) => session::run_accepted(connection, context, deadline).await,
         Err(err) => err,
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod event_router;
 mod frame;
+mod handshakes;
 mod identity;
 mod link;
 mod link_id;
