--- a/src/http/client_body.rs
+++ b/src/http/client_body.rs
@@ -1,5 +1,6 @@
 //! Body of a client's request.
 
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -15,6 +16,8 @@
 
 use crate::http::BodyError;
 use crate::http::connection_timer::ConnectionTimer;
+use crate::http::pacer::Pacer;
+use crate::http::pacer::Turn;
 
 /// Memory that counts for each byte of a body: the buffer in which it is collected doubles as it
 /// grows.
@@ -25,12 +28,20 @@
 pub struct ClientBody {
     incoming: Incoming,
     timer: Rc<ConnectionTimer>,
+    pacer: Rc<Pacer>,
+    // The step to wait for before more is read.
+    turn: Option<Turn>,
 }
 
 impl ClientBody {
     /// Wraps the body of a request of a connection.
-    pub(super) fn new(incoming: Incoming, timer: Rc<ConnectionTimer>) -> Self {
-        let body = Self { incoming, timer };
+    pub(super) fn new(incoming: Incoming, timer: Rc<ConnectionTimer>, pacer: Rc<Pacer>) -> Self {
+        let body = Self {
+            incoming,
+            timer,
+            pacer,
+            turn: None,
+        };
         body.note_end();
         body
     }
@@ -50,6 +61,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(turn) = &mut self.turn {
+            let _ = ready!(Pin::new(turn).poll(cx));
+            self.turn = None;
+        }
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
         let Some(frame) = frame else {
             self.timer.record_body_end(Instant::now());
@@ -62,6 +77,9 @@
             return Poll::Ready(Some(Err(BodyError::Busy)));
         }
         self.note_end();
+        if !self.incoming.is_end_stream() {
+            self.turn = self.pacer.ask();
+        }
         Poll::Ready(Some(Ok(frame)))
     }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -34,6 +34,7 @@
 use crate::http::buffered_stream::SMALL_BUFFER_BYTES;
 use crate::http::connection_timer::ConnectionTimer;
 use crate::http::monitored_stream::MonitoredStream;
+use crate::http::pacer::Pacer;
 use crate::http::socket_buffers::bound_buffers;
 use crate::intake::IntakeEvent;
 use crate::intake::Intakes;
@@ -65,6 +66,7 @@
     limits: Limits,
     intakes: Intakes,
     handler: Handler,
+    pacer: Rc<Pacer>,
     shutdown: DropSignal,
     token: ActiveToken,
 }
@@ -100,6 +102,7 @@
             limits,
             intakes: Intakes::new(limits.intake, observer),
             handler,
+            pacer: Rc::default(),
             shutdown: shutdown.shared(),
             token: Rc::new(token),
         };
@@ -159,6 +162,7 @@
             permit,
             self.limits,
             handler,
+            Rc::clone(&self.pacer),
             self.shutdown.clone(),
             Rc::clone(&self.token),
         );
@@ -171,15 +175,20 @@
     permit: Permit,
     limits: Limits,
     handler: Handler,
+    pacer: Rc<Pacer>,
     shutdown: DropSignal,
     token: ActiveToken,
 ) {
     let timer = Rc::new(ConnectionTimer::start(Instant::now(), permit));
     let service = service_fn(|request: Request<Incoming>| {
         timer.record_request();
-        let request = request.map(|body| ClientBody::new(body, Rc::clone(&timer)));
+        let body = |body| ClientBody::new(body, Rc::clone(&timer), Rc::clone(&pacer));
+        let request = request.map(body);
         let reply = handle(request, limits.body_bytes, Rc::clone(&handler));
-        async {
+        let pacer = Rc::clone(&pacer);
+        let timer = &timer;
+        async move {
+            pacer.step().await;
             let reply = reply.await;
             timer.record_reply(Instant::now());
             reply
