--- a/scenarios/tests/crowd.rs
+++ b/scenarios/tests/crowd.rs
@@ -21,12 +21,10 @@
 use rustls_pki_types::pem::PemObject;
 use scenarios::http;
 use scenarios::layout::Layout;
-use scenarios::layout::Machine;
 use scenarios::site::ROLES;
 use scenarios::site::Site;
+use standins::measure::Machine;
 use standins::measure::alone;
-use standins::measure::open_descriptors;
-use standins::measure::peak_memory;
 use standins::measure::queued_memory;
 use test_case::test_case;
 
@@ -35,10 +33,6 @@
     memory: 64,
     descriptors: 400,
 };
-/// Most memory that a process may have used at any time: 0.8 of the machine's, in KiB.
-const MEMORY_BOUND_KIB: u64 = MACHINE.memory * 1_024 * 8 / 10;
-/// Descriptors that the platform keeps for files.
-const FILE_DESCRIPTORS: usize = 200;
 /// Number of connections of a crowd, for each process.
 const CROWD: usize = 400;
 /// Threads that open the connections of one process.
@@ -130,17 +124,7 @@
     let ids = site.system_ids();
     assert_eq!(ids.len(), ROLES.len());
     for ((id, role), queued) in ids.into_iter().zip(ROLES).zip(queued) {
-        let (memory, descriptors) = (peak_memory(id), open_descriptors(id));
-        println!("{role}: {memory} KiB at most, {queued} KiB queued, {descriptors} descriptors");
-        assert!(
-            memory + queued <= MEMORY_BOUND_KIB,
-            "{role}: {memory} KiB used and {queued} KiB queued, {MEMORY_BOUND_KIB} KiB allowed"
-        );
-        let most = MACHINE.descriptors - FILE_DESCRIPTORS;
-        assert!(
-            descriptors <= most,
-            "{role}: {descriptors} descriptors open, {most} allowed"
-        );
+        MACHINE.check(role, id, *queued);
     }
 }
 
@@ -160,7 +144,10 @@
 fn open() -> Site {
     let layout = Layout {
         entries: 1,
-        machine: Some(MACHINE),
+        machine: Some(scenarios::layout::Machine {
+            memory: MACHINE.memory,
+            descriptors: MACHINE.descriptors,
+        }),
         ..Layout::small()
     };
     Site::spawn(layout).expect("a site")
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -12,6 +12,48 @@
 /// State of a listening socket in the system's table.
 const LISTEN: &str = "0A";
 
+/// Descriptors that the platform keeps for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Part of the memory that a process may use at any time, in tenths.
+const MEMORY_TENTHS: u64 = 8;
+
+/// The machine that a process runs on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory, in MB.
+    pub memory: u64,
+    /// Number of descriptors.
+    pub descriptors: usize,
+}
+
+impl Machine {
+    /// Number of descriptors that are not for files.
+    #[must_use]
+    pub const fn sockets(self) -> usize {
+        self.descriptors - FILE_DESCRIPTORS
+    }
+
+    /// Checks that a process lives within the machine. `queued` is the most that the system held for its
+    /// connections, in KiB.
+    ///
+    /// # Panics
+    /// If the process has ended, or has taken more than the machine has.
+    pub fn check(self, name: &str, id: u32, queued: u64) {
+        let (memory, descriptors) = (peak_memory(id), open_descriptors(id));
+        println!("{name}: {memory} KiB at most, {queued} KiB queued, {descriptors} descriptors");
+        let bound = self.memory * 1_024 * MEMORY_TENTHS / 10;
+        assert!(
+            memory + queued <= bound,
+            "{name}: {memory} KiB used and {queued} KiB queued, {bound} KiB allowed"
+        );
+        let most = self.sockets();
+        assert!(
+            descriptors <= most,
+            "{name}: {descriptors} descriptors open, {most} allowed"
+        );
+    }
+}
+
 /// Waits until no other test of the program measures.
 pub fn alone() -> MutexGuard<'static, ()> {
     ALONE.lock().unwrap_or_else(PoisonError::into_inner)
