--- a/tests/observe_metrics.rs
+++ b/tests/observe_metrics.rs
@@ -15,6 +15,7 @@
 use mimosastep::http::HttpServer;
 use mimosastep::http::Limits;
 use mimosastep::http::text_reply;
+use mimosastep::intake::IntakeEvent;
 use mimosastep::observe::Counters;
 use mimosastep::observe::Metrics;
 use mimosastep::wire::AttemptId;
@@ -29,6 +30,7 @@
 /// Serves a handler that accepts all requests but those of the service `full`.
 fn serve(counters: &Arc<Counters>) -> HttpServer {
     let metrics = Metrics::open(counters, Rc::new(|| ())).expect("metrics");
+    metrics.record_intake(IntakeEvent::IdleCut);
     let handler = metrics.instrument(Rc::new(|request| {
         let full = request.uri().path().contains("full");
         let refused = Failure::refused(RefusalCode::Overloaded, 10);
