--- a/src/http/client_body.rs
+++ b/src/http/client_body.rs
@@ -1,6 +1,5 @@
 //! Body of a client's request.
 
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
--- a/src/http/pacer.rs
+++ b/src/http/pacer.rs
@@ -9,6 +9,8 @@
 
 /// Steps that are granted before the process looks for other events.
 const STEPS: usize = 128;
+/// Steps left at which the next round is prepared: in calm it comes before they are used up.
+const FEW_STEPS: usize = STEPS / 2;
 /// Shortest time between two rounds of steps, in milliseconds.
 const ROUND_MS: u64 = 1;
 
@@ -47,15 +49,11 @@
 impl Pacer {
     /// Asks for a step; `None` if it is granted at once.
     pub fn ask(self: &Rc<Self>) -> Option<Turn> {
-        self.start_round();
-        let mut state = self.state.borrow_mut();
-        if state.left > 0 {
-            state.left -= 1;
-            return None;
+        let turn = self.state.borrow_mut().take_step();
+        if self.state.borrow().left <= FEW_STEPS {
+            self.start_round();
         }
-        let (sender, turn) = oneshot::channel();
-        state.waiting.push_back(sender);
-        Some(turn)
+        turn
     }
 
     /// Waits for a step.
@@ -83,6 +81,17 @@
 }
 
 impl State {
+    /// Takes a step; `None` if it is granted at once.
+    fn take_step(&mut self) -> Option<Turn> {
+        if self.left > 0 {
+            self.left -= 1;
+            return None;
+        }
+        let (sender, turn) = oneshot::channel();
+        self.waiting.push_back(sender);
+        Some(turn)
+    }
+
     /// Grants the steps of a round to those that wait; returns whether another round is needed.
     fn begin_round(&mut self) -> bool {
         self.left = STEPS;
@@ -94,7 +103,7 @@
                 self.left -= 1;
             }
         }
-        self.running = self.left < STEPS;
+        self.running = self.left <= FEW_STEPS;
         self.running
     }
 }
