--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -352,8 +352,36 @@
     world.note(format!(
         "second submission: answer {status}, tasks begun {begun} of 2, shown as '{shown}'"
     ));
-    let accepted = (200..300).contains(&status);
-    Some(i32::from(accepted && begun < 2))
+    let lost = (200..300).contains(&status) && begun < 2;
+    drop(sim);
+    // Another pair: the second client cancels its own.
+    let first = "0000000000000003";
+    let second = if trouble { first } else { "0000000000000004" };
+    for id in [first, second] {
+        let step = Step {
+            count: 1,
+            cpu: 1_000,
+            work_ms: 60_000,
+            ..Step::default()
+        };
+        let name = format!("{id}.0.0");
+        world.sim.lock().unwrap().steps.insert(name, step);
+    }
+    let path = format!("{PREFIX}{first}");
+    let other = format!("{OTHER_PREFIX}{second}");
+    let text = body("long").replace("\"count\":2", "\"count\":1");
+    node.send_to(world, "POST", &path, KEY, &text)?;
+    sleep(1_000);
+    node.send_to(world, "POST", &other, OTHER_KEY, &text)?;
+    sleep(1_000);
+    node.send_to(world, "DELETE", &other, OTHER_KEY, "")?;
+    sleep(1_000);
+    let (_, body) = node.send_to(world, "GET", &path, KEY, "")?;
+    let state = body.get("state").str().to_owned();
+    world.note(format!(
+        "the first client, which has cancelled nothing, is shown '{state}'"
+    ));
+    Some(i32::from(lost || state == "cancelled"))
 }
 
 /// A client writes the digits of its ID as capitals.
