--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,10 +1,11 @@
 //! The cases. Each returns 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 use crate::exec::{Step, World};
 use crate::run::{
-    Folder, KEY, Node, OTHER_KEY, OTHER_PREFIX, PREFIX, config, platform, two_queues, wait,
+    Folder, KEY, Node, OTHER_KEY, OTHER_PREFIX, PREFIX, config, platform, send_at, two_queues, wait,
 };
 
 pub fn play(case: &str, dir: &str, trouble: bool) -> i32 {
@@ -17,7 +18,7 @@
         "gang" => gang(&world, &store, &folder, trouble),
         "kind" => kind(&world, &store, &folder, trouble),
         "ids" => ids(&world, &store, &folder, trouble),
-        "digits" => digits(&world, &store, &folder, trouble),
+        "memory" => memory(&world, &store, &folder, trouble),
         "waiting" => waiting(&world, &store, &folder, trouble),
         _ => None,
     };
@@ -384,34 +385,100 @@
     Some(i32::from(lost || state == "cancelled"))
 }
 
-/// A client writes the digits of its ID as capitals.
-fn digits(
+/// Large submissions come at the usual rate; the platform ends a process that exceeds its memory.
+fn memory(
     world: &std::sync::Arc<World>,
     store: &crate::http::Server,
     folder: &Folder,
     trouble: bool,
 ) -> Option<i32> {
-    world.begin("i-1", "a", 4_000, 0, ms(0));
-    let node = Node::open(world, folder, "front-caerdydd-a-1", store)?;
-    sleep(2_000);
-    let id = if trouble {
-        "5C0E7A21D94B36F8"
-    } else {
-        "5c0e7a21d94b36f8"
-    };
-    let body = "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":300}]}";
-    let (status, _) = node.send(world, "POST", id, body)?;
-    sleep(3_000);
-    let _ = node.send(world, "GET", id, "");
-    let sim = world.sim.lock().unwrap();
-    let strange = sim
-        .starts
-        .iter()
-        .filter(|start| !start.task.starts_with(id))
-        .count();
+    const MEMORY_MB: u64 = 260;
+    const SUBMISSIONS: u64 = 700;
+    const PER_S: u64 = 24;
+    let width = if trouble { 4_000 } else { 24 };
+    for number in 1..=8 {
+        world.begin(&format!("i-{number}"), "a", 16_000, 0, ms(0));
+    }
+    let mut nodes = Vec::new();
+    for name in ["front-a-1", "front-b-1", "front-c-1"] {
+        nodes.push(Node::open(world, folder, name, store)?);
+    }
+    let fronts: Vec<_> = nodes.iter().map(|node| node.front).collect();
+    let stop = std::sync::Arc::new(AtomicBool::new(false));
+    let (watched, over) = (world.clone(), stop.clone());
+    // The platform: it watches the memory, and starts again what has ended.
+    let platform = std::thread::spawn(move || {
+        let mut ends = vec![0_u32; nodes.len()];
+        let mut most = 0;
+        let mut due: Vec<Option<Instant>> = vec![None; nodes.len()];
+        while !over.load(SeqCst) {
+            sleep(20);
+            for (at, node) in nodes.iter_mut().enumerate() {
+                if due[at].is_some_and(|due| due <= Instant::now()) {
+                    due[at] = None;
+                    node.again();
+                    watched.note(format!("{} is started again", node.name));
+                }
+                let memory = node.memory();
+                most = most.max(memory);
+                if memory > MEMORY_MB && due[at].is_none() {
+                    node.kill();
+                    ends[at] += 1;
+                    due[at] = Some(Instant::now() + ms(1_000));
+                    watched.note(format!(
+                        "{} has {memory} MB, over {MEMORY_MB}: it is killed",
+                        node.name
+                    ));
+                }
+            }
+        }
+        (ends, most)
+    });
+    sleep(1_500);
+    let began = Instant::now();
+    let mut accepted = Vec::new();
+    for number in 0..SUBMISSIONS {
+        let due = began + ms(number * 1_000 / PER_S);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        let id = format!("5c0e7a21{number:08x}");
+        let step = Step {
+            count: width,
+            cpu: 1_000,
+            work_ms: 1_000,
+            ..Step::default()
+        };
+        let name = format!("{id}.0.0");
+        world.sim.lock().unwrap().steps.insert(name, step);
+        let body = format!(
+            "{{\"spec\":\"x\",\"steps\":[{{\"count\":{width},\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":1000}}]}}"
+        );
+        let path = format!("{PREFIX}{id}");
+        // Clients try again, at another node.
+        for attempt in 0..3 {
+            let front = fronts[(number as usize + attempt) % 3];
+            let answer = send_at(front, world, "POST", &path, KEY, &body);
+            if answer.is_some_and(|(status, _)| status == 200) {
+                accepted.push(path.clone());
+                break;
+            }
+        }
+    }
+    sleep(14_000);
+    let mut answered = 0;
+    let asked = 30;
+    for number in 0..asked {
+        let path = &accepted[number * accepted.len() / asked];
+        let answer = send_at(fronts[number % 3], world, "GET", path, KEY, "");
+        answered += usize::from(answer.is_some_and(|(status, _)| status == 200));
+    }
+    stop.store(true, SeqCst);
+    let (ends, most) = platform.join().ok()?;
+    let machines = ends.iter().filter(|ends| **ends >= 3).count();
     world.note(format!(
-        "answer {status}; starts {}, of them under an ID that no client sent: {strange}",
-        sim.starts.len()
+        "{} of {SUBMISSIONS} accepted; processes ended for their memory: {ends:?}, most seen {most} MB; \
+         {answered} of {asked} accepted submissions answered {} s after the last",
+        accepted.len(),
+        14
     ));
-    Some(i32::from(strange > 0))
+    Some(i32::from(machines >= 2))
 }
--- a/review/standin-3/run.rs
+++ b/review/standin-3/run.rs
@@ -16,8 +16,10 @@
 
 /// A process of the system; ended when dropped.
 pub struct Node {
+    pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    path: PathBuf,
     child: Child,
 }
 
@@ -76,8 +78,10 @@
         let child = launch(&path)?;
         let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let node = Self {
+            name: name.to_owned(),
             front: local(front),
             ready: local(ready),
+            path,
             child,
         };
         world.note(format!("{name} started, process {}", node.child.id()));
@@ -95,6 +99,28 @@
         ready.then_some(node)
     }
 
+    /// Memory of the process in MB, as the system counts it; 0 if it has ended.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_024
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts it again.
+    pub fn again(&mut self) {
+        if let Some(child) = launch(&self.path) {
+            self.child = child;
+        }
+    }
+
     /// Sends a client's call; `None` without an answer.
     pub fn send(&self, world: &World, method: &str, rest: &str, body: &str) -> Option<(u16, J)> {
         self.send_to(world, method, &format!("{PREFIX}{rest}"), KEY, body)
@@ -109,34 +135,44 @@
         key: &str,
         body: &str,
     ) -> Option<(u16, J)> {
-        let headers = [
-            ("Host", HOST),
-            ("X-Credential", key),
-            ("X-Deadline-Ms", "3000"),
-            ("Content-Type", "application/json"),
-        ];
-        let answer = call(
-            self.front,
-            method,
-            path,
-            &headers,
-            body,
-            Duration::from_millis(3_000),
-        );
-        let answer =
-            answer.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()));
-        world.note(format!("client {method} {path} {body} -> {answer:?}"));
-        answer.map(|(status, body)| (status, parse(body.as_bytes())))
+        send_at(self.front, world, method, path, key, body)
     }
 }
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
+/// Sends a client's call to an address; `None` without an answer.
+pub fn send_at(
+    front: SocketAddr,
+    world: &World,
+    method: &str,
+    path: &str,
+    key: &str,
+    body: &str,
+) -> Option<(u16, J)> {
+    let headers = [
+        ("Host", HOST),
+        ("X-Credential", key),
+        ("X-Deadline-Ms", "3000"),
+        ("Content-Type", "application/json"),
+    ];
+    let answer = call(
+        front,
+        method,
+        path,
+        &headers,
+        body,
+        Duration::from_millis(3_000),
+    );
+    let answer = answer.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()));
+    world.note(format!("client {method} {path} {body} -> {answer:?}"));
+    answer.map(|(status, body)| (status, parse(body.as_bytes())))
+}
+
 fn launch(path: &PathBuf) -> Option<Child> {
     let log = std::fs::OpenOptions::new()
         .create(true)
